--- a/src/daemon/address_module.cpp
+++ b/src/daemon/address_module.cpp
@@ -1,6 +1,6 @@
 #include "daemon/address_module.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/batch_module.cpp
+++ b/src/daemon/batch_module.cpp
@@ -1,7 +1,7 @@
 #include "daemon/batch_module.hpp"
 
 #include "daemon/batch_upload.hpp"
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "daemon/job_cancel.hpp"
 #include "daemon/job_coordinator.hpp"
 #include "daemon/job_results.hpp"
--- a/src/daemon/batch_upload.cpp
+++ b/src/daemon/batch_upload.cpp
@@ -1,7 +1,7 @@
 #include "daemon/batch_upload.hpp"
 
 #include "daemon/batch_item_parser.hpp"
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "daemon/job_codec.hpp"
 #include "daemon/wall_clock.hpp"
 #include "decisions/lot_assignment.hpp"
@@ -311,9 +311,9 @@
     // without an entry would not be found when this node dies.
     this->context.store.compare_and_swap(
         this->open_key(), store_revision(),
-        std::to_string(this->record.created_ms), platform::store_lease(),
+        std::to_string(this->record.created_ms), key_value::store_lease(),
         [self = this->shared_from_this()](
-            const result<platform::swap_outcome>& answer)
+            const result<key_value::swap_outcome>& answer)
         {
             if (self->ended)
             {
@@ -339,7 +339,7 @@
     this->context.store.get(
         this->open_key(),
         [self = this->shared_from_this()](
-            const result<std::optional<platform::versioned_value>>& answer)
+            const result<std::optional<key_value::versioned_value>>& answer)
         {
             if (self->ended)
             {
--- a/src/daemon/instance_watch.cpp
+++ b/src/daemon/instance_watch.cpp
@@ -33,7 +33,7 @@
     this->context.store.list(
         std::string(instance_prefix), after, page_keys,
         [this, observed = std::weak_ptr<bool>(this->alive)](
-            const result<std::vector<platform::listed_value>>& page)
+            const result<std::vector<key_value::listed_value>>& page)
         {
             if (observed.lock())
             {
@@ -43,7 +43,7 @@
 }
 
 void instance_watch::handle_page(
-    const result<std::vector<platform::listed_value>>& page)
+    const result<std::vector<key_value::listed_value>>& page)
 {
     if (page.has_error())
     {
@@ -78,7 +78,7 @@
     this->watch = this->context.store.watch(
         std::string(instance_prefix),
         [this](const std::string& key,
-               const std::optional<platform::versioned_value>& value)
+               const std::optional<key_value::versioned_value>& value)
         {
             this->take(key, value);
             this->report_soon();
@@ -86,7 +86,7 @@
 }
 
 void instance_watch::take(const std::string& key,
-                          const std::optional<platform::versioned_value>& value)
+                          const std::optional<key_value::versioned_value>& value)
 {
     if (!value)
     {
--- a/src/daemon/instance_watch.hpp
+++ b/src/daemon/instance_watch.hpp
@@ -26,10 +26,10 @@
 
 private:
     void list_after(const std::string& after);
-    void handle_page(const result<std::vector<platform::listed_value>>& page);
+    void handle_page(const result<std::vector<key_value::listed_value>>& page);
     void follow();
     void take(const std::string& key,
-              const std::optional<platform::versioned_value>& value);
+              const std::optional<key_value::versioned_value>& value);
     void report_soon();
 
     node_context& context;
@@ -37,7 +37,7 @@
     replica_list list;
     net::timer retry_timer;
     net::timer report_timer;
-    std::unique_ptr<platform::watch_handle> watch;
+    std::unique_ptr<key_value::watch_handle> watch;
     /// Freed with this object, so that late answers find nobody.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/daemon/job_cancel.cpp
+++ b/src/daemon/job_cancel.cpp
@@ -1,6 +1,6 @@
 #include "daemon/job_cancel.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "logging/log.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/daemon/job_coordinator.cpp
+++ b/src/daemon/job_coordinator.cpp
@@ -107,7 +107,7 @@
     this->context.store.list(
         prefix, after, jobs_per_listing,
         [this, shard,
-         prefix](const result<std::vector<platform::listed_value>>& answer)
+         prefix](const result<std::vector<key_value::listed_value>>& answer)
         {
             shard_state& state = this->shards[shard];
             const time_point now = net::event_loop::now();
@@ -236,7 +236,7 @@
     this->context.store.get(
         this->open_key(job),
         [this, job, only_if_old](
-            const result<std::optional<platform::versioned_value>>& answer)
+            const result<std::optional<key_value::versioned_value>>& answer)
         {
             if (answer.has_error())
             {
@@ -258,7 +258,7 @@
             }
             this->context.store.erase(
                 this->open_key(job), answer.value()->revision,
-                [this, job](const result<platform::swap_outcome>& erased)
+                [this, job](const result<key_value::swap_outcome>& erased)
                 {
                     if (erased.has_error())
                     {
--- a/src/daemon/job_results.cpp
+++ b/src/daemon/job_results.cpp
@@ -1,6 +1,6 @@
 #include "daemon/job_results.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "decisions/item_status.hpp"
 #include "logging/log.hpp"
 #include "wire/codec.hpp"
--- a/src/daemon/job_store.cpp
+++ b/src/daemon/job_store.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-using platform::versioned_value;
+using key_value::versioned_value;
 
 constexpr std::size_t lots_per_listing = 200;
 
@@ -70,9 +70,9 @@
 {
     this->context.store.compare_and_swap(
         job_key(job), expected, encode_job_record(next),
-        platform::store_lease(),
+        key_value::store_lease(),
         [this, job, callback = std::move(callback)](
-            const result<platform::swap_outcome>& answer)
+            const result<key_value::swap_outcome>& answer)
         {
             if (answer.has_error())
             {
@@ -110,9 +110,9 @@
 {
     this->context.store.compare_and_swap(
         lot_key(job, lot), expected, encode_lot_record(next),
-        platform::store_lease(),
+        key_value::store_lease(),
         [this, job, lot, callback = std::move(callback)](
-            const result<platform::swap_outcome>& answer)
+            const result<key_value::swap_outcome>& answer)
         {
             if (answer.has_error())
             {
@@ -201,7 +201,7 @@
         lot_prefix(job), after, lots_per_listing,
         [this, job, progress = std::move(progress),
          callback = std::move(callback)](
-            const result<std::vector<platform::listed_value>>& answer)
+            const result<std::vector<key_value::listed_value>>& answer)
         {
             if (answer.has_error())
             {
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -32,7 +32,7 @@
     this->context.store.get(
         this->name,
         [this, observed = std::weak_ptr<bool>(this->alive)](
-            const result<std::optional<platform::versioned_value>>& end)
+            const result<std::optional<key_value::versioned_value>>& end)
         {
             if (!observed.lock())
             {
@@ -63,7 +63,7 @@
     this->context.store.grant_lease(
         this->lifetime,
         [this, observed = std::weak_ptr<bool>(this->alive)](
-            const result<platform::store_lease>& granted)
+            const result<key_value::store_lease>& granted)
         {
             if (!observed.lock())
             {
@@ -78,12 +78,12 @@
         });
 }
 
-void leased_key::create(platform::store_lease granted)
+void leased_key::create(key_value::store_lease granted)
 {
     this->context.store.compare_and_swap(
         this->name, store_revision(), this->context.settings.id.str(), granted,
         [this, granted, observed = std::weak_ptr<bool>(this->alive)](
-            const result<platform::swap_outcome>& end)
+            const result<key_value::swap_outcome>& end)
         {
             // Without its owner the lease is left to lapse.
             if (observed.lock())
@@ -93,8 +93,8 @@
         });
 }
 
-void leased_key::handle_create(platform::store_lease granted,
-                               const result<platform::swap_outcome>& end)
+void leased_key::handle_create(key_value::store_lease granted,
+                               const result<key_value::swap_outcome>& end)
 {
     if (end.has_error() || !end.value().applied)
     {
@@ -121,7 +121,7 @@
     this->context.store.keep_alive(
         this->lease,
         [this, begun, observed = std::weak_ptr<bool>(this->alive)](
-            const result<platform::store_lease>& end)
+            const result<key_value::store_lease>& end)
         {
             if (!observed.lock())
             {
@@ -152,10 +152,10 @@
     }
 }
 
-void leased_key::revoke(platform::store_lease granted)
+void leased_key::revoke(key_value::store_lease granted)
 {
     this->context.store.revoke(granted,
-                               [](const result<platform::store_lease>&) {});
+                               [](const result<key_value::store_lease>&) {});
 }
 
 } // namespace parsleytrack
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -60,10 +60,10 @@
 
 private:
     void grant();
-    void create(platform::store_lease granted);
-    void handle_create(platform::store_lease granted,
-                       const result<platform::swap_outcome>& end);
-    void revoke(platform::store_lease granted);
+    void create(key_value::store_lease granted);
+    void handle_create(key_value::store_lease granted,
+                       const result<key_value::swap_outcome>& end);
+    void revoke(key_value::store_lease granted);
 
     node_context& context;
     std::string name;
@@ -71,7 +71,7 @@
     phase state = phase::idle;
     bool other_holds = false;
     bool renewing = false;
-    platform::store_lease lease;
+    key_value::store_lease lease;
     time_point asked_at;
     time_point since;
     std::optional<time_point> until;
--- a/src/daemon/load_slots.cpp
+++ b/src/daemon/load_slots.cpp
@@ -108,7 +108,7 @@
     this->context.store.list(
         this->prefix(), std::string(), most_slots,
         [this, observed = std::weak_ptr<bool>(this->alive)](
-            const result<std::vector<platform::listed_value>>& end)
+            const result<std::vector<key_value::listed_value>>& end)
         {
             if (!observed.lock())
             {
@@ -122,7 +122,7 @@
         });
 }
 
-void load_slots::take_free(const std::vector<platform::listed_value>& taken)
+void load_slots::take_free(const std::vector<key_value::listed_value>& taken)
 {
     std::set<std::string> names;
     for (const auto& [key, value] : taken)
--- a/src/daemon/load_slots.hpp
+++ b/src/daemon/load_slots.hpp
@@ -3,7 +3,7 @@
 #include "daemon/leased_key.hpp"
 #include "daemon/node_context.hpp"
 #include "decisions/load_budget.hpp"
-#include "platform/backoff.hpp"
+#include "key_value/backoff.hpp"
 
 #include <map>
 #include <memory>
@@ -33,14 +33,14 @@
     void follow_keys(time_point now);
     void release_unused(time_point now);
     void take_some(time_point now);
-    void take_free(const std::vector<platform::listed_value>& taken);
+    void take_free(const std::vector<key_value::listed_value>& taken);
     std::string prefix() const;
 
     node_context& context;
     load_budget slots;
     std::map<int, std::unique_ptr<leased_key>> keys;
     time_point next_try;
-    platform::backoff pauses;
+    key_value::backoff pauses;
     bool listing = false;
     /// Freed with this object, so that late answers find nobody.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/node.hpp"
 #include "logging/log.hpp"
+#include "platform/run_on_platform.hpp"
 #include "settings/settings_loader.hpp"
 
 #include <gflags/gflags.h>
@@ -8,6 +9,8 @@
 #include <variant>
 
 DEFINE_string(settings, "", "Path of the settings file (JSON with comments)");
+DEFINE_bool(relay, false,
+            "Run as a relay node on the platform that platform/ translates");
 
 namespace
 {
@@ -20,7 +23,7 @@
 int main(int argc, char** argv)
 {
     using namespace parsleytrack;
-    gflags::SetUsageMessage("--settings FILE");
+    gflags::SetUsageMessage("--settings FILE [--relay]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty())
     {
@@ -29,6 +32,10 @@
         return exit_usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    if (FLAGS_relay)
+    {
+        return platform::run_on_platform(FLAGS_settings);
+    }
     auto outcome = settings::load_settings(FLAGS_settings);
     if (const auto* problems = std::get_if<findings>(&outcome))
     {
--- a/src/daemon/membership_module.cpp
+++ b/src/daemon/membership_module.cpp
@@ -1,6 +1,6 @@
 #include "daemon/membership_module.hpp"
 
-#include "daemon/membership_conversion.hpp"
+#include "peering/membership_conversion.hpp"
 #include "daemon/nodes_body.hpp"
 #include "logging/log.hpp"
 
--- a/src/daemon/node_context.hpp
+++ b/src/daemon/node_context.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "daemon/http_router.hpp"
+#include "net/http_router.hpp"
 #include "decisions/catalogue_view.hpp"
 #include "decisions/fleet_view.hpp"
 #include "decisions/gossip_board.hpp"
 #include "metrics/registry.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "platform/etcd_store.hpp"
+#include "key_value/etcd_store.hpp"
 #include "settings/node_settings.hpp"
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
@@ -16,7 +16,7 @@
 {
 
 /// The store that this build of the daemon speaks to.
-using store_client = platform::etcd_store;
+using store_client = key_value::etcd_store;
 
 /// What the modules of a daemon share. It outlives all of them.
 struct node_context
--- a/src/daemon/once_shards.cpp
+++ b/src/daemon/once_shards.cpp
@@ -28,7 +28,7 @@
 }
 
 result<seen_once_page>
-decode_page(const std::optional<platform::versioned_value>& value)
+decode_page(const std::optional<key_value::versioned_value>& value)
 {
     if (!value)
     {
@@ -131,7 +131,7 @@
     this->context.store.get(
         page_key(shard),
         [this, shard, page = this->pages.at(shard)](
-            const result<std::optional<platform::versioned_value>>& answer)
+            const result<std::optional<key_value::versioned_value>>& answer)
         {
             page->ledger.on_page(net::event_loop::now(),
                                  answer.has_error()
@@ -146,9 +146,9 @@
     this->context.metrics.count("parsleytrack_once_writes_total", {});
     this->context.store.compare_and_swap(
         page_key(shard), wanted.revision, encode_once_page(wanted.page),
-        platform::store_lease(),
+        key_value::store_lease(),
         [this, shard, page = this->pages.at(shard)](
-            const result<platform::swap_outcome>& answer)
+            const result<key_value::swap_outcome>& answer)
         {
             const time_point now = net::event_loop::now();
             using outcome = result<std::pair<bool, seen_once_page>>;
--- a/src/daemon/online_call.cpp
+++ b/src/daemon/online_call.cpp
@@ -2,7 +2,7 @@
 
 #include "backends/completion_request.hpp"
 #include "daemon/answer_headers.hpp"
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "logging/log.hpp"
 
 #include <algorithm>
--- a/src/daemon/online_call_ends.cpp
+++ b/src/daemon/online_call_ends.cpp
@@ -3,7 +3,7 @@
 
 #include "daemon/online_call.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "logging/log.hpp"
 
 #include <algorithm>
--- a/src/daemon/online_module.cpp
+++ b/src/daemon/online_module.cpp
@@ -1,6 +1,6 @@
 #include "daemon/online_module.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "daemon/forward_codec.hpp"
 #include "daemon/online_request_parser.hpp"
 
--- a/src/daemon/region_bridge.cpp
+++ b/src/daemon/region_bridge.cpp
@@ -195,7 +195,7 @@
     this->context.store.list(
         list_prefix, "", max_listed_regions,
         [this,
-         observed](const result<std::vector<platform::listed_value>>& found)
+         observed](const result<std::vector<key_value::listed_value>>& found)
         {
             if (observed.expired() || found.has_error())
             {
--- a/src/daemon/release_module.cpp
+++ b/src/daemon/release_module.cpp
@@ -1,6 +1,6 @@
 #include "daemon/release_module.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 #include "daemon/release_answers.hpp"
 #include "daemon/release_keys.hpp"
 #include "daemon/release_submission.hpp"
@@ -196,7 +196,7 @@
     this->watch = this->context.store.watch(
         current_release_key,
         [this](const std::string& key,
-               const std::optional<platform::versioned_value>& value)
+               const std::optional<key_value::versioned_value>& value)
         {
             if (key == current_release_key && value)
             {
@@ -220,7 +220,7 @@
     // The module lives as long as the store does.
     this->context.store.get(
         current_release_key,
-        [this](const result<std::optional<platform::versioned_value>>& end)
+        [this](const result<std::optional<key_value::versioned_value>>& end)
         {
             if (end.has_error())
             {
--- a/src/daemon/release_module.hpp
+++ b/src/daemon/release_module.hpp
@@ -48,7 +48,7 @@
 
     node_context& context;
     peer_fetch fetcher;
-    std::unique_ptr<platform::watch_handle> watch;
+    std::unique_ptr<key_value::watch_handle> watch;
     /// The record of the release in force, as it stands in the store.
     std::string record;
     net::timer tick_timer;
--- a/src/daemon/release_submission.cpp
+++ b/src/daemon/release_submission.cpp
@@ -59,7 +59,7 @@
     this->context.store.get(
         current_release_key,
         [self = this->shared_from_this()](
-            const result<std::optional<platform::versioned_value>>& end)
+            const result<std::optional<key_value::versioned_value>>& end)
         {
             if (end.has_error())
             {
@@ -71,7 +71,7 @@
 }
 
 void release_submission::read_archived(
-    const std::optional<platform::versioned_value>& value)
+    const std::optional<key_value::versioned_value>& value)
 {
     this->current = release_record();
     this->revision = store_revision();
@@ -101,7 +101,7 @@
     this->context.store.get(
         archived_note_prefix + this->note.id.str(),
         [self = this->shared_from_this()](
-            const result<std::optional<platform::versioned_value>>& end)
+            const result<std::optional<key_value::versioned_value>>& end)
         {
             if (end.has_error())
             {
@@ -143,7 +143,7 @@
     this->context.store.grant_lease(
         archive_lifetime,
         [self = this->shared_from_this(),
-         accepted](const result<platform::store_lease>& lease)
+         accepted](const result<key_value::store_lease>& lease)
         {
             if (lease.has_error())
             {
@@ -155,13 +155,13 @@
 }
 
 void release_submission::write_archived(
-    const release_ledger::acceptance& accepted, platform::store_lease lease)
+    const release_ledger::acceptance& accepted, key_value::store_lease lease)
 {
     this->context.store.compare_and_swap(
         archived_note_prefix + accepted.to_archive->id.str(), store_revision(),
         encode_accepted_note(*accepted.to_archive), lease,
         [self = this->shared_from_this(),
-         accepted](const result<platform::swap_outcome>& end)
+         accepted](const result<key_value::swap_outcome>& end)
         {
             if (end.has_error())
             {
@@ -180,15 +180,15 @@
 {
     this->context.store.compare_and_swap(
         current_release_key, this->revision,
-        encode_release_record(accepted.next), platform::store_lease(),
+        encode_release_record(accepted.next), key_value::store_lease(),
         [self = this->shared_from_this(),
-         accepted](const result<platform::swap_outcome>& end)
+         accepted](const result<key_value::swap_outcome>& end)
         { self->handle_write(accepted, end); });
 }
 
 void release_submission::handle_write(
     const release_ledger::acceptance& accepted,
-    const result<platform::swap_outcome>& end)
+    const result<key_value::swap_outcome>& end)
 {
     if (end.has_error())
     {
--- a/src/daemon/release_submission.hpp
+++ b/src/daemon/release_submission.hpp
@@ -26,14 +26,14 @@
 
 private:
     void read_current();
-    void read_archived(const std::optional<platform::versioned_value>& current);
+    void read_archived(const std::optional<key_value::versioned_value>& current);
     void decide(const std::optional<accepted_note>& archived);
     void archive(const release_ledger::acceptance& accepted);
     void write_archived(const release_ledger::acceptance& accepted,
-                        platform::store_lease lease);
+                        key_value::store_lease lease);
     void write(const release_ledger::acceptance& accepted);
     void handle_write(const release_ledger::acceptance& accepted,
-                      const result<platform::swap_outcome>& end);
+                      const result<key_value::swap_outcome>& end);
     void fail(error reason);
 
     node_context& context;
--- a/src/daemon/seed_keeper.cpp
+++ b/src/daemon/seed_keeper.cpp
@@ -76,7 +76,7 @@
     this->context.store.get(
         key_of(this->context.settings.region),
         [this, observed](
-            const result<std::optional<platform::versioned_value>>& found)
+            const result<std::optional<key_value::versioned_value>>& found)
         {
             if (observed.expired())
             {
@@ -93,7 +93,7 @@
         });
 }
 
-void seed_keeper::take_in(const std::optional<platform::versioned_value>& found)
+void seed_keeper::take_in(const std::optional<key_value::versioned_value>& found)
 {
     std::vector<seed_entry> listed;
     store_revision revision;
@@ -131,8 +131,8 @@
     const std::weak_ptr<bool> observed = this->lifetime;
     this->context.store.compare_and_swap(
         key_of(this->context.settings.region), expected, encode_seeds(seeds),
-        platform::store_lease(),
-        [this, observed](const result<platform::swap_outcome>& outcome)
+        key_value::store_lease(),
+        [this, observed](const result<key_value::swap_outcome>& outcome)
         {
             if (observed.expired() || outcome.has_error())
             {
--- a/src/daemon/seed_keeper.hpp
+++ b/src/daemon/seed_keeper.hpp
@@ -25,7 +25,7 @@
     void schedule(duration delay);
     void run();
     void read();
-    void take_in(const std::optional<platform::versioned_value>& found);
+    void take_in(const std::optional<key_value::versioned_value>& found);
     void write(const std::vector<seed_entry>& seeds, store_revision expected);
     duration next_delay();
 
--- /dev/null
+++ b/src/jobs/job_codec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "jobs/job_input.hpp"
+#include "jobs/job_page.hpp"
+#include "jobs/job_state.hpp"
+#include "units/result.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace parsleytrack::jobs
+{
+
+/// Bytes of records as they stand in the platform's store and travel between
+/// nodes. Reading gives error_code::corrupt_data for what cannot be read.
+std::string encode(const job_input& input);
+result<job_input> decode_input(std::string_view bytes);
+
+std::string encode(const job_state& state);
+result<job_state> decode_state(std::string_view bytes);
+
+std::string encode_usage(token_count waiting);
+result<token_count> decode_usage(std::string_view bytes);
+
+std::string encode(const job_page& page);
+result<job_page> decode_page(std::string_view bytes);
+
+} // namespace parsleytrack::jobs
--- /dev/null
+++ b/src/jobs/job_input.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "jobs/job_item.hpp"
+#include "units/ids.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace parsleytrack::jobs
+{
+
+/// What was submitted; never changes.
+struct job_input
+{
+    job_id id;
+    std::string route_name;
+    std::string host;
+    std::vector<job_item> items;
+    /// Unix milliseconds of the submission that was accepted.
+    std::int64_t submitted_at_ms = 0;
+};
+
+} // namespace parsleytrack::jobs
--- /dev/null
+++ b/src/jobs/job_state.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "units/ids.hpp"
+#include "units/numbers.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace parsleytrack::jobs
+{
+
+/// How an item has ended.
+struct item_outcome
+{
+    std::size_t item = 0;
+    /// Whether there is an output; otherwise the item was given up.
+    bool completed = false;
+
+    bool operator==(const item_outcome&) const = default;
+};
+
+/// The agreed state of a batch job, as it stands in the platform's store. An
+/// item ends with the commit that adds its outcome.
+struct job_state
+{
+    job_id id;
+    std::string route_name;
+    node_id owner;
+    /// Which life of the owner.
+    incarnation_number owner_incarnation;
+    bool cancelled = false;
+    /// In the order in which results are read; only ever grows at its end.
+    std::vector<item_outcome> outcomes;
+    std::int64_t submitted_at_ms = 0;
+    std::size_t item_count = 0;
+    /// Tokens of the items that have no outcome.
+    token_count waiting_tokens;
+
+    bool is_finished() const
+    {
+        return this->cancelled || this->outcomes.size() >= this->item_count;
+    }
+};
+
+} // namespace parsleytrack::jobs
--- /dev/null
+++ b/src/jobs/owned_job.cpp
@@ -0,0 +1,175 @@
+#include "jobs/owned_job.hpp"
+
+#include "units/invariant.hpp"
+
+#include <utility>
+
+namespace parsleytrack::jobs
+{
+
+namespace
+{
+
+/// Bounds the size of one transaction and of the state's next value; the
+/// store takes 32 entries a transaction, two of which are the state and the
+/// usage record.
+constexpr std::size_t max_results_per_commit = 24;
+
+} // namespace
+
+owned_job::owned_job(job_input job, job_state state, store_revision revision,
+                     std::vector<std::string> outputs)
+    : submitted(std::move(job)), agreed(std::move(state)),
+      agreed_revision(revision), agreed_outputs(std::move(outputs)),
+      failures(this->submitted.items.size(), 0)
+{
+    check_invariant(this->agreed_outputs.size() == this->agreed.outcomes.size(),
+                    "each agreed outcome has its output");
+    std::vector<bool> has_outcome(this->submitted.items.size(), false);
+    for (const item_outcome& outcome : this->agreed.outcomes)
+    {
+        has_outcome.at(outcome.item) = true;
+    }
+    for (std::size_t item = 0; item < has_outcome.size(); ++item)
+    {
+        if (!has_outcome[item])
+        {
+            this->waiting.push_back(item);
+        }
+    }
+}
+
+std::optional<std::size_t> owned_job::take_item()
+{
+    if (this->waiting.empty() || this->agreed.cancelled)
+    {
+        return std::nullopt;
+    }
+    const std::size_t item = this->waiting.front();
+    this->waiting.pop_front();
+    return item;
+}
+
+void owned_job::return_item(std::size_t item)
+{
+    this->waiting.push_front(item);
+}
+
+bool owned_job::fail_item(std::size_t item, int most_failures)
+{
+    ++this->failures[item];
+    if (this->failures[item] < most_failures)
+    {
+        this->waiting.push_back(item);
+        return false;
+    }
+    this->give_up_item(item);
+    return true;
+}
+
+void owned_job::complete_item(std::size_t item, std::string output)
+{
+    this->end_item(ended_item{item, true, std::move(output)});
+}
+
+void owned_job::give_up_item(std::size_t item)
+{
+    this->end_item(ended_item{item, false, {}});
+}
+
+void owned_job::give_up_waiting_items()
+{
+    for (const std::size_t item : std::exchange(this->waiting, {}))
+    {
+        this->give_up_item(item);
+    }
+}
+
+void owned_job::end_item(ended_item ended)
+{
+    this->uncommitted.push_back(std::move(ended));
+}
+
+std::optional<job_commit> owned_job::begin_commit()
+{
+    if (this->committing || this->uncommitted.empty() || this->agreed.cancelled)
+    {
+        return std::nullopt;
+    }
+    this->committing = true;
+    job_commit commit;
+    commit.state = this->agreed;
+    commit.expected = this->agreed_revision;
+    commit.first_position = this->agreed.outcomes.size();
+    while (!this->uncommitted.empty() &&
+           commit.results.size() < max_results_per_commit)
+    {
+        ended_item ended = std::move(this->uncommitted.front());
+        this->uncommitted.pop_front();
+        const job_item& item = this->submitted.items[ended.item];
+        commit.state.outcomes.push_back(
+            item_outcome{ended.item, ended.completed});
+        commit.state.waiting_tokens -= item.tokens;
+        commit.finished_tokens += item.tokens;
+        commit.results.push_back(
+            job_result{item.id, ended.completed, std::move(ended.output)});
+    }
+    return commit;
+}
+
+void owned_job::commit_applied(const job_commit& commit,
+                               store_revision revision)
+{
+    this->committing = false;
+    this->agreed = commit.state;
+    this->agreed_revision = revision;
+    for (const job_result& entry : commit.results)
+    {
+        this->agreed_outputs.push_back(entry.output);
+    }
+}
+
+void owned_job::commit_failed(const job_commit& commit)
+{
+    this->committing = false;
+    for (std::size_t index = commit.results.size(); index > 0; --index)
+    {
+        const item_outcome& outcome =
+            commit.state.outcomes[commit.first_position + index - 1];
+        this->uncommitted.push_front(
+            ended_item{outcome.item, outcome.completed,
+                       commit.results[index - 1].output});
+    }
+}
+
+void owned_job::set_agreed(job_state state, store_revision revision)
+{
+    check_invariant(state.outcomes.size() == this->agreed.outcomes.size(),
+                    "another node's change keeps the outcomes");
+    this->agreed = std::move(state);
+    this->agreed_revision = revision;
+}
+
+job_page owned_job::page(std::size_t after, std::size_t most_bytes) const
+{
+    job_page page;
+    page.total = this->submitted.items.size();
+    std::size_t bytes = 0;
+    for (std::size_t position = after; position < this->agreed.outcomes.size();
+         ++position)
+    {
+        const item_outcome& outcome = this->agreed.outcomes[position];
+        const std::string& output = this->agreed_outputs[position];
+        bytes += output.size();
+        if (!page.results.empty() && bytes > most_bytes)
+        {
+            break;
+        }
+        page.results.push_back(
+            job_result{this->submitted.items[outcome.item].id,
+                       outcome.completed, output});
+    }
+    return page;
+}
+
+} // namespace parsleytrack::jobs
--- a/src/platform/backoff.cpp
+++ b/src/key_value/backoff.cpp
@@ -1,8 +1,8 @@
-#include "platform/backoff.hpp"
+#include "key_value/backoff.hpp"
 
 #include <algorithm>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 backoff::backoff(duration first_step, duration longest_step)
@@ -18,4 +18,4 @@
     return duration(draw(random));
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/backoff.hpp
+++ b/src/key_value/backoff.hpp
@@ -3,7 +3,7 @@
 #include "units/random_source.hpp"
 #include "units/time.hpp"
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// Delays that double after each failure, with jitter, so that many nodes that
@@ -27,4 +27,4 @@
     duration step;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/base64.cpp
+++ b/src/key_value/base64.cpp
@@ -1,9 +1,9 @@
-#include "platform/base64.hpp"
+#include "key_value/base64.hpp"
 
 #include <cstddef>
 #include <cstdint>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -75,4 +75,4 @@
     return bytes;
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/base64.hpp
+++ b/src/key_value/base64.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// \param bytes Any bytes.
@@ -15,4 +15,4 @@
 /// \returns The bytes; nothing when the text is not base64.
 std::optional<std::string> decode_base64(std::string_view text);
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/call_budget.cpp
+++ b/src/key_value/call_budget.cpp
@@ -1,11 +1,11 @@
-#include "platform/call_budget.hpp"
+#include "key_value/call_budget.hpp"
 
 #include "units/invariant.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -92,4 +92,4 @@
     }
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/call_budget.hpp
+++ b/src/key_value/call_budget.hpp
@@ -7,7 +7,7 @@
 #include <deque>
 #include <optional>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// How urgent a call to the store is.
@@ -68,4 +68,4 @@
     std::deque<ticket> normal;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/call_end.cpp
+++ b/src/key_value/call_end.cpp
@@ -1,8 +1,8 @@
-#include "platform/call_end.hpp"
+#include "key_value/call_end.hpp"
 
 #include <utility>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 namespace
@@ -59,4 +59,4 @@
     return read_response(std::move(outcome.value()));
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/call_end.hpp
+++ b/src/key_value/call_end.hpp
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// How one HTTP call to the store ended.
@@ -34,4 +34,4 @@
 /// \returns What follows for the call to the store.
 call_end to_call_end(result<net::http_response> outcome);
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_caller.cpp
+++ b/src/key_value/etcd_caller.cpp
@@ -1,11 +1,11 @@
-#include "platform/etcd_caller.hpp"
+#include "key_value/etcd_caller.hpp"
 
 #include "logging/log.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 namespace
@@ -364,4 +364,4 @@
                  retry_after};
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_caller.hpp
+++ b/src/key_value/etcd_caller.hpp
@@ -2,9 +2,9 @@
 
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "platform/call_budget.hpp"
-#include "platform/call_end.hpp"
-#include "platform/outage_detector.hpp"
+#include "key_value/call_budget.hpp"
+#include "key_value/call_end.hpp"
+#include "key_value/outage_detector.hpp"
 #include "units/endpoint.hpp"
 #include "units/random_source.hpp"
 
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// Sends HTTP calls to the store within its budget, to one address after the
@@ -109,4 +109,4 @@
     bool is_shut_down = false;
 };
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_messages.cpp
+++ b/src/key_value/etcd_messages.cpp
@@ -1,12 +1,12 @@
-#include "platform/etcd_messages.hpp"
+#include "key_value/etcd_messages.hpp"
 
-#include "platform/base64.hpp"
+#include "key_value/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 namespace
@@ -261,4 +261,4 @@
         });
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_messages.hpp
+++ b/src/key_value/etcd_messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store_lease.hpp"
+#include "key_value/store_lease.hpp"
 #include "units/numbers.hpp"
 #include "units/result.hpp"
 #include "units/time.hpp"
@@ -12,7 +12,7 @@
 #include <vector>
 
 /// The JSON bodies of the etcd v3 API.
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// A key as the store holds it.
@@ -80,4 +80,4 @@
 result<lease_answer> parse_lease(std::string_view body);
 result<watch_answer> parse_watch(std::string_view line);
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_store.cpp
+++ b/src/key_value/etcd_store.cpp
@@ -1,17 +1,17 @@
-#include "platform/etcd_store.hpp"
+#include "key_value/etcd_store.hpp"
 
-#include "platform/etcd_caller.hpp"
-#include "platform/etcd_messages.hpp"
-#include "platform/etcd_watch.hpp"
-#include "platform/etcd_write.hpp"
-#include "platform/value_reader.hpp"
-#include "platform/write_id_cache.hpp"
+#include "key_value/etcd_caller.hpp"
+#include "key_value/etcd_messages.hpp"
+#include "key_value/etcd_watch.hpp"
+#include "key_value/etcd_write.hpp"
+#include "key_value/value_reader.hpp"
+#include "key_value/write_id_cache.hpp"
 
 #include <array>
 #include <cstdio>
 #include <utility>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -239,4 +239,4 @@
     return this->contents->caller->calls_made();
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/etcd_store.hpp
+++ b/src/key_value/etcd_store.hpp
@@ -2,7 +2,7 @@
 
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "platform/platform_store.hpp"
+#include "key_value/platform_store.hpp"
 #include "units/endpoint.hpp"
 
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// The platform's store, spoken to in the HTTP/JSON form of the etcd v3 API.
@@ -78,4 +78,4 @@
 
 static_assert(platform_store<etcd_store>);
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/etcd_watch.cpp
+++ b/src/key_value/etcd_watch.cpp
@@ -1,11 +1,11 @@
-#include "platform/etcd_watch.hpp"
+#include "key_value/etcd_watch.hpp"
 
-#include "platform/value_reader.hpp"
+#include "key_value/value_reader.hpp"
 
 #include <utility>
 #include <vector>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 namespace
@@ -247,4 +247,4 @@
     this->callback(key, std::nullopt);
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_watch.hpp
+++ b/src/key_value/etcd_watch.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/etcd_caller.hpp"
-#include "platform/etcd_messages.hpp"
-#include "platform/platform_store.hpp"
-#include "platform/write_id_cache.hpp"
+#include "key_value/etcd_caller.hpp"
+#include "key_value/etcd_messages.hpp"
+#include "key_value/platform_store.hpp"
+#include "key_value/write_id_cache.hpp"
 
 #include <cstdint>
 #include <map>
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// A watch that opens again after failures. Each time that it has been opened,
@@ -58,4 +58,4 @@
     std::map<std::string, store_revision> deleted_meanwhile;
 };
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_write.cpp
+++ b/src/key_value/etcd_write.cpp
@@ -1,10 +1,10 @@
-#include "platform/etcd_write.hpp"
+#include "key_value/etcd_write.hpp"
 
-#include "platform/value_reader.hpp"
+#include "key_value/value_reader.hpp"
 
 #include <utility>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 namespace
@@ -235,4 +235,4 @@
     this->callback(std::move(failure));
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/etcd_write.hpp
+++ b/src/key_value/etcd_write.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "platform/etcd_caller.hpp"
-#include "platform/etcd_messages.hpp"
-#include "platform/platform_store.hpp"
-#include "platform/write_id_cache.hpp"
-#include "platform/write_resolution.hpp"
+#include "key_value/etcd_caller.hpp"
+#include "key_value/etcd_messages.hpp"
+#include "key_value/platform_store.hpp"
+#include "key_value/write_id_cache.hpp"
+#include "key_value/write_resolution.hpp"
 
 #include <memory>
 #include <optional>
 #include <string>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// One compare-and-swap or deletion under way, from the first transaction to
@@ -58,4 +58,4 @@
     error last_reason;
 };
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/outage_detector.cpp
+++ b/src/key_value/outage_detector.cpp
@@ -1,8 +1,8 @@
-#include "platform/outage_detector.hpp"
+#include "key_value/outage_detector.hpp"
 
 #include <algorithm>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -64,4 +64,4 @@
                               this->next_probe - now);
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/outage_detector.hpp
+++ b/src/key_value/outage_detector.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/backoff.hpp"
+#include "key_value/backoff.hpp"
 #include "units/random_source.hpp"
 #include "units/time.hpp"
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// Decides from the ends of calls whether the store is out of reach. During an
@@ -40,4 +40,4 @@
     time_point next_probe;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/platform_store.hpp
+++ b/src/key_value/platform_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/store_lease.hpp"
-#include "platform/swap_outcome.hpp"
+#include "key_value/store_lease.hpp"
+#include "key_value/swap_outcome.hpp"
 #include "units/result.hpp"
 #include "units/time.hpp"
 
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// One key of a listing.
@@ -61,4 +61,4 @@
         } -> std::same_as<bool>;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- /dev/null
+++ b/src/key_value/record_client.cpp
@@ -0,0 +1,302 @@
+#include "key_value/record_client.hpp"
+
+#include "key_value/backoff.hpp"
+#include "logging/log.hpp"
+
+#include <utility>
+
+namespace parsleytrack::key_value
+{
+
+namespace
+{
+
+/// Above the slowest answers that the store gives while it still works.
+constexpr duration call_timeout = std::chrono::milliseconds(1200);
+/// How long the store may hold a call for changes; its own limit is 30 s.
+/// Shorter, so that a silent connection is noticed.
+constexpr duration watch_wait = std::chrono::seconds(5);
+constexpr duration watch_timeout = watch_wait + call_timeout;
+constexpr duration first_repeat_delay = std::chrono::milliseconds(40);
+constexpr duration longest_repeat_delay = std::chrono::milliseconds(400);
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 412;
+constexpr int status_gone = 410;
+
+/// Answers that show a working store, whatever they say.
+bool shows_working_store(const net::http_response& response)
+{
+    return response.status == 200 || response.status == status_not_found ||
+           response.status == status_conflict || response.status == status_gone;
+}
+
+} // namespace
+
+struct record_client::commit_state
+{
+    record_transaction transaction;
+    net::http_request request;
+    time_point limit;
+    backoff pauses{first_repeat_delay, longest_repeat_delay};
+    /// Whether a copy was sent whose answer was lost.
+    bool answer_lost = false;
+    commit_callback callback;
+};
+
+struct record_client::list_state
+{
+    std::string prefix;
+    read_freshness freshness;
+    record_listing collected;
+    bool first_page = true;
+    list_callback callback;
+};
+
+record_client::record_client(net::event_loop& event_loop,
+                             net::http_client& client, endpoint store_address,
+                             const record_dialect& calls_of_store,
+                             random_source& random_numbers)
+    : loop(event_loop), http(client), address(std::move(store_address)),
+      dialect(calls_of_store), random(random_numbers)
+{
+}
+
+record_client::~record_client() = default;
+
+void record_client::get(const std::string& key, read_freshness freshness,
+                        get_callback callback)
+{
+    const net::http_request request = this->dialect.get(key, freshness);
+    this->send(
+        request, call_timeout,
+        [this, key, request,
+         callback = std::move(callback)](result<net::http_response> first)
+        {
+            if (first.has_value())
+            {
+                callback(this->dialect.read_get(key, first.value()));
+                return;
+            }
+            this->send(request, call_timeout,
+                       [this, key, callback](result<net::http_response> second)
+                       {
+                           if (second.has_error())
+                           {
+                               callback(second.error());
+                               return;
+                           }
+                           callback(
+                               this->dialect.read_get(key, second.value()));
+                       });
+        });
+}
+
+void record_client::list(const std::string& prefix, read_freshness freshness,
+                         list_callback callback)
+{
+    const auto state = std::make_shared<list_state>();
+    state->prefix = prefix;
+    state->freshness = freshness;
+    state->callback = std::move(callback);
+    this->send_page(state);
+}
+
+void record_client::send_page(const std::shared_ptr<list_state>& state)
+{
+    const std::string after = state->collected.records.empty()
+                                  ? std::string()
+                                  : state->collected.records.back().key;
+    this->send(this->dialect.list(state->prefix, after, state->freshness),
+               call_timeout,
+               [this, state](result<net::http_response> response)
+               {
+                   if (response.has_error())
+                   {
+                       state->callback(response.error());
+                       return;
+                   }
+                   auto page = this->dialect.read_list(response.value());
+                   if (page.has_error())
+                   {
+                       state->callback(page.error());
+                       return;
+                   }
+                   auto& records = page.value().records;
+                   // Changes are followed from the first page on, since the
+                   // pages are not a snapshot.
+                   if (std::exchange(state->first_page, false))
+                   {
+                       state->collected.read_at = page.value().read_at;
+                   }
+                   const bool more = page.value().truncated && !records.empty();
+                   for (stored_record& record : records)
+                   {
+                       state->collected.records.push_back(std::move(record));
+                   }
+                   if (more)
+                   {
+                       this->send_page(state);
+                       return;
+                   }
+                   state->callback(std::move(state->collected));
+               });
+}
+
+void record_client::watch(const std::string& prefix, store_revision after,
+                          watch_callback callback)
+{
+    this->send(this->dialect.watch(prefix, after, watch_wait), watch_timeout,
+               [this, callback = std::move(callback)](
+                   result<net::http_response> response)
+               {
+                   if (response.has_error())
+                   {
+                       callback(response.error());
+                       return;
+                   }
+                   callback(this->dialect.read_watch(response.value()));
+               });
+}
+
+void record_client::commit(record_transaction transaction, duration limit,
+                           commit_callback callback)
+{
+    const auto state = std::make_shared<commit_state>();
+    state->transaction = std::move(transaction);
+    state->request = this->dialect.commit(state->transaction);
+    state->limit = net::event_loop::now() + limit;
+    state->callback = std::move(callback);
+    this->send_commit(state);
+}
+
+void record_client::send_commit(const std::shared_ptr<commit_state>& state)
+{
+    this->send(state->request, call_timeout,
+               [this, state](result<net::http_response> response)
+               {
+                   if (response.has_error())
+                   {
+                       state->answer_lost = state->answer_lost ||
+                                            response.error().ran ==
+                                                ran_state::unknown;
+                       this->repeat_commit(state, response.error());
+                       return;
+                   }
+                   auto outcome = this->dialect.read_commit(state->transaction,
+                                                            response.value());
+                   if (outcome.has_error())
+                   {
+                       this->repeat_commit(state, outcome.error());
+                       return;
+                   }
+                   state->callback(std::move(outcome.value()));
+               });
+}
+
+void record_client::repeat_commit(const std::shared_ptr<commit_state>& state,
+                                  const error& reason)
+{
+    const duration pause = state->pauses.next(this->random);
+    if (net::event_loop::now() + pause >= state->limit)
+    {
+        error final = reason;
+        final.ran = state->answer_lost ? ran_state::unknown : ran_state::no;
+        final.code = state->answer_lost ? error_code::store_outcome_unknown
+                                        : error_code::store_unavailable;
+        log_event(log_level::warning, "store_commit_given_up",
+                  {{"key", state->transaction.conditions.empty()
+                               ? std::string()
+                               : state->transaction.conditions.front().key},
+                   {"applied", state->answer_lost ? "unknown" : "no"},
+                   {"reason", reason.message}});
+        state->callback(final);
+        return;
+    }
+    this->after(pause, [this, state] { this->send_commit(state); });
+}
+
+void record_client::on_reach_change(reach_callback callback)
+{
+    this->reach_callbacks.push_back(std::move(callback));
+}
+
+void record_client::send(const net::http_request& request, duration timeout,
+                         response_callback callback)
+{
+    net::http_request copy = request;
+    copy.total_timeout = timeout;
+    const std::uint64_t number = this->next_number++;
+    ++this->call_count;
+    this->calls[number] = this->http.send(
+        this->address, copy,
+        {{},
+         {},
+         [this, number,
+          callback = std::move(callback)](result<net::http_response> outcome)
+         {
+             const auto call = std::move(this->calls[number]);
+             this->calls.erase(number);
+             if (outcome.has_error())
+             {
+                 this->note_failure(outcome.error());
+                 callback(outcome.error());
+                 return;
+             }
+             if (!shows_working_store(outcome.value()))
+             {
+                 const error refused{
+                     error_code::store_unavailable,
+                     "the store answered " +
+                         std::to_string(outcome.value().status),
+                     ran_state::no,
+                     {}};
+                 this->note_failure(refused);
+                 callback(refused);
+                 return;
+             }
+             this->note_answer();
+             callback(std::move(outcome));
+         }});
+}
+
+void record_client::after(duration delay, std::function<void()> callback)
+{
+    const std::uint64_t number = this->next_number++;
+    this->timers[number] = this->loop.call_after(
+        delay,
+        [this, number, callback = std::move(callback)]
+        {
+            const auto timer = std::move(this->timers[number]);
+            this->timers.erase(number);
+            callback();
+        });
+}
+
+void record_client::note_answer()
+{
+    if (this->outage.call_answered())
+    {
+        log_event(log_level::info, "store_regained",
+                  {{"address", to_string(this->address)}});
+        for (const auto& callback : this->reach_callbacks)
+        {
+            callback(true);
+        }
+    }
+}
+
+void record_client::note_failure(const error& reason)
+{
+    if (this->outage.call_failed(net::event_loop::now(), this->random))
+    {
+        log_event(log_level::warning, "store_lost",
+                  {{"address", to_string(this->address)},
+                   {"reason", reason.message}});
+        for (const auto& callback : this->reach_callbacks)
+        {
+            callback(false);
+        }
+    }
+}
+
+} // namespace parsleytrack::key_value
--- /dev/null
+++ b/src/key_value/record_client.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "key_value/outage_detector.hpp"
+#include "key_value/record_dialect.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "units/endpoint.hpp"
+#include "units/random_source.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::key_value
+{
+
+/// Reads and changes records of the platform's store, with transactions over
+/// several keys. Lost answers are resolved by sending the same transaction
+/// again: its conditions make sure that it is applied at most once.
+class record_client
+{
+public:
+    using get_callback = std::function<void(result<stored_record>)>;
+    using list_callback = std::function<void(result<record_listing>)>;
+    using watch_callback = std::function<void(result<record_changes>)>;
+    /// An error's `ran` is ran_state::no when the transaction was not applied
+    /// and never will be, and ran_state::unknown when that is not known.
+    using commit_callback = std::function<void(result<transaction_outcome>)>;
+    /// \param reachable Whether the store answers again, or no longer does.
+    using reach_callback = std::function<void(bool reachable)>;
+
+    record_client(net::event_loop& event_loop, net::http_client& client,
+                  endpoint address, const record_dialect& calls,
+                  random_source& random_numbers);
+    ~record_client();
+    record_client(const record_client&) = delete;
+    record_client& operator=(const record_client&) = delete;
+
+    /// Reads one key. A failed read is repeated once.
+    void get(const std::string& key, read_freshness freshness,
+             get_callback callback);
+
+    /// Reads all keys of a prefix, page by page.
+    void list(const std::string& prefix, read_freshness freshness,
+              list_callback callback);
+
+    /// Waits for changes, once.
+    void watch(const std::string& prefix, store_revision after,
+               watch_callback callback);
+
+    /// Applies a transaction.
+    ///
+    /// \param limit How long lost answers are followed up.
+    void commit(record_transaction transaction, duration limit,
+                commit_callback callback);
+
+    /// \param callback Called when an outage begins and when it ends.
+    void on_reach_change(reach_callback callback);
+
+    bool is_reachable() const { return this->outage.is_reachable(); }
+    std::uint64_t calls_made() const { return this->call_count; }
+
+private:
+    using response_callback = std::function<void(result<net::http_response>)>;
+    struct commit_state;
+    struct list_state;
+
+    void send(const net::http_request& request, duration timeout,
+              response_callback callback);
+    void send_page(const std::shared_ptr<list_state>& state);
+    void send_commit(const std::shared_ptr<commit_state>& state);
+    void repeat_commit(const std::shared_ptr<commit_state>& state,
+                       const error& reason);
+    void after(duration delay, std::function<void()> callback);
+    void note_answer();
+    void note_failure(const error& reason);
+
+    net::event_loop& loop;
+    net::http_client& http;
+    endpoint address;
+    const record_dialect& dialect;
+    random_source& random;
+    outage_detector outage;
+    std::vector<reach_callback> reach_callbacks;
+    std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
+    std::map<std::uint64_t, net::timer> timers;
+    std::uint64_t next_number = 1;
+    std::uint64_t call_count = 0;
+};
+
+} // namespace parsleytrack::key_value
--- a/src/platform/store_lease.hpp
+++ b/src/key_value/store_lease.hpp
@@ -2,10 +2,10 @@
 
 #include "units/strong_number.hpp"
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// A lease in the platform's store; 0 stands for "no lease".
 using store_lease = strong_number<struct store_lease_tag>;
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/swap_outcome.hpp
+++ b/src/key_value/swap_outcome.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/versioned_value.hpp"
+#include "key_value/versioned_value.hpp"
 
 #include <optional>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// The known outcome of a compare-and-swap.
@@ -16,4 +16,4 @@
     std::optional<versioned_value> current;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/value_reader.cpp
+++ b/src/key_value/value_reader.cpp
@@ -1,10 +1,10 @@
-#include "platform/value_reader.hpp"
+#include "key_value/value_reader.hpp"
 
-#include "platform/write_envelope.hpp"
+#include "key_value/write_envelope.hpp"
 
 #include <utility>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 bool has_envelope(const std::string& key)
@@ -29,4 +29,4 @@
     return versioned_value{std::move(envelope->value), entry.revision};
 }
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/value_reader.hpp
+++ b/src/key_value/value_reader.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/etcd_messages.hpp"
-#include "platform/versioned_value.hpp"
-#include "platform/write_id_cache.hpp"
+#include "key_value/etcd_messages.hpp"
+#include "key_value/versioned_value.hpp"
+#include "key_value/write_id_cache.hpp"
 
 #include <string>
 
-namespace parsleytrack::platform::detail
+namespace parsleytrack::key_value::detail
 {
 
 /// \param key Any key.
@@ -21,4 +21,4 @@
 /// \returns The value; the bytes as they are when they hold no envelope.
 versioned_value read_value(const stored_key& entry, write_id_cache& ids);
 
-} // namespace parsleytrack::platform::detail
+} // namespace parsleytrack::key_value::detail
--- a/src/platform/versioned_value.hpp
+++ b/src/key_value/versioned_value.hpp
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// A value in the platform's store and the revision of its last change.
@@ -14,4 +14,4 @@
     store_revision revision;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_envelope.cpp
+++ b/src/key_value/write_envelope.cpp
@@ -1,6 +1,6 @@
-#include "platform/write_envelope.hpp"
+#include "key_value/write_envelope.hpp"
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -64,4 +64,4 @@
     return replaced;
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_envelope.hpp
+++ b/src/key_value/write_envelope.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// What the product's own keys hold in the store: a value and the ids of the
@@ -37,4 +37,4 @@
 std::vector<std::string> extend_write_ids(const std::string& write_id,
                                           std::vector<std::string> replaced);
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_id_cache.cpp
+++ b/src/key_value/write_id_cache.cpp
@@ -1,8 +1,8 @@
-#include "platform/write_id_cache.hpp"
+#include "key_value/write_id_cache.hpp"
 
 #include <utility>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 void write_id_cache::remember(const std::string& key, store_revision revision,
@@ -38,4 +38,4 @@
     return &found->second.write_ids;
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_id_cache.hpp
+++ b/src/key_value/write_id_cache.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// Remembers the write ids of values that were read, since the next write of a
@@ -40,4 +40,4 @@
     std::deque<std::string> order;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_resolution.cpp
+++ b/src/key_value/write_resolution.cpp
@@ -1,11 +1,11 @@
-#include "platform/write_resolution.hpp"
+#include "key_value/write_resolution.hpp"
 
 #include "units/invariant.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -82,4 +82,4 @@
     return verdict;
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/platform/write_resolution.hpp
+++ b/src/key_value/write_resolution.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/write_envelope.hpp"
+#include "key_value/write_envelope.hpp"
 #include "units/numbers.hpp"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// What is known of a write.
@@ -80,4 +80,4 @@
     write_verdict decided = write_verdict::pending;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/src/daemon/error_response.cpp
+++ b/src/net/error_response.cpp
@@ -1,4 +1,4 @@
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -19,6 +19,9 @@
     std::string body;
     /// Longest time until the answer is complete; zero means "no limit".
     duration total_timeout = duration::zero();
+    /// Longest time until a new connection is open; zero means "no limit". A
+    /// request whose connection does not open in time was not sent.
+    duration connect_timeout = duration::zero();
     /// Longest time until the head of the answer; zero means "no limit".
     duration head_timeout = duration::zero();
     /// Longest time between two pieces of the answer; zero means "no limit".
--- a/src/daemon/http_router.cpp
+++ b/src/net/http_router.cpp
@@ -1,6 +1,6 @@
-#include "daemon/http_router.hpp"
+#include "net/http_router.hpp"
 
-#include "daemon/error_response.hpp"
+#include "net/error_response.hpp"
 
 #include <utility>
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -1,10 +1,13 @@
 #include "net/http_transfer.hpp"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -92,6 +95,11 @@
         this->total_timer =
             loop.call_after(request.total_timeout, expire("the answer"));
     }
+    if (request.connect_timeout > duration::zero())
+    {
+        this->connect_timer = loop.call_after(
+            request.connect_timeout, [this] { this->check_connected(); });
+    }
     if (request.head_timeout > duration::zero())
     {
         this->head_timer =
@@ -114,6 +122,23 @@
     }
 }
 
+void http_transfer::check_connected()
+{
+    bufferevent* link =
+        evhttp_connection_get_bufferevent(this->connection->handle());
+    sockaddr_in peer{};
+    socklen_t length = sizeof(peer);
+    const bool connected =
+        ::getpeername(bufferevent_getfd(link),
+                      reinterpret_cast<sockaddr*>(&peer), &length) == 0;
+    if (!connected)
+    {
+        this->fail(error_code::peer_unreachable, ran_state::no,
+                   "the connection to " + to_string(this->target) +
+                       " did not open in time");
+    }
+}
+
 void http_transfer::cancel()
 {
     if (this->ended)
@@ -255,6 +280,7 @@
 void http_transfer::release_connection(bool reusable)
 {
     this->total_timer.cancel();
+    this->connect_timer.cancel();
     this->head_timer.cancel();
     this->idle_timer.cancel();
     // The library may be in the middle of a callback of this connection, so
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -36,6 +36,7 @@
     void end(result<http_response> outcome, bool reusable);
     void release_connection(bool reusable);
     void restart_idle_timer();
+    void check_connected();
 
     http_client& client;
     endpoint target;
@@ -44,6 +45,7 @@
     http_response response;
     duration idle_timeout = duration::zero();
     timer total_timer;
+    timer connect_timer;
     timer head_timer;
     timer idle_timer;
     evhttp_request* active = nullptr;
--- a/src/daemon/membership_conversion.cpp
+++ b/src/peering/membership_conversion.cpp
@@ -1,4 +1,4 @@
-#include "daemon/membership_conversion.hpp"
+#include "peering/membership_conversion.hpp"
 
 #include "wire/codec.hpp"
 #include "wire/generated/membership_types.h"
--- /dev/null
+++ b/src/relay/configuration_follower.cpp
@@ -0,0 +1,78 @@
+#include "relay/configuration_follower.hpp"
+
+#include "logging/log.hpp"
+
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+configuration_follower::configuration_follower(
+    net::event_loop& event_loop, key_value::record_client& client,
+    random_source& random_numbers, const relay_dialect& translator)
+    : dialect(translator),
+      follower(event_loop, client, random_numbers,
+               translator.keys().configuration,
+               {[this](const key_value::record_listing& listing, bool)
+                {
+                    for (const key_value::stored_record& record :
+                         listing.records)
+                    {
+                        this->take(record);
+                    }
+                },
+                [this](const key_value::record_change& change)
+                {
+                    if (!change.deleted)
+                    {
+                        this->take(change.record);
+                    }
+                },
+                {}})
+{
+}
+
+duration configuration_follower::age() const
+{
+    return net::event_loop::now() - this->follower.confirmed_at();
+}
+
+void configuration_follower::on_change(std::function<void()> callback)
+{
+    this->change_callbacks.push_back(std::move(callback));
+}
+
+void configuration_follower::take(const key_value::stored_record& record)
+{
+    if (record.key != this->dialect.keys().configuration)
+    {
+        return;
+    }
+    auto read = this->dialect.read_configuration(record.value);
+    if (read.has_error())
+    {
+        log_event(log_level::error, "configuration_refused",
+                  {{"revision", record.revision.count()},
+                   {"reason", read.error().message}});
+        return;
+    }
+    const auto version = read.value().version;
+    if (this->table && version <= this->table->contents().version)
+    {
+        return;
+    }
+    log_event(log_level::info, "configuration_in_force",
+              {{"version", version.count()},
+               {"previous",
+                this->table ? this->table->contents().version.count() : 0},
+               {"routes", read.value().routes.size()},
+               {"revision", record.revision.count()}});
+    this->table =
+        std::make_shared<routing::route_table>(std::move(read.value()));
+    for (const auto& callback : this->change_callbacks)
+    {
+        callback();
+    }
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/item_run.cpp
@@ -0,0 +1,155 @@
+#include "relay/item_run.hpp"
+
+#include "relay/hop_headers.hpp"
+
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
+/// A replica that gives no sign for so long is held to be silent. Longer than
+/// for online requests, since nobody waits and prompts are read again after a
+/// preemption.
+constexpr duration silence_timeout = std::chrono::milliseconds(1500);
+constexpr int status_ok = 200;
+constexpr int status_impossible = 422;
+
+} // namespace
+
+item_run::item_run(const relay_context& node, slot_client& slot_source,
+                   const jobs::job_item& run_item, std::string run_host,
+                   item_progress& known_progress, end_callback on_end)
+    : context(node), slots(slot_source), item(run_item),
+      host(std::move(run_host)), progress(known_progress),
+      ended_callback(std::move(on_end))
+{
+}
+
+void item_run::start(const service_name& name, int priority, duration due_in)
+{
+    this->service = name;
+    slot_order order;
+    order.request = request_id(this->item.id);
+    order.service = name;
+    order.kind = work_class::batch;
+    order.priority = priority;
+    order.useful_for = due_in;
+    order.wait_when_late = true;
+    order.availability_zone = this->context.settings.availability_zone;
+    this->lease = this->slots.order(
+        order,
+        {[this](const replica_id& granted) { this->send(granted); },
+         [this](duration)
+         { this->finish(item_end::interrupted, "no slot"); },
+         [this] { this->finish(item_end::interrupted, "slot reclaimed"); }});
+}
+
+void item_run::send(const replica_id& granted)
+{
+    const routing::replica_entry* entry =
+        this->context.replicas.book().find_usable(granted);
+    if (entry == nullptr)
+    {
+        this->finish(item_end::interrupted, "the replica has left");
+        return;
+    }
+    this->replica = granted;
+    const header_names& names = this->context.dialect.headers();
+    net::http_request request;
+    request.method = "POST";
+    request.target = this->item.target;
+    request.headers = end_to_end_headers(this->item.headers);
+    request.headers.emplace_back("Host", this->host);
+    request.headers.emplace_back(names.request_id, this->item.id);
+    if (this->progress.last_event > 0)
+    {
+        request.headers.emplace_back(names.resume_after,
+                                     std::to_string(this->progress.last_event));
+    }
+    request.body = this->item.body;
+    request.connect_timeout = connect_timeout;
+    request.head_timeout = silence_timeout;
+    request.idle_timeout = silence_timeout;
+    replica_exchange::callbacks hooks;
+    hooks.on_head = [this](const net::http_response& head)
+    { this->status = head.status; };
+    hooks.on_piece = [this](std::string_view piece)
+    { this->take_piece(piece); };
+    hooks.on_end = [this](replica_verdict verdict,
+                          const net::http_response& response,
+                          const std::string& reason)
+    { this->take_end(verdict, response, reason); };
+    this->attempt = std::make_unique<replica_exchange>(
+        this->context.http, names, *entry, std::move(request),
+        request_id(this->item.id), std::move(hooks));
+}
+
+void item_run::take_piece(std::string_view piece)
+{
+    if (this->status != status_ok)
+    {
+        return;
+    }
+    for (const stream_event& event : this->splitter.feed(piece))
+    {
+        // Events that came before, and comments, add nothing.
+        if (!event.number || *event.number <= this->progress.last_event)
+        {
+            continue;
+        }
+        if (this->progress.last_event > 0)
+        {
+            this->progress.output += '\n';
+        }
+        this->progress.output += event.data;
+        this->progress.last_event = *event.number;
+    }
+}
+
+void item_run::take_end(replica_verdict verdict,
+                        const net::http_response& response,
+                        const std::string& reason)
+{
+    const bool whole = verdict == replica_verdict::answered;
+    if (whole && response.status == status_ok &&
+        !this->splitter.has_partial_event() && this->progress.last_event > 0)
+    {
+        this->finish(item_end::completed, reason);
+        return;
+    }
+    if (whole && response.status == status_impossible)
+    {
+        this->finish(item_end::impossible, reason);
+        return;
+    }
+    const bool leaving = verdict == replica_verdict::wrong_replica;
+    if (leaving)
+    {
+        this->context.replicas.mark_leaving(this->replica, "refused_request");
+    }
+    if (verdict != replica_verdict::not_run)
+    {
+        this->slots.report(replica_report{request_id(this->item.id),
+                                          this->service, this->replica,
+                                          leaving});
+    }
+    const bool failed = whole && response.status != status_ok;
+    this->finish(failed ? item_end::failed : item_end::interrupted, reason);
+}
+
+void item_run::finish(item_end end, const std::string& reason)
+{
+    // The exchange may be the one whose callback runs.
+    this->context.loop.post(
+        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
+             std::move(this->attempt))] { old->reset(); });
+    this->lease.reset();
+    const auto callback = std::move(this->ended_callback);
+    callback(end, reason);
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/item_run.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "jobs/job_item.hpp"
+#include "relay/event_splitter.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/replica_exchange.hpp"
+#include "relay/slot_client.hpp"
+#include "routing/route.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// What has been received of an item's answer so far.
+struct item_progress
+{
+    /// Number of the last event; 0 before the first.
+    std::int64_t last_event = 0;
+    /// The data of all events, separated by line feeds.
+    std::string output;
+};
+
+/// How one run of an item has ended.
+enum class item_end
+{
+    completed,
+    /// A replica has failed it.
+    failed,
+    /// No replica can ever do it.
+    impossible,
+    /// To be gone on with from the progress.
+    interrupted
+};
+
+/// One run of an item at one replica, from ordering a slot to the end of the
+/// answer. Destroying it ends the run.
+class item_run
+{
+public:
+    using end_callback =
+        std::function<void(item_end end, const std::string& reason)>;
+
+    /// \param node Outlives this object.
+    /// \param slot_source Outlives this object.
+    /// \param run_item What is to be run; outlives this object.
+    /// \param host Host that the request is for.
+    /// \param progress Goes on from there, and adds to it; outlives this
+    /// object.
+    /// \param on_end Called once, never from the constructor; may destroy this
+    /// object.
+    item_run(const relay_context& node, slot_client& slot_source,
+             const jobs::job_item& run_item, std::string host,
+             item_progress& progress, end_callback on_end);
+
+    /// \param service Where the item may run.
+    /// \param priority Rank among all work of the service.
+    /// \param due_in How long until the result is due.
+    void start(const service_name& service, int priority, duration due_in);
+
+private:
+    void send(const replica_id& replica);
+    void take_piece(std::string_view piece);
+    void take_end(replica_verdict verdict, const net::http_response& response,
+                  const std::string& reason);
+    void finish(item_end end, const std::string& reason);
+
+    const relay_context& context;
+    slot_client& slots;
+    const jobs::job_item& item;
+    std::string host;
+    item_progress& progress;
+    end_callback ended_callback;
+    service_name service;
+    replica_id replica;
+    int status = 0;
+    event_splitter splitter;
+    std::unique_ptr<slot_lease> lease;
+    std::unique_ptr<replica_exchange> attempt;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_cancellation.cpp
@@ -0,0 +1,120 @@
+#include "relay/job_cancellation.hpp"
+
+#include "jobs/job_codec.hpp"
+#include "relay/job_keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// The owner commits results meanwhile; each conflict is followed by a new
+/// read.
+constexpr int max_attempts = 12;
+constexpr duration commit_limit = std::chrono::seconds(3);
+constexpr duration retry_after = std::chrono::milliseconds(300);
+
+} // namespace
+
+job_cancellation::job_cancellation(const relay_context& node,
+                                   usage_book& usages_of_routes)
+    : context(node), usages(usages_of_routes)
+{
+}
+
+void job_cancellation::cancel(const job_id& job, end_callback callback)
+{
+    this->read(job, 1, std::move(callback));
+}
+
+void job_cancellation::read(const job_id& job, int attempt,
+                            end_callback callback)
+{
+    this->context.store.get(
+        job_state_key(job), key_value::read_freshness::latest,
+        [this, job, attempt, callback = std::move(callback)](
+            const result<key_value::stored_record>& record)
+        {
+            if (record.has_error())
+            {
+                error reason = record.error();
+                reason.retry_after = retry_after;
+                callback(reason);
+                return;
+            }
+            if (!record.value().exists())
+            {
+                callback(error{error_code::not_found,
+                               "there is no job " + job.str(),
+                               ran_state::no,
+                               {}});
+                return;
+            }
+            auto state = jobs::decode_state(record.value().value);
+            if (state.has_error() || state.value().is_finished())
+            {
+                callback(std::move(state));
+                return;
+            }
+            this->write(std::move(state.value()), record.value().revision,
+                        attempt, callback);
+        });
+}
+
+void job_cancellation::write(jobs::job_state state, store_revision revision,
+                             int attempt, end_callback callback)
+{
+    const usage_book::usage usage = this->usages.get(state.route_name);
+    const token_count left =
+        std::max(token_count(0), usage.waiting - state.waiting_tokens);
+    state.cancelled = true;
+    state.waiting_tokens = token_count(0);
+    const std::string usage_key = job_usage_key(state.route_name);
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(state.id), revision},
+                              {usage_key, usage.revision}};
+    transaction.puts = {{job_state_key(state.id), jobs::encode(state)},
+                        {usage_key, jobs::encode_usage(left)}};
+    this->context.store.commit(
+        std::move(transaction), commit_limit,
+        [this, state, usage_key, left, attempt,
+         callback = std::move(callback)](
+            const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_error())
+            {
+                error reason = outcome.error();
+                reason.retry_after = retry_after;
+                callback(reason);
+                return;
+            }
+            if (outcome.value().applied)
+            {
+                this->usages.set(state.route_name,
+                                 {left, outcome.value().revision});
+                callback(state);
+                return;
+            }
+            for (const auto& record : outcome.value().current)
+            {
+                if (record.key == usage_key)
+                {
+                    this->usages.take(state.route_name, record);
+                }
+            }
+            if (attempt >= max_attempts)
+            {
+                callback(error{error_code::store_unavailable,
+                               "the job changes too often", ran_state::no,
+                               retry_after});
+                return;
+            }
+            this->read(state.id, attempt + 1, callback);
+        });
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_intake.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "jobs/job_input.hpp"
+#include "jobs/job_state.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/usage_book.hpp"
+#include "units/result.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace parsleytrack::relay
+{
+
+/// A job that has been accepted.
+struct accepted_job
+{
+    jobs::job_state state;
+    store_revision revision;
+    /// Whether an earlier submission had been accepted already.
+    bool was_known = false;
+};
+
+/// Accepts submissions: writes the job's records and the tokens that it adds
+/// to its route in one transaction.
+class job_intake
+{
+public:
+    using accept_callback = std::function<void(result<accepted_job>)>;
+
+    /// \param node Outlives this object.
+    /// \param usages Outlives this object.
+    job_intake(const relay_context& node, usage_book& usages);
+
+    /// Accepts a job, or finds that it has been accepted before.
+    ///
+    /// \param input What was submitted.
+    /// \param limit Tokens that may wait on the route; 0 for "no limit".
+    /// \param patience How long the store may take.
+    void accept(std::shared_ptr<const jobs::job_input> input, token_count limit,
+                duration patience, accept_callback callback);
+
+private:
+    struct submission;
+
+    void write(const std::shared_ptr<submission>& entry);
+    void take_outcome(const std::shared_ptr<submission>& entry,
+                      const result<key_value::transaction_outcome>& outcome);
+    void read_usage(const std::shared_ptr<submission>& entry);
+    void refuse_over_limit(const std::shared_ptr<submission>& entry,
+                           token_count waiting);
+
+    const relay_context& context;
+    usage_book& usages;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_keys.cpp
@@ -0,0 +1,43 @@
+#include "relay/job_keys.hpp"
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr std::size_t position_digits = 6;
+
+} // namespace
+
+std::string job_state_key(const job_id& job)
+{
+    return job_state_prefix + job.str();
+}
+
+std::string job_input_key(const job_id& job)
+{
+    return "parsleytrack/jobs/input/" + job.str();
+}
+
+std::string job_output_prefix(const job_id& job)
+{
+    return "parsleytrack/jobs/output/" + job.str() + "/";
+}
+
+std::string job_output_key(const job_id& job, std::size_t position)
+{
+    std::string digits = std::to_string(position);
+    if (digits.size() < position_digits)
+    {
+        digits.insert(0, position_digits - digits.size(), '0');
+    }
+    return job_output_prefix(job) + digits;
+}
+
+std::string job_usage_key(const std::string& route_name)
+{
+    return "parsleytrack/jobs/usage/" + route_name;
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_owner.cpp
@@ -0,0 +1,377 @@
+#include "relay/job_owner.hpp"
+
+#include "jobs/job_codec.hpp"
+#include "logging/log.hpp"
+#include "relay/job_keys.hpp"
+#include "relay/wall_clock.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Items of one job that hold or wait for a slot at the same time; bounds the
+/// messages to the broker for large jobs.
+constexpr std::size_t max_runs = 32;
+/// Results larger than this are read in several answers; the callers' bound.
+constexpr std::size_t max_page_bytes = 1'000'000;
+/// Lost answers of a commit are followed up for so long before the outcomes
+/// are written by a new transaction.
+constexpr duration commit_limit = std::chrono::seconds(10);
+/// Keeps an item that finds no usable replica from asking without a break.
+constexpr duration interruption_pause = std::chrono::milliseconds(30);
+constexpr duration retry_pause = std::chrono::milliseconds(300);
+
+} // namespace
+
+job_owner::job_owner(const relay_context& node, slot_client& slot_source,
+                     usage_book& usages_of_routes, jobs::owned_job owned_job,
+                     std::function<void()> on_lost)
+    : context(node), slots(slot_source), usages(usages_of_routes),
+      owned(std::move(owned_job)), lost_callback(std::move(on_lost))
+{
+}
+
+job_owner::~job_owner()
+{
+    *this->alive = false;
+}
+
+void job_owner::pump()
+{
+    if (this->stopped || this->owned.state().is_finished())
+    {
+        return;
+    }
+    const auto table = this->context.configuration.current();
+    if (!table)
+    {
+        return;
+    }
+    const jobs::job_input& input = this->owned.input();
+    const routing::route* route = table->find_by_name(input.route_name);
+    const std::int64_t age_ms = wall_clock_ms() - input.submitted_at_ms;
+    const bool expired = route != nullptr &&
+                         route->retention > duration::zero() &&
+                         age_ms > to_milliseconds(route->retention);
+    if (route == nullptr || expired)
+    {
+        log_event(log_level::warning, "job_given_up",
+                  {{"job", input.id.str()},
+                   {"reason", route == nullptr ? "route_removed" : "expired"},
+                   {"age_ms", age_ms}});
+        for (const auto& [item, run] : std::exchange(this->runs, {}))
+        {
+            this->owned.return_item(item);
+        }
+        this->owned.give_up_waiting_items();
+        this->commit();
+        return;
+    }
+    while (this->runs.size() < max_runs)
+    {
+        const auto item = this->owned.take_item();
+        if (!item)
+        {
+            return;
+        }
+        this->start_item(*item, *route);
+    }
+}
+
+void job_owner::start_item(std::size_t item, const routing::route& route)
+{
+    const jobs::job_input& input = this->owned.input();
+    const duration since_submission =
+        std::chrono::milliseconds(wall_clock_ms() - input.submitted_at_ms);
+    auto run = std::make_unique<item_run>(
+        this->context, this->slots, input.items[item], input.host,
+        this->progress[item],
+        [this, item, most = route.max_attempts](item_end end,
+                                                const std::string& reason)
+        {
+            this->take_item_end(item, end, reason, most);
+        });
+    item_run& started = *run;
+    this->runs[item] = std::move(run);
+    started.start(route.services.front().service, route.priority,
+                  route.run_target - since_submission);
+}
+
+void job_owner::take_item_end(std::size_t item, item_end end,
+                              const std::string& reason, int most_failures)
+{
+    // The run is the one whose callback this is.
+    const auto run = this->runs.find(item);
+    if (run != this->runs.end())
+    {
+        this->context.loop.post(
+            [old = std::make_shared<std::unique_ptr<item_run>>(
+                 std::move(run->second))] { old->reset(); });
+        this->runs.erase(run);
+    }
+    const item_progress& known = this->progress[item];
+    const std::string& id = this->owned.input().items[item].id;
+    const char* outcome = "completed";
+    switch (end)
+    {
+    case item_end::completed:
+        this->owned.complete_item(item, known.output);
+        this->progress.erase(item);
+        break;
+    case item_end::impossible:
+        outcome = "impossible";
+        this->owned.give_up_item(item);
+        break;
+    case item_end::failed:
+        outcome = this->owned.fail_item(item, most_failures) ? "given_up"
+                                                             : "failed";
+        break;
+    case item_end::interrupted:
+        outcome = "interrupted";
+        this->owned.return_item(item);
+        break;
+    }
+    log_event(log_level::info, "item_run_ended",
+              {{"job", this->owned.input().id.str()},
+               {"item", id},
+               {"outcome", outcome},
+               {"reason", reason}});
+    this->context.metrics.count("parsleytrack_item_runs_total",
+                                {{"outcome", outcome}});
+    this->commit();
+    const duration pause =
+        end == item_end::interrupted ? interruption_pause : duration::zero();
+    this->pump_timer =
+        this->context.loop.call_after(pause, [this] { this->pump(); });
+}
+
+void job_owner::stop()
+{
+    this->stopped = true;
+    for (const auto& [item, run] : std::exchange(this->runs, {}))
+    {
+        this->owned.return_item(item);
+    }
+    for (const parked_reader& reader : std::exchange(this->readers, {}))
+    {
+        reader.callback(this->owned.page(reader.after, max_page_bytes));
+    }
+    this->log_state("job_let_go");
+}
+
+void job_owner::commit()
+{
+    auto commit = this->owned.begin_commit();
+    if (!commit)
+    {
+        return;
+    }
+    const usage_book::usage usage =
+        this->usages.get(this->owned.input().route_name);
+    const token_count left =
+        std::max(token_count(0), usage.waiting - commit->finished_tokens);
+    auto transaction = this->transaction_of(
+        *commit, usage_book::usage{left, usage.revision});
+    this->context.store.commit(
+        std::move(transaction), commit_limit,
+        [this, observed = this->alive, commit = std::move(*commit),
+         left](const result<key_value::transaction_outcome>& outcome)
+        {
+            if (*observed)
+            {
+                this->take_commit(commit, left, outcome);
+            }
+        });
+}
+
+key_value::record_transaction
+job_owner::transaction_of(const jobs::job_commit& commit,
+                          usage_book::usage usage) const
+{
+    const job_id& job = this->owned.input().id;
+    const std::string usage_key =
+        job_usage_key(this->owned.input().route_name);
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(job), commit.expected},
+                              {usage_key, usage.revision}};
+    transaction.puts = {{job_state_key(job), jobs::encode(commit.state)},
+                        {usage_key, jobs::encode_usage(usage.waiting)}};
+    for (std::size_t index = 0; index < commit.results.size(); ++index)
+    {
+        jobs::job_page page;
+        page.total = commit.state.item_count;
+        page.results = {commit.results[index]};
+        transaction.puts.push_back(key_value::record_put{
+            job_output_key(job, commit.first_position + index),
+            jobs::encode(page)});
+    }
+    return transaction;
+}
+
+void job_owner::take_commit(
+    const jobs::job_commit& commit, token_count usage,
+    const result<key_value::transaction_outcome>& outcome)
+{
+    if (outcome.has_error())
+    {
+        this->owned.commit_failed(commit);
+        log_event(log_level::warning, "job_commit_failed",
+                  {{"job", commit.state.id.str()},
+                   {"results", commit.results.size()},
+                   {"reason", outcome.error().message}});
+        this->retry_timer = this->context.loop.call_after(
+            retry_pause, [this] { this->commit(); });
+        return;
+    }
+    if (!outcome.value().applied)
+    {
+        this->resolve_conflict(commit, outcome.value());
+        return;
+    }
+    const store_revision revision = outcome.value().revision;
+    this->owned.commit_applied(commit, revision);
+    this->usages.set(commit.state.route_name, {usage, revision});
+    this->log_state("job_committed");
+    this->answer_readers();
+    this->commit();
+}
+
+void job_owner::resolve_conflict(const jobs::job_commit& commit,
+                                 const key_value::transaction_outcome& outcome)
+{
+    for (const key_value::stored_record& record : outcome.current)
+    {
+        if (record.key == job_usage_key(commit.state.route_name))
+        {
+            this->usages.take(commit.state.route_name, record);
+        }
+    }
+    for (const key_value::stored_record& record : outcome.current)
+    {
+        if (record.key != job_state_key(commit.state.id) ||
+            record.revision == commit.expected)
+        {
+            continue;
+        }
+        const auto state = jobs::decode_state(record.value);
+        if (state.has_value() &&
+            state.value().owner == commit.state.owner &&
+            state.value().owner_incarnation ==
+                commit.state.owner_incarnation &&
+            state.value().outcomes == commit.state.outcomes)
+        {
+            // Its answer was lost.
+            this->owned.commit_applied(commit, record.revision);
+            this->answer_readers();
+            if (state.value().cancelled)
+            {
+                this->take_record(record);
+            }
+            this->commit();
+            return;
+        }
+        this->owned.commit_failed(commit);
+        this->take_record(record);
+        return;
+    }
+    this->owned.commit_failed(commit);
+    this->commit();
+}
+
+void job_owner::take_record(const key_value::stored_record& record)
+{
+    if (record.revision <= this->owned.revision())
+    {
+        return;
+    }
+    const auto state = jobs::decode_state(record.value);
+    if (state.has_error())
+    {
+        log_event(log_level::error, "job_record_damaged",
+                  {{"key", record.key}, {"reason", state.error().message}});
+        return;
+    }
+    const jobs::job_state& now = state.value();
+    const bool still_owned =
+        now.owner == this->owned.state().owner &&
+        now.owner_incarnation == this->owned.state().owner_incarnation &&
+        now.outcomes.size() == this->owned.state().outcomes.size();
+    if (!still_owned)
+    {
+        log_event(log_level::warning, "job_lost",
+                  {{"job", now.id.str()},
+                   {"owner", now.owner.str()},
+                   {"revision", record.revision.count()}});
+        this->stop();
+        this->lost_callback();
+        return;
+    }
+    this->owned.set_agreed(now, record.revision);
+    if (now.cancelled)
+    {
+        this->stop();
+        return;
+    }
+    this->commit();
+}
+
+void job_owner::read(std::size_t after, duration wait, page_callback callback)
+{
+    const jobs::job_page page = this->owned.page(after, max_page_bytes);
+    if (!page.results.empty() || wait <= duration::zero() ||
+        this->owned.state().is_finished())
+    {
+        callback(page);
+        return;
+    }
+    parked_reader& reader = this->readers.emplace_back();
+    reader.after = after;
+    reader.callback = std::move(callback);
+    reader.expiry = this->context.loop.call_after(
+        wait,
+        [this, entry = std::prev(this->readers.end())]
+        {
+            const page_callback waiting = std::move(entry->callback);
+            const std::size_t position = entry->after;
+            const net::timer own_timer = std::move(entry->expiry);
+            this->readers.erase(entry);
+            waiting(this->owned.page(position, max_page_bytes));
+        });
+}
+
+void job_owner::answer_readers()
+{
+    for (auto entry = this->readers.begin(); entry != this->readers.end();)
+    {
+        const jobs::job_page page =
+            this->owned.page(entry->after, max_page_bytes);
+        if (page.results.empty() && !this->owned.state().is_finished())
+        {
+            ++entry;
+            continue;
+        }
+        const page_callback waiting = std::move(entry->callback);
+        entry = this->readers.erase(entry);
+        waiting(page);
+    }
+}
+
+void job_owner::log_state(const char* event) const
+{
+    const jobs::job_state& state = this->owned.state();
+    log_event(log_level::info, event,
+              {{"job", state.id.str()},
+               {"outcomes", state.outcomes.size()},
+               {"items", state.item_count},
+               {"cancelled", state.cancelled ? "yes" : "no"},
+               {"revision", this->owned.revision().count()},
+               {"age_ms", wall_clock_ms() - state.submitted_at_ms}});
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_owner.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "jobs/owned_job.hpp"
+#include "relay/item_run.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/slot_client.hpp"
+#include "relay/usage_book.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace parsleytrack::relay
+{
+
+/// Runs the items of one job and commits their results.
+class job_owner
+{
+public:
+    using page_callback = std::function<void(const jobs::job_page&)>;
+
+    /// \param node Outlives this object.
+    /// \param slot_source Outlives this object.
+    /// \param usages Outlives this object.
+    /// \param owned The job.
+    /// \param on_lost Called when another node has taken the job over; may
+    /// destroy this object after the callback has returned.
+    job_owner(const relay_context& node, slot_client& slot_source,
+              usage_book& usages, jobs::owned_job owned,
+              std::function<void()> on_lost);
+    ~job_owner();
+    job_owner(const job_owner&) = delete;
+    job_owner& operator=(const job_owner&) = delete;
+
+    /// Starts items for which nothing runs yet; to be called now and then.
+    void pump();
+
+    /// Ends all runs, for a planned stop.
+    void stop();
+
+    /// Takes in the job's record as another node has written it.
+    void take_record(const key_value::stored_record& record);
+
+    /// Reads results.
+    ///
+    /// \param after Position of the first result.
+    /// \param wait How long to wait for one when there is none.
+    void read(std::size_t after, duration wait, page_callback callback);
+
+    const jobs::owned_job& job() const { return this->owned; }
+
+private:
+    struct parked_reader
+    {
+        std::size_t after = 0;
+        page_callback callback;
+        net::timer expiry;
+    };
+
+    void start_item(std::size_t item, const routing::route& route);
+    void take_item_end(std::size_t item, item_end end,
+                       const std::string& reason, int most_failures);
+    void commit();
+    key_value::record_transaction transaction_of(const jobs::job_commit& commit,
+                                                 usage_book::usage usage) const;
+    void take_commit(const jobs::job_commit& commit, token_count usage,
+                     const result<key_value::transaction_outcome>& outcome);
+    void resolve_conflict(const jobs::job_commit& commit,
+                          const key_value::transaction_outcome& outcome);
+    void answer_readers();
+    void log_state(const char* event) const;
+
+    const relay_context& context;
+    slot_client& slots;
+    usage_book& usages;
+    jobs::owned_job owned;
+    std::function<void()> lost_callback;
+    std::map<std::size_t, item_progress> progress;
+    std::map<std::size_t, std::unique_ptr<item_run>> runs;
+    std::list<parked_reader> readers;
+    net::timer retry_timer;
+    net::timer pump_timer;
+    bool stopped = false;
+    /// Outlives this object in callbacks of the store.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_service.cpp
@@ -0,0 +1,462 @@
+#include "relay/job_service.hpp"
+
+#include "jobs/job_codec.hpp"
+#include "logging/log.hpp"
+#include "relay/job_keys.hpp"
+#include "relay/refusal.hpp"
+#include "relay/wall_clock.hpp"
+#include "wire/codec.hpp"
+#include "wire/generated/node_jobs_types.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+/// The caller's own limit is not told with a submission; it asks again after
+/// a few seconds.
+constexpr duration accept_patience = std::chrono::milliseconds(3500);
+constexpr duration longest_wait = std::chrono::milliseconds(1000);
+/// Retries of commits, deadlines of items, and drops of finished jobs.
+constexpr duration pump_interval = std::chrono::milliseconds(500);
+/// How long the results of a finished job are served from memory.
+constexpr duration kept_in_memory = std::chrono::seconds(15);
+constexpr duration news_timeout = std::chrono::seconds(1);
+
+std::string describe(const result<accepted_job>& accepted)
+{
+    if (accepted.has_error())
+    {
+        return "refused_" + std::string(to_string(accepted.error().code));
+    }
+    return accepted.value().was_known ? "known" : "accepted";
+}
+
+} // namespace
+
+job_service::job_service(const relay_context& node, slot_client& slot_source)
+    : context(node), slots(slot_source), intake(node, this->usages),
+      reader(node), cancellation(node, this->usages),
+      takeover(node,
+               {[this](const job_id& job) { return this->owned.contains(job); },
+                [this](jobs::owned_job job) { this->own(std::move(job)); },
+                [this](const key_value::stored_record& record)
+                {
+                    const job_id job(
+                        record.key.substr(job_state_prefix.size()));
+                    this->owned.at(job)->take_record(record);
+                }})
+{
+    this->context.peers.on_call(
+        wire::message_type::node_job_read,
+        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
+        { this->answer_peer_read(exchange); });
+    this->context.peers.on_call(
+        wire::message_type::node_job_news,
+        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
+        { this->take_peer_news(exchange); });
+    this->pump_timer = this->context.loop.call_every(pump_interval,
+                                                     [this] { this->pump(); });
+}
+
+void job_service::submit(
+    const std::shared_ptr<net::http_exchange>& exchange,
+    const std::shared_ptr<const routing::route_table>& table,
+    const routing::route& route)
+{
+    const std::string& id_header =
+        this->context.dialect.headers().request_id;
+    const auto& headers = exchange->head().headers;
+    const std::string* id = net::find_header(headers, id_header.c_str());
+    const std::string* host = net::find_header(headers, "Host");
+    if (id == nullptr || host == nullptr)
+    {
+        refuse(*exchange,
+               error{error_code::bad_request,
+                     (id == nullptr ? id_header : std::string("Host")) +
+                         " is missing",
+                     ran_state::no,
+                     {}});
+        return;
+    }
+    jobs::job_input input;
+    input.id = job_id(*id);
+    input.route_name = route.name;
+    input.host = *host;
+    const std::size_t limit =
+        static_cast<std::size_t>(table->contents().limits.body.count());
+    exchange->on_body(
+        limit,
+        [this, exchange, table, &route,
+         input = std::move(input)](const std::string& body) mutable
+        {
+            auto items = this->context.dialect.read_submission(body);
+            if (items.has_error())
+            {
+                log_event(log_level::info, "job_refused",
+                          {{"job", input.id.str()},
+                           {"reason", items.error().message}});
+                refuse(*exchange, items.error());
+                return;
+            }
+            input.items = std::move(items.value());
+            input.submitted_at_ms = wall_clock_ms();
+            this->take_submission(exchange, input, route);
+        });
+}
+
+void job_service::take_submission(
+    const std::shared_ptr<net::http_exchange>& exchange,
+    const jobs::job_input& input, const routing::route& route)
+{
+    if (this->owned.contains(input.id))
+    {
+        exchange->respond_json(status_accepted, "{}");
+        return;
+    }
+    if (this->stopped)
+    {
+        refuse(*exchange,
+               error{error_code::shutting_down, "this node is stopping",
+                     ran_state::no, std::chrono::milliseconds(100)});
+        return;
+    }
+    const auto kept = std::make_shared<const jobs::job_input>(input);
+    this->intake.accept(
+        kept, route.waiting_tokens_limit, accept_patience,
+        [this, exchange, kept, received = net::event_loop::now()](
+            const result<accepted_job>& accepted)
+        { this->take_acceptance(exchange, kept, received, accepted); });
+}
+
+void job_service::take_acceptance(
+    const std::shared_ptr<net::http_exchange>& exchange,
+    std::shared_ptr<const jobs::job_input> input, time_point received,
+    const result<accepted_job>& accepted)
+{
+    int status = status_accepted;
+    if (accepted.has_error())
+    {
+        status = refuse(*exchange, accepted.error());
+    }
+    else
+    {
+        exchange->respond_json(status_accepted, "{}");
+    }
+    const std::string outcome = describe(accepted);
+    log_event(log_level::info, "job_submitted",
+              {{"job", input->id.str()},
+               {"outcome", outcome},
+               {"status", status},
+               {"items", input->items.size()},
+               {"route", input->route_name},
+               {"reason",
+                accepted.has_error() ? accepted.error().message : "none"},
+               {"total_ms",
+                to_milliseconds(net::event_loop::now() - received)}});
+    this->context.metrics.count("parsleytrack_jobs_total",
+                                {{"outcome", outcome}});
+    if (accepted.has_error())
+    {
+        return;
+    }
+    const jobs::job_state& state = accepted.value().state;
+    const node_info& own = this->context.group.own();
+    const bool is_own = state.owner == own.id &&
+                        state.owner_incarnation == own.incarnation;
+    if (is_own && state.outcomes.empty() && !state.cancelled)
+    {
+        this->own(
+            jobs::owned_job(*input, state, accepted.value().revision, {}));
+    }
+}
+
+void job_service::take(const std::shared_ptr<net::http_exchange>& exchange,
+                       const job_call& call)
+{
+    switch (call.what)
+    {
+    case job_call::kind::read_results:
+        this->read_results(exchange, call);
+        return;
+    case job_call::kind::read_item_body:
+        this->read_body(exchange, call,
+                        key_value::read_freshness::may_be_stale);
+        return;
+    case job_call::kind::end:
+        this->end_job(exchange, call);
+        return;
+    }
+}
+
+void job_service::read_results(
+    const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
+{
+    duration wait = duration::zero();
+    const std::string* text =
+        net::find_header(exchange->head().headers,
+                         this->context.dialect.headers().wait_ms.c_str());
+    if (text != nullptr)
+    {
+        std::int64_t count = 0;
+        std::from_chars(text->data(), text->data() + text->size(), count);
+        wait = std::clamp<duration>(std::chrono::milliseconds(count),
+                                    duration::zero(), longest_wait);
+    }
+    const auto respond =
+        [this, exchange, after = call.after](const jobs::job_page& page)
+    {
+        exchange->respond_json(
+            status_ok, this->context.dialect.write_results(page, after));
+    };
+    const auto found = this->owned.find(call.job);
+    if (found != this->owned.end())
+    {
+        found->second->read(call.after, wait, respond);
+        return;
+    }
+    this->reader.read(call.job, call.after, wait,
+                      [exchange, respond](const result<jobs::job_page>& page)
+                      {
+                          if (page.has_error())
+                          {
+                              refuse(*exchange, page.error());
+                              return;
+                          }
+                          respond(page.value());
+                      });
+}
+
+void job_service::read_body(const std::shared_ptr<net::http_exchange>& exchange,
+                            const job_call& call,
+                            key_value::read_freshness freshness)
+{
+    this->context.store.get(
+        job_input_key(call.job), freshness,
+        [this, exchange, call,
+         freshness](const result<key_value::stored_record>& record)
+        {
+            if (record.has_error())
+            {
+                error reason = record.error();
+                reason.ran = ran_state::no;
+                reason.code = error_code::store_unavailable;
+                refuse(*exchange, reason);
+                return;
+            }
+            if (!record.value().exists() &&
+                freshness != key_value::read_freshness::latest)
+            {
+                this->read_body(exchange, call,
+                                key_value::read_freshness::latest);
+                return;
+            }
+            auto input = record.value().exists()
+                             ? jobs::decode_input(record.value().value)
+                             : result<jobs::job_input>(jobs::job_input());
+            if (input.has_error())
+            {
+                refuse(*exchange, input.error());
+                return;
+            }
+            for (const jobs::job_item& item : input.value().items)
+            {
+                if (item.id == call.item)
+                {
+                    exchange->respond(
+                        status_ok,
+                        {{"Content-Type", "application/octet-stream"}},
+                        item.body);
+                    return;
+                }
+            }
+            refuse(*exchange, error{error_code::not_found,
+                                    "there is no such item",
+                                    ran_state::no,
+                                    {}});
+        });
+}
+
+void job_service::end_job(const std::shared_ptr<net::http_exchange>& exchange,
+                          const job_call& call)
+{
+    this->cancellation.cancel(
+        call.job,
+        [this, exchange, call](const result<jobs::job_state>& state)
+        {
+            log_event(log_level::info, "job_end_asked",
+                      {{"job", call.job.str()},
+                       {"outcome", state.has_error()
+                                       ? std::string(to_string(
+                                             state.error().code))
+                                       : std::string("ended")}});
+            if (state.has_error())
+            {
+                refuse(*exchange, state.error());
+                return;
+            }
+            exchange->respond_json(status_ok, "{}");
+            this->tell_owner(state.value());
+        });
+}
+
+void job_service::tell_owner(const jobs::job_state& state)
+{
+    if (this->owned.contains(state.id))
+    {
+        this->refresh(state.id);
+        return;
+    }
+    const auto owner = this->context.group.find(state.owner);
+    if (!owner || owner->id == this->context.group.own().id)
+    {
+        return;
+    }
+    wire::node_job_news message;
+    message.job = state.id.str();
+    const std::uint64_t number = this->next_number++;
+    this->news[number] = this->context.peers.call(
+        owner->peer, wire::message_type::node_job_news, wire::encode(message),
+        news_timeout,
+        {{},
+         [this, number, job = state.id](const result<std::string>& outcome)
+         {
+             if (outcome.has_error())
+             {
+                 // The owner's next look at the records finds the change.
+                 log_event(log_level::info, "job_news_lost",
+                           {{"job", job.str()},
+                            {"reason", outcome.error().message}});
+             }
+             this->news.erase(number);
+         }});
+}
+
+void job_service::refresh(const job_id& job)
+{
+    this->context.store.get(
+        job_state_key(job), key_value::read_freshness::latest,
+        [this, job](const result<key_value::stored_record>& record)
+        {
+            const auto found = this->owned.find(job);
+            if (found == this->owned.end())
+            {
+                return;
+            }
+            if (record.has_error() || !record.value().exists())
+            {
+                log_event(log_level::warning, "job_refresh_failed",
+                          {{"job", job.str()},
+                           {"reason", record.has_error()
+                                          ? record.error().message
+                                          : "it is missing"}});
+                return;
+            }
+            found->second->take_record(record.value());
+        });
+}
+
+void job_service::answer_peer_read(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto question =
+        wire::decode<wire::node_job_read>(exchange->request());
+    if (question.has_error())
+    {
+        exchange->fail(question.error());
+        return;
+    }
+    const auto found = this->owned.find(job_id(question.value().job));
+    if (found == this->owned.end() || question.value().after < 0)
+    {
+        exchange->fail(error{error_code::not_found,
+                             "this node does not run the job",
+                             ran_state::no,
+                             {}});
+        return;
+    }
+    found->second->read(
+        static_cast<std::size_t>(question.value().after),
+        std::chrono::milliseconds(question.value().wait_ms),
+        [exchange](const jobs::job_page& page)
+        { exchange->finish(jobs::encode(page)); });
+}
+
+void job_service::take_peer_news(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto message =
+        wire::decode<wire::node_job_news>(exchange->request());
+    if (message.has_error())
+    {
+        exchange->fail(message.error());
+        return;
+    }
+    exchange->finish({});
+    const job_id job(message.value().job);
+    if (this->owned.contains(job))
+    {
+        this->refresh(job);
+    }
+}
+
+void job_service::own(jobs::owned_job job)
+{
+    const job_id id = job.input().id;
+    if (this->stopped || this->owned.contains(id))
+    {
+        return;
+    }
+    auto owner = std::make_unique<job_owner>(
+        this->context, this->slots, this->usages, std::move(job),
+        [this, id]
+        { this->context.loop.post([this, id] { this->owned.erase(id); }); });
+    job_owner& started = *owner;
+    this->owned[id] = std::move(owner);
+    started.pump();
+}
+
+void job_service::pump()
+{
+    const time_point now = net::event_loop::now();
+    for (const auto& [id, owner] : this->owned)
+    {
+        owner->pump();
+        if (owner->job().state().is_finished())
+        {
+            this->dropped_at.emplace(id, now + kept_in_memory);
+        }
+    }
+    std::erase_if(this->dropped_at,
+                  [this, now](const auto& entry)
+                  {
+                      if (now < entry.second)
+                      {
+                          return false;
+                      }
+                      this->owned.erase(entry.first);
+                      return true;
+                  });
+}
+
+void job_service::stop()
+{
+    this->stopped = true;
+    this->takeover.stop();
+    for (const auto& [id, owner] : this->owned)
+    {
+        owner->stop();
+    }
+    // Other nodes run these jobs now and have their newest results.
+    this->owned.clear();
+    this->dropped_at.clear();
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_service.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "net/http_exchange.hpp"
+#include "relay/job_call.hpp"
+#include "relay/job_cancellation.hpp"
+#include "relay/job_intake.hpp"
+#include "relay/job_owner.hpp"
+#include "relay/job_reader.hpp"
+#include "relay/job_takeover.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/slot_client.hpp"
+#include "relay/usage_book.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// Takes callers' calls about batch jobs, and runs the jobs that this node
+/// owns.
+class job_service
+{
+public:
+    /// \param node Outlives this object.
+    /// \param slot_source Outlives this object.
+    job_service(const relay_context& node, slot_client& slot_source);
+
+    /// Takes the submission of a job.
+    void submit(const std::shared_ptr<net::http_exchange>& exchange,
+                const std::shared_ptr<const routing::route_table>& table,
+                const routing::route& route);
+
+    /// Takes a call about a job that was accepted before.
+    void take(const std::shared_ptr<net::http_exchange>& exchange,
+              const job_call& call);
+
+    /// Lets all jobs go, for a planned stop.
+    void stop();
+
+private:
+    void take_submission(const std::shared_ptr<net::http_exchange>& exchange,
+                         const jobs::job_input& input,
+                         const routing::route& route);
+    void take_acceptance(const std::shared_ptr<net::http_exchange>& exchange,
+                         std::shared_ptr<const jobs::job_input> input,
+                         time_point received,
+                         const result<accepted_job>& accepted);
+    void read_results(const std::shared_ptr<net::http_exchange>& exchange,
+                      const job_call& call);
+    void read_body(const std::shared_ptr<net::http_exchange>& exchange,
+                   const job_call& call, key_value::read_freshness freshness);
+    void end_job(const std::shared_ptr<net::http_exchange>& exchange,
+                 const job_call& call);
+    void answer_peer_read(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void take_peer_news(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void tell_owner(const jobs::job_state& state);
+    void refresh(const job_id& job);
+    void own(jobs::owned_job job);
+    void pump();
+
+    const relay_context& context;
+    slot_client& slots;
+    usage_book usages;
+    job_intake intake;
+    job_reader reader;
+    job_cancellation cancellation;
+    job_takeover takeover;
+    std::map<job_id, std::unique_ptr<job_owner>> owned;
+    /// When a finished job is dropped from memory; it stays in the store.
+    std::map<job_id, time_point> dropped_at;
+    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> news;
+    std::uint64_t next_number = 1;
+    net::timer pump_timer;
+    bool stopped = false;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_takeover.cpp
@@ -0,0 +1,240 @@
+#include "relay/job_takeover.hpp"
+
+#include "decisions/rendezvous.hpp"
+#include "jobs/job_codec.hpp"
+#include "logging/log.hpp"
+#include "relay/job_keys.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// How long a job may be without an owner, beside the time in which the owner
+/// is found to be gone. The reads may be stale and cost the store little.
+constexpr duration scan_interval = std::chrono::seconds(2);
+/// After a change of the other nodes, several of which may change at once.
+constexpr duration scan_after_change = std::chrono::milliseconds(150);
+/// A node that has just started does not know yet who else lives.
+constexpr duration settling_time = std::chrono::seconds(2);
+constexpr duration commit_limit = std::chrono::seconds(5);
+
+} // namespace
+
+job_takeover::job_takeover(const relay_context& node, callbacks listener)
+    : context(node), hooks(std::move(listener)),
+      started(net::event_loop::now())
+{
+    this->context.group.on_change([this] { this->schedule(scan_after_change); });
+    this->schedule(settling_time);
+}
+
+void job_takeover::stop()
+{
+    this->stopped = true;
+    this->scan_timer.cancel();
+}
+
+void job_takeover::schedule(duration delay)
+{
+    if (this->stopped || this->scanning)
+    {
+        return;
+    }
+    this->scan_timer =
+        this->context.loop.call_after(delay, [this] { this->scan(); });
+}
+
+void job_takeover::scan()
+{
+    if (net::event_loop::now() - this->started < settling_time)
+    {
+        this->schedule(settling_time);
+        return;
+    }
+    this->scanning = true;
+    this->context.store.list(
+        job_state_prefix, key_value::read_freshness::may_be_stale,
+        [this](const result<key_value::record_listing>& listing)
+        {
+            this->scanning = false;
+            this->schedule(scan_interval);
+            if (listing.has_error() || this->stopped)
+            {
+                return;
+            }
+            for (const auto& record : listing.value().records)
+            {
+                this->examine(record);
+            }
+        });
+}
+
+void job_takeover::examine(const key_value::stored_record& record)
+{
+    auto state = jobs::decode_state(record.value);
+    if (state.has_error())
+    {
+        log_event(log_level::error, "job_record_damaged",
+                  {{"key", record.key}, {"reason", state.error().message}});
+        return;
+    }
+    const job_id job = state.value().id;
+    if (this->hooks.is_owned(job))
+    {
+        this->hooks.on_own_record(record);
+        return;
+    }
+    if (state.value().is_finished() || this->under_way.contains(job))
+    {
+        return;
+    }
+    const node_info& own = this->context.group.own();
+    if (state.value().owner == own.id &&
+        state.value().owner_incarnation == own.incarnation)
+    {
+        // A write of this node whose answer was lost, or a takeover that
+        // could not be finished.
+        this->under_way.insert(job);
+        this->load(state.value(), record.revision);
+        return;
+    }
+    if (!this->falls_to_this_node(state.value()))
+    {
+        return;
+    }
+    this->take(std::move(state.value()), record.revision);
+}
+
+bool job_takeover::falls_to_this_node(const jobs::job_state& state) const
+{
+    const auto owner = this->context.group.find(state.owner);
+    if (owner && owner->state != node_state::leaving &&
+        owner->incarnation == state.owner_incarnation)
+    {
+        return false;
+    }
+    std::vector<std::string> candidates;
+    std::size_t own_position = 0;
+    for (const node_info& node : this->context.group.living())
+    {
+        if (node.id == this->context.group.own().id)
+        {
+            own_position = candidates.size();
+        }
+        candidates.push_back(node.id.str());
+    }
+    const auto ranked = rendezvous_rank(candidates, state.id.str(), 1);
+    return !ranked.empty() && ranked.front() == own_position &&
+           candidates[own_position] == this->context.group.own().id.str();
+}
+
+void job_takeover::take(jobs::job_state state, store_revision revision)
+{
+    this->under_way.insert(state.id);
+    const node_id previous = state.owner;
+    state.owner = this->context.group.own().id;
+    state.owner_incarnation = this->context.group.own().incarnation;
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(state.id), revision}};
+    transaction.puts = {{job_state_key(state.id), jobs::encode(state)}};
+    this->context.store.commit(
+        std::move(transaction), commit_limit,
+        [this, state, previous](
+            const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_error())
+            {
+                this->abandon(state.id, "write", outcome.error().message);
+                return;
+            }
+            if (!outcome.value().applied)
+            {
+                this->abandon(state.id, "write", "the record has changed");
+                return;
+            }
+            log_event(log_level::info, "job_taken_over",
+                      {{"job", state.id.str()},
+                       {"previous_owner", previous.str()},
+                       {"outcomes", state.outcomes.size()},
+                       {"items", state.item_count},
+                       {"revision", outcome.value().revision.count()}});
+            this->load(state, outcome.value().revision);
+        });
+}
+
+void job_takeover::load(const jobs::job_state& state, store_revision revision)
+{
+    this->context.store.get(
+        job_input_key(state.id), key_value::read_freshness::latest,
+        [this, state, revision](const result<key_value::stored_record>& record)
+        {
+            if (record.has_error() || !record.value().exists())
+            {
+                this->abandon(state.id, "read_input",
+                              record.has_error() ? record.error().message
+                                                 : "it is missing");
+                return;
+            }
+            auto input = jobs::decode_input(record.value().value);
+            if (input.has_error() ||
+                input.value().items.size() != state.item_count)
+            {
+                this->abandon(state.id, "read_input", "it is damaged");
+                return;
+            }
+            this->load_outputs(state, revision, input.value());
+        });
+}
+
+void job_takeover::load_outputs(const jobs::job_state& state,
+                                store_revision revision,
+                                const jobs::job_input& input)
+{
+    this->context.store.list(
+        job_output_prefix(state.id), key_value::read_freshness::latest,
+        [this, state, revision,
+         input](const result<key_value::record_listing>& listing)
+        {
+            if (listing.has_error())
+            {
+                this->abandon(state.id, "read_outputs",
+                              listing.error().message);
+                return;
+            }
+            std::vector<std::string> outputs;
+            for (const auto& record : listing.value().records)
+            {
+                auto page = jobs::decode_page(record.value);
+                if (page.has_error() || page.value().results.empty())
+                {
+                    this->abandon(state.id, "read_outputs", "one is damaged");
+                    return;
+                }
+                outputs.push_back(
+                    std::move(page.value().results.front().output));
+            }
+            if (outputs.size() != state.outcomes.size())
+            {
+                this->abandon(state.id, "read_outputs", "one is missing");
+                return;
+            }
+            this->under_way.erase(state.id);
+            this->hooks.on_taken(
+                jobs::owned_job(input, state, revision, std::move(outputs)));
+        });
+}
+
+void job_takeover::abandon(const job_id& job, const char* step,
+                           const std::string& why)
+{
+    this->under_way.erase(job);
+    log_event(log_level::warning, "job_takeover_abandoned",
+              {{"job", job.str()}, {"step", step}, {"reason", why}});
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_takeover.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "jobs/owned_job.hpp"
+#include "relay/relay_context.hpp"
+#include "units/ids.hpp"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace parsleytrack::relay
+{
+
+/// Finds jobs whose owner is gone and takes over those that fall to this node.
+class job_takeover
+{
+public:
+    struct callbacks
+    {
+        /// \returns Whether this node runs the job already.
+        std::function<bool(const job_id&)> is_owned;
+        /// A job has been taken over.
+        std::function<void(jobs::owned_job)> on_taken;
+        /// A record of a job that this node runs.
+        std::function<void(const key_value::stored_record&)> on_own_record;
+    };
+
+    /// \param node Outlives this object.
+    job_takeover(const relay_context& node, callbacks hooks);
+
+    /// Looks for such jobs no more.
+    void stop();
+
+private:
+    void schedule(duration delay);
+    void scan();
+    void examine(const key_value::stored_record& record);
+    bool falls_to_this_node(const jobs::job_state& state) const;
+    void take(jobs::job_state state, store_revision revision);
+    void load(const jobs::job_state& state, store_revision revision);
+    void load_outputs(const jobs::job_state& state, store_revision revision,
+                      const jobs::job_input& input);
+    void abandon(const job_id& job, const char* step, const std::string& why);
+
+    const relay_context& context;
+    callbacks hooks;
+    /// Jobs that are being taken over.
+    std::set<job_id> under_way;
+    time_point started;
+    bool scanning = false;
+    bool stopped = false;
+    net::timer scan_timer;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/online_call.cpp
@@ -0,0 +1,423 @@
+#include "relay/online_call.hpp"
+
+#include "logging/log.hpp"
+#include "relay/hop_headers.hpp"
+#include "relay/refusal.hpp"
+
+#include <algorithm>
+#include <random>
+#include <strings.h>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Share of the target latency that is kept for the replica's own work when
+/// it is judged whether an answer can still be on time.
+constexpr int replica_share = 4;
+/// A connection within a region opens in a few milliseconds; one packet may be
+/// lost and is sent again after 200 ms.
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
+/// A replica that gives no sign for so long is held to be silent, if another
+/// one may take over. Twice the longest pause between events that is on time.
+constexpr duration silence_timeout = std::chrono::milliseconds(600);
+/// Most replicas that are tried for one request, the ones that did not run it
+/// included.
+constexpr int max_sends = 5;
+constexpr duration retry_after_refused = std::chrono::milliseconds(300);
+constexpr int first_error_status = 500;
+constexpr int first_non_success_status = 300;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < first_non_success_status;
+}
+
+} // namespace
+
+online_call::online_call(const relay_context& node, slot_client& slot_source,
+                         std::shared_ptr<net::http_exchange> caller,
+                         online_request incoming, std::function<void()> on_end)
+    : context(node), slots(slot_source), exchange(std::move(caller)),
+      request(std::move(incoming)), ended_callback(std::move(on_end))
+{
+}
+
+online_call::~online_call() = default;
+
+void online_call::start()
+{
+    const auto& choices = this->request.route->services;
+    std::vector<int> weights;
+    for (const routing::weighted_service& choice : choices)
+    {
+        weights.push_back(choice.weight);
+    }
+    std::discrete_distribution<std::size_t> draw(weights.begin(),
+                                                 weights.end());
+    this->service = choices.at(draw(this->context.random)).service;
+    this->exchange->on_closed(
+        [this]
+        {
+            if (this->attempt && !this->attempt->has_head() &&
+                net::event_loop::now() - this->sent_at > silence_timeout)
+            {
+                this->report_failure(false);
+            }
+            this->finish("caller_left", 0);
+        });
+    this->deadline_timer = this->context.loop.call_after(
+        this->remaining(), [this] { this->expire(); });
+    this->order_slot();
+}
+
+void online_call::order_slot()
+{
+    slot_order order;
+    order.request = this->request.id;
+    order.service = this->service;
+    order.priority = this->request.route->priority;
+    order.useful_for = this->useful_time();
+    order.wait_when_late = this->request.is_repeated || this->answer_started ||
+                           this->sends > 0;
+    order.excluded = this->excluded;
+    order.availability_zone = this->context.settings.availability_zone;
+    this->lease = this->slots.order(
+        order,
+        {[this](const replica_id& granted) { this->send(granted); },
+         [this](duration retry_after)
+         {
+             this->fail(error{error_code::shutting_down,
+                              "no replica has a free slot in time",
+                              ran_state::no, retry_after});
+         },
+         {}});
+}
+
+duration online_call::useful_time() const
+{
+    const duration target = this->request.route->target_latency;
+    const time_point useful_until =
+        this->request.received + target - target / replica_share;
+    return std::max(duration::zero(), useful_until - net::event_loop::now());
+}
+
+void online_call::send(const replica_id& granted)
+{
+    const routing::replica_entry* entry =
+        this->context.replicas.book().find_usable(granted);
+    if (entry == nullptr)
+    {
+        this->excluded.insert(granted);
+        this->send_again("the replica has left");
+        return;
+    }
+    this->replica = granted;
+    this->sent_at = net::event_loop::now();
+    ++this->sends;
+    this->splitter = event_splitter();
+    this->collected_body.clear();
+    replica_exchange::callbacks hooks;
+    hooks.on_head = [this](const net::http_response& head)
+    { this->take_head(head); };
+    if (this->request.route->kind == routing::request_kind::streaming)
+    {
+        hooks.on_piece = [this](std::string_view piece)
+        { this->take_piece(piece); };
+    }
+    hooks.on_end = [this](replica_verdict verdict, net::http_response response,
+                          const std::string& reason)
+    { this->take_end(verdict, std::move(response), reason); };
+    this->attempt = std::make_unique<replica_exchange>(
+        this->context.http, this->context.dialect.headers(), *entry,
+        this->make_request(), this->request.id, std::move(hooks));
+}
+
+net::http_request online_call::make_request() const
+{
+    const header_names& names = this->context.dialect.headers();
+    const net::http_request_head& head = this->exchange->head();
+    net::http_request sent;
+    sent.method = head.method;
+    sent.target = head.path;
+    if (!head.raw_query.empty())
+    {
+        sent.target += "?" + head.raw_query;
+    }
+    for (const auto& field : end_to_end_headers(head.headers))
+    {
+        const bool is_replaced =
+            strcasecmp(field.first.c_str(), names.time_left_ms.c_str()) == 0 ||
+            strcasecmp(field.first.c_str(), names.expected_replica.c_str()) ==
+                0 ||
+            (this->last_event > 0 &&
+             strcasecmp(field.first.c_str(), names.resume_after.c_str()) == 0);
+        if (!is_replaced)
+        {
+            sent.headers.push_back(field);
+        }
+    }
+    sent.headers.emplace_back(
+        names.time_left_ms,
+        std::to_string(std::max<std::int64_t>(
+            1, to_milliseconds(this->remaining()))));
+    if (this->last_event > 0)
+    {
+        sent.headers.emplace_back(names.resume_after,
+                                  std::to_string(this->last_event));
+    }
+    sent.body = this->request.body;
+    const bool repeatable = this->request.route->is_repeatable();
+    sent.connect_timeout = connect_timeout;
+    sent.allow_connection_reuse = repeatable;
+    if (repeatable && this->runs + 1 < this->request.route->max_attempts)
+    {
+        sent.head_timeout = silence_timeout;
+        sent.idle_timeout = silence_timeout;
+    }
+    return sent;
+}
+
+void online_call::take_head(const net::http_response& head)
+{
+    this->collected_status = head.status;
+}
+
+void online_call::take_piece(std::string_view piece)
+{
+    if (!is_success(this->collected_status))
+    {
+        this->collected_body += piece;
+        return;
+    }
+    std::string ready;
+    for (const stream_event& event : this->splitter.feed(piece))
+    {
+        if (event.number)
+        {
+            if (*event.number <= this->last_event)
+            {
+                continue;
+            }
+            this->last_event = *event.number;
+        }
+        ready += event.raw;
+    }
+    if (ready.empty())
+    {
+        return;
+    }
+    if (!this->answer_started)
+    {
+        this->answer_started = true;
+        this->first_output_at = net::event_loop::now();
+        this->exchange->start_stream(
+            this->collected_status,
+            end_to_end_headers(this->attempt->head_fields()));
+    }
+    this->exchange->write_chunk(ready);
+}
+
+void online_call::take_end(replica_verdict verdict, net::http_response response,
+                           const std::string& reason)
+{
+    switch (verdict)
+    {
+    case replica_verdict::answered:
+        ++this->runs;
+        if (this->take_answer(std::move(response)))
+        {
+            return;
+        }
+        this->report_failure(false);
+        this->send_again("the answer is not whole");
+        return;
+    case replica_verdict::not_run:
+        this->send_again(reason);
+        return;
+    case replica_verdict::wrong_replica:
+        this->context.replicas.mark_leaving(this->replica, "refused_request");
+        this->report_failure(true);
+        this->send_again(reason);
+        return;
+    case replica_verdict::not_sent:
+        this->report_failure(false);
+        this->send_again(reason);
+        return;
+    case replica_verdict::may_have_run:
+        ++this->runs;
+        this->report_failure(false);
+        this->send_again(reason);
+        return;
+    }
+}
+
+bool online_call::take_answer(net::http_response response)
+{
+    const int status = response.status;
+    if (this->answer_started)
+    {
+        if (!is_success(status) || this->splitter.has_partial_event())
+        {
+            return false;
+        }
+        this->exchange->finish_stream();
+        this->finish("served", status);
+        return true;
+    }
+    if (this->request.route->kind == routing::request_kind::streaming &&
+        is_success(status))
+    {
+        // A stream without a single event.
+        return false;
+    }
+    const std::string& body =
+        this->collected_body.empty() ? response.body : this->collected_body;
+    const bool retry_elsewhere =
+        status >= first_error_status && this->may_send_again();
+    if (retry_elsewhere)
+    {
+        return false;
+    }
+    this->exchange->respond(status, end_to_end_headers(response.headers), body);
+    this->finish(is_success(status) ? "served" : "replica_failed", status);
+    return true;
+}
+
+bool online_call::may_send_again() const
+{
+    if (this->sends >= max_sends ||
+        this->runs >= this->request.route->max_attempts)
+    {
+        return false;
+    }
+    return this->runs == 0 || this->request.route->is_repeatable();
+}
+
+void online_call::send_again(const std::string& reason)
+{
+    this->excluded.insert(this->replica);
+    // The exchange with the replica may be the one whose callback runs.
+    this->context.loop.post(
+        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
+             std::move(this->attempt))] { old->reset(); });
+    this->lease.reset();
+    if (!this->may_send_again())
+    {
+        const bool ran = this->runs > 0;
+        this->fail(error{ran ? error_code::backend_failed
+                             : error_code::no_replica,
+                         "the replica " + this->replica.str() +
+                             " has not answered: " + reason,
+                         ran ? ran_state::unknown : ran_state::no,
+                         retry_after_refused});
+        return;
+    }
+    log_event(log_level::info, "request_sent_again",
+              {{"request", this->request.id.str()},
+               {"replica", this->replica.str()},
+               {"sends", this->sends},
+               {"runs", this->runs},
+               {"after_event", this->last_event},
+               {"reason", reason}});
+    this->order_slot();
+}
+
+void online_call::fail(error reason)
+{
+    if (this->ended)
+    {
+        return;
+    }
+    if (this->answer_started)
+    {
+        this->exchange->abort();
+        this->finish("stream_broken_off", 0);
+        return;
+    }
+    if (this->runs > 0)
+    {
+        reason.ran = ran_state::unknown;
+    }
+    const int status = refuse(*this->exchange, reason);
+    const std::string outcome = "refused_" + std::string(to_string(reason.code));
+    this->finish(outcome.c_str(), status);
+}
+
+void online_call::expire()
+{
+    if (this->attempt)
+    {
+        // The replica may be at work.
+        ++this->runs;
+    }
+    const bool ran = this->runs > 0;
+    this->fail(error{ran ? error_code::deadline_exceeded
+                         : error_code::no_replica,
+                     "the time for the request is over",
+                     ran ? ran_state::unknown : ran_state::no,
+                     retry_after_refused});
+}
+
+void online_call::report_failure(bool leaving)
+{
+    this->slots.report(replica_report{this->request.id, this->service,
+                                      this->replica, leaving});
+}
+
+void online_call::finish(const char* outcome, int status)
+{
+    if (std::exchange(this->ended, true))
+    {
+        return;
+    }
+    const time_point now = net::event_loop::now();
+    this->deadline_timer.cancel();
+    const auto& table = this->request.table->contents();
+    log_event(
+        log_level::info, "request_ended",
+        {{"request", this->request.id.str()},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", this->request.route->name},
+         {"configuration", table.version.count()},
+         {"replica", this->replica.str()},
+         {"sends", this->sends},
+         {"runs", this->runs},
+         {"sent_after_ms",
+          this->sends > 0 ? to_milliseconds(this->sent_at -
+                                            this->request.received)
+                          : -1},
+         {"first_ms", this->first_output_at
+                          ? to_milliseconds(*this->first_output_at -
+                                            this->request.received)
+                          : -1},
+         {"total_ms", to_milliseconds(now - this->request.received)},
+         {"replicas_age_ms",
+          to_milliseconds(this->context.replicas.age())}});
+    auto& metrics = this->context.metrics;
+    metrics.count("parsleytrack_requests_total",
+                  {{"outcome", outcome},
+                   {"kind", to_string(this->request.route->kind)}});
+    metrics.observe("parsleytrack_first_output_seconds",
+                    {{"kind", to_string(this->request.route->kind)}},
+                    this->first_output_at.value_or(now) -
+                        this->request.received);
+    // Closes the connection to the replica, outside of its own callback.
+    this->context.loop.post(
+        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
+             std::move(this->attempt))] { old->reset(); });
+    this->lease.reset();
+    const auto callback = std::move(this->ended_callback);
+    callback();
+}
+
+duration online_call::remaining() const
+{
+    return this->request.give_up_at - net::event_loop::now();
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/online_call.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "net/http_exchange.hpp"
+#include "relay/event_splitter.hpp"
+#include "relay/online_request.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/replica_exchange.hpp"
+#include "relay/slot_client.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// One online request from its arrival to the end of its answer: gets a slot,
+/// sends the request, passes the answer on, and sends it again where that is
+/// allowed.
+class online_call
+{
+public:
+    /// \param node Outlives this object.
+    /// \param slot_source Outlives this object.
+    /// \param caller The caller's side.
+    /// \param request What was asked.
+    /// \param on_end Called once, when nothing is left to do; may destroy this
+    /// object after the callback has returned.
+    online_call(const relay_context& node, slot_client& slot_source,
+                std::shared_ptr<net::http_exchange> caller,
+                online_request request, std::function<void()> on_end);
+    ~online_call();
+    online_call(const online_call&) = delete;
+    online_call& operator=(const online_call&) = delete;
+
+    void start();
+
+private:
+    void order_slot();
+    duration useful_time() const;
+    void send(const replica_id& replica);
+    net::http_request make_request() const;
+    void take_head(const net::http_response& head);
+    void take_piece(std::string_view piece);
+    void take_end(replica_verdict verdict, net::http_response response,
+                  const std::string& reason);
+    bool take_answer(net::http_response response);
+    bool may_send_again() const;
+    void send_again(const std::string& reason);
+    void fail(error reason);
+    void expire();
+    void report_failure(bool leaving);
+    void finish(const char* outcome, int status);
+    duration remaining() const;
+
+    const relay_context& context;
+    slot_client& slots;
+    std::shared_ptr<net::http_exchange> exchange;
+    online_request request;
+    std::function<void()> ended_callback;
+    service_name service;
+
+    std::unique_ptr<slot_lease> lease;
+    std::unique_ptr<replica_exchange> attempt;
+    replica_id replica;
+    std::set<replica_id> excluded;
+    net::timer deadline_timer;
+    time_point sent_at;
+    std::optional<time_point> first_output_at;
+
+    /// Replicas to which the request was sent, and those that may have run it.
+    int sends = 0;
+    int runs = 0;
+    bool answer_started = false;
+    /// Status and body of an answer that is not passed on piece by piece.
+    int collected_status = 0;
+    std::string collected_body;
+    event_splitter splitter;
+    std::int64_t last_event = 0;
+    bool ended = false;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/online_service.cpp
@@ -0,0 +1,111 @@
+#include "relay/online_service.hpp"
+
+#include "logging/log.hpp"
+#include "relay/refusal.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Callers measure their time left to the millisecond; a caller whose time is
+/// shorter by more has asked another node before.
+constexpr duration repeat_margin = std::chrono::milliseconds(20);
+
+std::optional<duration> read_time_left(const net::http_request_head& head,
+                                       const header_names& names)
+{
+    const std::string* text =
+        net::find_header(head.headers, names.time_left_ms.c_str());
+    if (text == nullptr)
+    {
+        return std::nullopt;
+    }
+    std::int64_t count = 0;
+    const auto parsed =
+        std::from_chars(text->data(), text->data() + text->size(), count);
+    if (parsed.ec != std::errc() || count < 0)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+online_service::online_service(const relay_context& node,
+                               slot_client& slot_source)
+    : context(node), slots(slot_source)
+{
+}
+
+void online_service::take(const std::shared_ptr<net::http_exchange>& exchange,
+                          std::shared_ptr<const routing::route_table> table,
+                          const routing::route& route)
+{
+    const header_names& names = this->context.dialect.headers();
+    const std::string* id =
+        net::find_header(exchange->head().headers, names.request_id.c_str());
+    if (id == nullptr)
+    {
+        refuse(*exchange, error{error_code::bad_request,
+                                names.request_id + " is missing",
+                                ran_state::no,
+                                {}});
+        return;
+    }
+    online_request request;
+    request.id = request_id(*id);
+    request.route = &route;
+    request.received = net::event_loop::now();
+    const auto time_left = read_time_left(exchange->head(), names);
+    duration allowed = route.timeout;
+    if (time_left)
+    {
+        allowed = allowed > duration::zero() ? std::min(allowed, *time_left)
+                                             : *time_left;
+        request.is_repeated = this->is_repeated(route, *time_left);
+    }
+    request.give_up_at = request.received + allowed;
+    const std::size_t limit =
+        static_cast<std::size_t>(table->contents().limits.body.count());
+    request.table = std::move(table);
+    exchange->on_body(limit,
+                      [this, exchange,
+                       request = std::move(request)](std::string body) mutable
+                      {
+                          request.body = std::move(body);
+                          this->start(exchange, std::move(request));
+                      });
+}
+
+void online_service::start(const std::shared_ptr<net::http_exchange>& exchange,
+                           online_request request)
+{
+    const std::uint64_t number = this->next_number++;
+    auto call = std::make_unique<online_call>(
+        this->context, this->slots, exchange, std::move(request),
+        [this, number]
+        {
+            this->context.loop.post([this, number]
+                                    { this->calls.erase(number); });
+        });
+    online_call& started = *call;
+    this->calls[number] = std::move(call);
+    started.start();
+}
+
+bool online_service::is_repeated(const routing::route& route,
+                                 duration time_left)
+{
+    duration& longest = this->longest_time_left[route.name];
+    longest = std::max(longest, time_left);
+    return time_left + repeat_margin < longest;
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/online_service.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "net/http_exchange.hpp"
+#include "relay/online_call.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/slot_client.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// Takes online requests and runs them.
+class online_service
+{
+public:
+    /// \param node Outlives this object.
+    /// \param slot_source Outlives this object.
+    online_service(const relay_context& node, slot_client& slot_source);
+
+    /// Takes a request whose head is complete.
+    ///
+    /// \param table The configuration in force.
+    /// \param route The route that the request falls under.
+    void take(const std::shared_ptr<net::http_exchange>& exchange,
+              std::shared_ptr<const routing::route_table> table,
+              const routing::route& route);
+
+    std::size_t open_calls() const { return this->calls.size(); }
+
+private:
+    void start(const std::shared_ptr<net::http_exchange>& exchange,
+               online_request request);
+    bool is_repeated(const routing::route& route, duration time_left);
+
+    const relay_context& context;
+    slot_client& slots;
+    std::map<std::uint64_t, std::unique_ptr<online_call>> calls;
+    /// Longest time that callers of a route have given, by route.
+    std::map<std::string, duration> longest_time_left;
+    std::uint64_t next_number = 1;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/relay_context.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "key_value/record_client.hpp"
+#include "metrics/registry.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "peering/peer_group.hpp"
+#include "relay/configuration_follower.hpp"
+#include "relay/relay_dialect.hpp"
+#include "relay/replica_follower.hpp"
+#include "settings/relay_settings.hpp"
+#include "units/random_source.hpp"
+#include "wire/peer_network.hpp"
+
+namespace parsleytrack::relay
+{
+
+/// What the modules of a relay node share. It outlives all of them.
+struct relay_context
+{
+    const settings::relay_settings& settings;
+    const relay_dialect& dialect;
+    net::event_loop& loop;
+    /// Sends requests to replicas.
+    net::http_client& http;
+    wire::peer_network& peers;
+    peering::peer_group& group;
+    key_value::record_client& store;
+    configuration_follower& configuration;
+    replica_follower& replicas;
+    metrics::registry& metrics;
+    random_source& random;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/relay_dialect.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "jobs/job_input.hpp"
+#include "jobs/job_page.hpp"
+#include "key_value/record_dialect.hpp"
+#include "net/http_request_head.hpp"
+#include "relay/address_question.hpp"
+#include "relay/header_names.hpp"
+#include "relay/job_call.hpp"
+#include "relay/store_keys.hpp"
+#include "routing/configuration.hpp"
+#include "routing/replica_entry.hpp"
+#include "units/result.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+/// Translates between what the world outside speaks and the relay's own types.
+/// An adapter implements it; it keeps no state and decides nothing.
+class relay_dialect
+{
+public:
+    virtual ~relay_dialect() = default;
+
+    virtual const header_names& headers() const = 0;
+    virtual const store_keys& keys() const = 0;
+    virtual const key_value::record_dialect& records() const = 0;
+
+    /// \param value What operators have written.
+    virtual result<routing::configuration>
+    read_configuration(std::string_view value) const = 0;
+
+    /// \param key The key of the entry.
+    /// \param value What the replica has written of itself.
+    virtual result<routing::replica_entry>
+    read_replica(const std::string& key, std::string_view value) const = 0;
+
+    /// \returns Path at which nodes are asked whether they take requests.
+    virtual std::string ready_path() const = 0;
+
+    /// \returns The question; absent when the request is another one.
+    virtual std::optional<address_question>
+    read_address_question(const net::http_request_head& head) const = 0;
+    virtual std::string
+    write_address_answer(const address_answer& answer) const = 0;
+
+    /// \returns The call; absent when the request is another one.
+    virtual std::optional<job_call>
+    read_job_call(const net::http_request_head& head) const = 0;
+    /// \returns The items of a submission, or error_code::bad_request.
+    virtual result<std::vector<jobs::job_item>>
+    read_submission(std::string_view body) const = 0;
+    virtual std::string write_results(const jobs::job_page& page,
+                                      std::size_t after) const = 0;
+
+    /// \returns The body that tells operators how far a retirement is.
+    virtual std::string write_retirement_state(bool completed) const = 0;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/relay_node.cpp
@@ -0,0 +1,349 @@
+#include "relay/relay_node.hpp"
+
+#include "logging/log.hpp"
+#include "metrics/registry.hpp"
+#include "net/http_server.hpp"
+#include "relay/address_service.hpp"
+#include "relay/job_service.hpp"
+#include "relay/online_service.hpp"
+#include "relay/refusal.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/slot_client.hpp"
+#include "relay/slot_desk.hpp"
+#include "relay/wall_clock.hpp"
+#include "settings/relay_settings_loader.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr duration retry_after_start = std::chrono::milliseconds(300);
+/// Callers keep an address answer up to three times its validity.
+constexpr int kept_answer_factor = 3;
+/// Before the end of the time for a stop, so that the last connections are
+/// closed by the node itself.
+constexpr duration stop_margin = std::chrono::milliseconds(400);
+constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
+
+node_info own_info(const settings::relay_settings& settings)
+{
+    node_info own;
+    own.id = settings.id;
+    own.peer = settings.peer;
+    own.http = settings.front.value_or(settings.peer);
+    own.region = settings.region;
+    own.availability_zone = settings.availability_zone;
+    own.entry = settings.front.has_value();
+    // Above that of any earlier process of the same node.
+    own.incarnation = incarnation_number(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+    return own;
+}
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    constexpr int bits = 32;
+    return (static_cast<std::uint64_t>(device()) << bits) | device();
+}
+
+} // namespace
+
+struct relay_node::state
+{
+    state(settings::relay_settings node_settings, std::string path,
+          const relay_dialect& translator)
+        : settings(std::move(node_settings)), settings_path(std::move(path)),
+          dialect(translator), random(random_seed()), front(this->loop),
+          ready(this->loop), directory(this->loop), metrics_server(this->loop),
+          replica_client(this->loop), store_client(this->loop),
+          peers(this->loop), store(this->loop, this->store_client,
+                                   this->settings.store, translator.records(),
+                                   this->random),
+          group(this->loop, this->peers, this->random,
+                own_info(this->settings), this->settings.seeds),
+          configuration(this->loop, this->store, this->random, translator),
+          replicas(this->loop, this->store, this->random, translator)
+    {
+    }
+
+    settings::relay_settings settings;
+    std::string settings_path;
+    const relay_dialect& dialect;
+    random_source random;
+    net::event_loop loop;
+    net::http_server front;
+    net::http_server ready;
+    net::http_server directory;
+    net::http_server metrics_server;
+    net::http_client replica_client;
+    net::http_client store_client;
+    wire::peer_network peers;
+    key_value::record_client store;
+    peering::peer_group group;
+    configuration_follower configuration;
+    replica_follower replicas;
+    metrics::registry metrics;
+    relay_context context{this->settings, this->dialect,       this->loop,
+                          this->replica_client, this->peers,   this->group,
+                          this->store,    this->configuration, this->replicas,
+                          this->metrics,  this->random};
+    slot_desk desk{this->context};
+    slot_client slots{this->context, this->desk};
+    online_service online{this->context, this->slots};
+    job_service jobs{this->context, this->slots};
+    address_service addresses{this->context};
+    std::vector<net::timer> signals;
+    net::timer stop_timer;
+    bool stopping = false;
+
+    result<bool> listen();
+    void take(const std::shared_ptr<net::http_exchange>& exchange);
+    void take_ready(const std::shared_ptr<net::http_exchange>& exchange);
+    void take_directory(const std::shared_ptr<net::http_exchange>& exchange);
+    void take_metrics(const std::shared_ptr<net::http_exchange>& exchange);
+    void reload();
+    void begin_stop();
+    void finish_stop(time_point earliest, time_point latest);
+};
+
+result<bool> relay_node::state::listen()
+{
+    const auto peer_port = this->peers.listen(this->settings.peer);
+    if (peer_port.has_error())
+    {
+        return peer_port.error();
+    }
+    using request_handler =
+        void (state::*)(const std::shared_ptr<net::http_exchange>&);
+    struct listener
+    {
+        net::http_server& server;
+        const std::optional<endpoint>& address;
+        request_handler handler;
+    };
+    const std::vector<listener> listeners = {
+        {this->front, this->settings.front, &state::take},
+        {this->ready, this->settings.ready, &state::take_ready},
+        {this->directory, this->settings.directory, &state::take_directory},
+        {this->metrics_server, this->settings.metrics, &state::take_metrics}};
+    for (const listener& entry : listeners)
+    {
+        if (!entry.address)
+        {
+            continue;
+        }
+        entry.server.set_handler(
+            [this, handler = entry.handler](
+                const std::shared_ptr<net::http_exchange>& exchange)
+            { (this->*handler)(exchange); });
+        const auto port = entry.server.listen(*entry.address);
+        if (port.has_error())
+        {
+            return port.error();
+        }
+    }
+    return true;
+}
+
+void relay_node::state::take(
+    const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const auto table = this->configuration.current();
+    if (!table)
+    {
+        refuse(*exchange,
+               error{error_code::shutting_down,
+                     "this node has no configuration yet", ran_state::no,
+                     retry_after_start});
+        return;
+    }
+    const net::http_request_head& head = exchange->head();
+    if (const auto call = this->dialect.read_job_call(head))
+    {
+        this->jobs.take(exchange, *call);
+        return;
+    }
+    const std::string* host = net::find_header(head.headers, "Host");
+    const routing::route* route =
+        host == nullptr ? nullptr : table->find(*host, head.path);
+    if (route == nullptr)
+    {
+        log_event(log_level::info, "request_without_route",
+                  {{"host", host == nullptr ? "" : *host},
+                   {"path", head.path},
+                   {"configuration", table->contents().version.count()},
+                   {"age_ms", to_milliseconds(this->configuration.age())}});
+        this->metrics.count("parsleytrack_requests_total",
+                            {{"outcome", "no_route"}, {"kind", "none"}});
+        refuse(*exchange, error{error_code::not_found,
+                                "no route begins with " + head.path,
+                                ran_state::no,
+                                {}});
+        return;
+    }
+    if (route->kind == routing::request_kind::batch)
+    {
+        this->jobs.submit(exchange, table, *route);
+        return;
+    }
+    this->online.take(exchange, table, *route);
+}
+
+void relay_node::state::take_ready(
+    const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const bool is_ready = !this->stopping && this->configuration.current();
+    exchange->respond(is_ready ? status_ok : status_unavailable, {}, {});
+}
+
+void relay_node::state::take_directory(
+    const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const auto question =
+        this->dialect.read_address_question(exchange->head());
+    if (!question)
+    {
+        refuse(*exchange, error{error_code::not_found,
+                                "there is no " + exchange->head().path,
+                                ran_state::no,
+                                {}});
+        return;
+    }
+    this->addresses.answer(exchange, *question);
+}
+
+void relay_node::state::take_metrics(
+    const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const auto table = this->configuration.current();
+    this->metrics.set_gauge("parsleytrack_store_calls", {},
+                            static_cast<double>(this->store.calls_made()));
+    this->metrics.set_gauge("parsleytrack_store_reachable", {},
+                            this->store.is_reachable() ? 1.0 : 0.0);
+    this->metrics.set_gauge(
+        "parsleytrack_configuration_version", {},
+        table ? static_cast<double>(table->contents().version.count()) : 0.0);
+    this->metrics.set_gauge(
+        "parsleytrack_replicas_age_seconds", {},
+        std::chrono::duration<double>(this->replicas.age()).count());
+    this->metrics.set_gauge("parsleytrack_open_requests", {},
+                            static_cast<double>(this->online.open_calls()));
+    exchange->respond(status_ok,
+                      {{"Content-Type", "text/plain; version=0.0.4"}},
+                      this->metrics.prometheus_text());
+}
+
+void relay_node::state::reload()
+{
+    const auto outcome = settings::load_relay_settings(this->settings_path);
+    if (const auto* problems = std::get_if<findings>(&outcome))
+    {
+        for (const finding& problem : *problems)
+        {
+            log_event(log_level::error, "reload_refused",
+                      {{"place", problem.place},
+                       {"message", problem.message}});
+        }
+        return;
+    }
+    const auto& fresh = std::get<settings::relay_settings>(outcome);
+    this->settings.address_validity = fresh.address_validity;
+    this->settings.stop_limit = fresh.stop_limit;
+    this->settings.level = fresh.level;
+    configure_logging(fresh.level, this->settings.id.str());
+    log_event(log_level::info, "reloaded", {{"path", this->settings_path}});
+}
+
+void relay_node::state::begin_stop()
+{
+    if (std::exchange(this->stopping, true))
+    {
+        return;
+    }
+    log_event(log_level::info, "stopping",
+              {{"open_requests", this->front.open_requests()}});
+    this->group.announce_leaving();
+    this->front.close_after_answers();
+    this->jobs.stop();
+    const time_point now = net::event_loop::now();
+    const time_point latest = now + this->settings.stop_limit - stop_margin;
+    const time_point earliest = std::min(
+        latest, now + this->settings.address_validity * kept_answer_factor);
+    this->stop_timer = this->loop.call_every(
+        stop_poll_interval,
+        [this, earliest, latest] { this->finish_stop(earliest, latest); });
+}
+
+void relay_node::state::finish_stop(time_point earliest, time_point latest)
+{
+    const time_point now = net::event_loop::now();
+    const std::size_t open = this->front.open_requests();
+    if (now < earliest || (open > 0 && now < latest))
+    {
+        return;
+    }
+    if (open > 0)
+    {
+        log_event(log_level::warning, "requests_cut", {{"count", open}});
+    }
+    this->group.announce_gone();
+    this->loop.stop();
+}
+
+relay_node::relay_node(settings::relay_settings node_settings,
+                       std::string settings_path,
+                       const relay_dialect& translator)
+    : contents(std::make_unique<state>(std::move(node_settings),
+                                       std::move(settings_path), translator))
+{
+}
+
+relay_node::~relay_node() = default;
+
+result<bool> relay_node::start()
+{
+    state& self = *this->contents;
+    const result<bool> listening = self.listen();
+    if (listening.has_error())
+    {
+        return listening;
+    }
+    self.configuration.start();
+    self.replicas.start();
+    log_event(log_level::info, "started",
+              {{"peer", to_string(self.settings.peer)},
+               {"zone", self.settings.availability_zone.str()},
+               {"store", to_string(self.settings.store)},
+               {"seeds", self.settings.seeds.size()}});
+    return true;
+}
+
+void relay_node::run()
+{
+    state& self = *this->contents;
+    const auto stop = [&self]
+    {
+        self.begin_stop();
+    };
+    self.signals.push_back(self.loop.on_signal(SIGTERM, stop));
+    self.signals.push_back(self.loop.on_signal(SIGINT, stop));
+    self.signals.push_back(
+        self.loop.on_signal(SIGHUP, [&self] { self.reload(); }));
+    self.loop.run();
+    log_event(log_level::info, "stopped");
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/replica_follower.cpp
@@ -0,0 +1,139 @@
+#include "relay/replica_follower.hpp"
+
+#include "logging/log.hpp"
+
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr duration expiry_interval = std::chrono::milliseconds(250);
+
+} // namespace
+
+replica_follower::replica_follower(net::event_loop& event_loop,
+                                   key_value::record_client& client,
+                                   random_source& random_numbers,
+                                   const relay_dialect& translator)
+    : loop(event_loop), dialect(translator),
+      follower(event_loop, client, random_numbers,
+               translator.keys().replica_prefix,
+               {[this](const key_value::record_listing& listing, bool failed)
+                { this->take_listing(listing, failed); },
+                [this](const key_value::record_change& change)
+                { this->take_change(change); },
+                [this](const error&) { this->replicas.store_lost(); }})
+{
+    this->expiry_timer =
+        this->loop.call_every(expiry_interval, [this] { this->expire(); });
+}
+
+void replica_follower::mark_leaving(const replica_id& id, const char* reason)
+{
+    if (this->replicas.find_usable(id) == nullptr)
+    {
+        return;
+    }
+    log_event(log_level::info, "replica_leaving",
+              {{"replica", id.str()}, {"learned_from", reason}});
+    this->replicas.mark_leaving(id);
+    this->tell();
+}
+
+duration replica_follower::age() const
+{
+    return net::event_loop::now() - this->follower.confirmed_at();
+}
+
+void replica_follower::on_change(std::function<void()> callback)
+{
+    this->change_callbacks.push_back(std::move(callback));
+}
+
+void replica_follower::take_listing(const key_value::record_listing& listing,
+                                    bool after_failure)
+{
+    std::map<replica_id, routing::replica_entry> entries;
+    for (const key_value::stored_record& record : listing.records)
+    {
+        auto entry = this->dialect.read_replica(record.key, record.value);
+        if (entry.has_error())
+        {
+            log_event(log_level::warning, "replica_entry_skipped",
+                      {{"key", record.key},
+                       {"reason", entry.error().message}});
+            continue;
+        }
+        const replica_id id = entry.value().id;
+        entries.emplace(id, std::move(entry.value()));
+    }
+    log_event(log_level::info, "replicas_listed",
+              {{"count", entries.size()},
+               {"after_failure", after_failure ? "yes" : "no"},
+               {"revision", listing.read_at.count()}});
+    this->replicas.replace_all(entries, after_failure, net::event_loop::now());
+    this->tell();
+}
+
+void replica_follower::take_change(const key_value::record_change& change)
+{
+    const std::string& key = change.record.key;
+    const std::size_t prefix = this->dialect.keys().replica_prefix.size();
+    const replica_id id(key.size() > prefix ? key.substr(prefix) : key);
+    if (change.deleted)
+    {
+        log_event(log_level::info, "replica_removed",
+                  {{"replica", id.str()},
+                   {"revision", change.record.revision.count()}});
+        this->replicas.remove(id, net::event_loop::now());
+        this->tell();
+        return;
+    }
+    auto entry = this->dialect.read_replica(key, change.record.value);
+    if (entry.has_error())
+    {
+        log_event(log_level::warning, "replica_entry_skipped",
+                  {{"key", key}, {"reason", entry.error().message}});
+        this->replicas.remove(id, net::event_loop::now());
+    }
+    else
+    {
+        log_event(log_level::info, "replica_changed",
+                  {{"replica", id.str()},
+                   {"service", entry.value().service.str()},
+                   {"address", to_string(entry.value().address)},
+                   {"draining", entry.value().draining ? "yes" : "no"},
+                   {"revision", change.record.revision.count()}});
+        this->replicas.update(entry.value());
+    }
+    this->tell();
+}
+
+void replica_follower::expire()
+{
+    for (const replica_id& id :
+         this->replicas.expire(net::event_loop::now()))
+    {
+        log_event(log_level::info, "replica_missing_after_outage",
+                  {{"replica", id.str()}});
+    }
+    this->tell();
+}
+
+void replica_follower::tell()
+{
+    if (std::exchange(this->told_generation, this->replicas.generation()) ==
+        this->replicas.generation())
+    {
+        return;
+    }
+    for (const auto& callback : this->change_callbacks)
+    {
+        callback();
+    }
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/replica_follower.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "key_value/record_follower.hpp"
+#include "net/event_loop.hpp"
+#include "relay/relay_dialect.hpp"
+#include "routing/replica_book.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+/// Keeps the list of replicas up to date from their entries in the platform's
+/// store.
+class replica_follower
+{
+public:
+    replica_follower(net::event_loop& event_loop,
+                     key_value::record_client& client,
+                     random_source& random_numbers,
+                     const relay_dialect& translator);
+
+    void start() { this->follower.start(); }
+
+    const routing::replica_book& book() const { return this->replicas; }
+
+    /// A replica has said that it leaves, or that it is another one.
+    ///
+    /// \param reason For the log.
+    void mark_leaving(const replica_id& id, const char* reason);
+
+    /// \returns How long ago the store last confirmed the list.
+    duration age() const;
+
+    /// \param callback Called after each change.
+    void on_change(std::function<void()> callback);
+
+private:
+    void take_listing(const key_value::record_listing& listing,
+                      bool after_failure);
+    void take_change(const key_value::record_change& change);
+    void expire();
+    void tell();
+
+    net::event_loop& loop;
+    const relay_dialect& dialect;
+    key_value::record_follower follower;
+    routing::replica_book replicas;
+    std::vector<std::function<void()>> change_callbacks;
+    net::timer expiry_timer;
+    std::uint64_t told_generation = 0;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/run.cpp
@@ -0,0 +1,53 @@
+#include "relay/run.hpp"
+
+#include "logging/log.hpp"
+#include "relay/relay_node.hpp"
+#include "relay/storage_node.hpp"
+#include "settings/relay_settings_loader.hpp"
+
+#include <variant>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr int exit_refused = 1;
+
+} // namespace
+
+int run_node(const std::string& settings_path, const relay_dialect& dialect)
+{
+    const auto outcome = settings::load_relay_settings(settings_path);
+    if (const auto* problems = std::get_if<findings>(&outcome))
+    {
+        for (const finding& problem : *problems)
+        {
+            log_event(log_level::error, "bad_settings",
+                      {{"place", problem.place}, {"message", problem.message}});
+        }
+        return exit_refused;
+    }
+    const auto& settings = std::get<settings::relay_settings>(outcome);
+    configure_logging(settings.level, settings.id.str());
+    if (!settings.front)
+    {
+        storage_node node(settings, dialect);
+        node.run();
+        return 0;
+    }
+    relay_node node(settings, settings_path, dialect);
+    const result<bool> started = node.start();
+    if (started.has_error())
+    {
+        log_event(log_level::error, "cannot_start",
+                  {{"reason", to_string(started.error().code)},
+                   {"message", started.error().message}});
+        return exit_refused;
+    }
+    node.run();
+    return 0;
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/slot_answer.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+namespace parsleytrack::relay
+{
+
+/// What a broker tells the holder of an order.
+struct slot_answer
+{
+    enum class verdict
+    {
+        /// The order waits for a slot; shows that the broker lives.
+        queued,
+        granted,
+        refused,
+        /// The slot is to be given back at once.
+        reclaimed
+    };
+
+    verdict what = verdict::queued;
+    /// Granted: where to.
+    replica_id replica;
+    /// Refused: when asking again may help.
+    duration retry_after = duration::zero();
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/slot_client.cpp
@@ -0,0 +1,294 @@
+#include "relay/slot_client.hpp"
+
+#include "decisions/rendezvous.hpp"
+#include "logging/log.hpp"
+#include "relay/slot_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// A broker answers each order at once; several times the slowest way there
+/// and back between availability zones, beside other work on both nodes.
+constexpr duration broker_patience = std::chrono::milliseconds(80);
+/// How long a broker that did not answer is not asked.
+constexpr duration silence_pause = std::chrono::seconds(1);
+constexpr duration report_timeout = std::chrono::milliseconds(500);
+constexpr duration retry_after_without_replica = std::chrono::seconds(1);
+
+} // namespace
+
+slot_lease::~slot_lease()
+{
+    this->client.give_back(this->number);
+}
+
+slot_client::slot_client(const relay_context& node, slot_desk& local_desk)
+    : context(node), desk(local_desk)
+{
+    this->context.group.on_change([this] { this->move_orders(); });
+}
+
+std::unique_ptr<slot_lease> slot_client::order(const slot_order& wanted,
+                                               callbacks hooks)
+{
+    const std::uint64_t number = this->next_number++;
+    order_state& state = this->orders[number];
+    state.order = wanted;
+    state.hooks = std::move(hooks);
+    state.opened = net::event_loop::now();
+    this->open(number);
+    return std::make_unique<slot_lease>(*this, number);
+}
+
+void slot_client::report(const replica_report& report)
+{
+    const auto broker = this->broker_of(report.service);
+    if (!broker || broker->id == this->context.group.own().id)
+    {
+        this->desk.take_report(report);
+        return;
+    }
+    const std::uint64_t number = this->next_number++;
+    this->reports[number] = this->context.peers.call(
+        broker->peer, wire::message_type::slot_report, encode(report),
+        report_timeout,
+        {{},
+         [this, number, replica = report.replica](result<std::string> outcome)
+         {
+             if (outcome.has_error())
+             {
+                 log_event(log_level::info, "replica_report_lost",
+                           {{"replica", replica.str()},
+                            {"reason", outcome.error().message}});
+             }
+             this->reports.erase(number);
+         }});
+}
+
+void slot_client::give_back(std::uint64_t number)
+{
+    const auto found = this->orders.find(number);
+    if (found == this->orders.end())
+    {
+        return;
+    }
+    order_state state = std::move(found->second);
+    this->orders.erase(found);
+    if (state.granted && --this->in_flight[state.order.held] <= 0)
+    {
+        this->in_flight.erase(state.order.held);
+    }
+    if (state.ticket)
+    {
+        this->desk.close(*state.ticket);
+    }
+}
+
+std::optional<node_info>
+slot_client::broker_of(const service_name& service) const
+{
+    const time_point now = net::event_loop::now();
+    std::optional<node_info> best;
+    std::uint64_t best_score = 0;
+    for (const node_info& node : this->context.group.living())
+    {
+        const auto silent = this->silent_until.find(node.id);
+        if (silent != this->silent_until.end() && now < silent->second)
+        {
+            continue;
+        }
+        const std::uint64_t score =
+            rendezvous_score(node.id.str(), service.str());
+        if (!best || score > best_score)
+        {
+            best = node;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void slot_client::open(std::uint64_t number)
+{
+    order_state& state = this->orders.at(number);
+    const auto broker = this->broker_of(state.order.service);
+    const node_id& own = this->context.group.own().id;
+    state.broker = broker ? broker->id : own;
+    if (state.broker == own)
+    {
+        state.ticket =
+            this->desk.open(state.order,
+                            [this, number](const slot_answer& answer)
+                            { this->take_answer(number, answer); });
+        return;
+    }
+    state.call = this->context.peers.call(
+        broker->peer, wire::message_type::slot_request, encode(state.order),
+        duration::zero(),
+        {[this, number](const std::string& bytes)
+         {
+             const auto answer = decode_slot_answer(bytes);
+             if (answer.has_error())
+             {
+                 this->lose_broker(number, "unreadable_answer");
+                 return;
+             }
+             this->take_answer(number, answer.value());
+         },
+         [this, number](const result<std::string>&)
+         { this->lose_broker(number, "connection_lost"); }});
+    if (!state.granted)
+    {
+        state.patience = this->context.loop.call_after(
+            broker_patience,
+            [this, number] { this->lose_broker(number, "silent"); });
+    }
+}
+
+void slot_client::take_answer(std::uint64_t number, const slot_answer& answer)
+{
+    const auto found = this->orders.find(number);
+    if (found == this->orders.end())
+    {
+        return;
+    }
+    order_state& state = found->second;
+    state.patience.cancel();
+    // Callbacks may destroy the lease and with it this order.
+    const callbacks hooks = state.hooks;
+    switch (answer.what)
+    {
+    case slot_answer::verdict::queued:
+        return;
+    case slot_answer::verdict::granted:
+        if (state.granted)
+        {
+            return;
+        }
+        state.granted = true;
+        state.order.held = answer.replica;
+        ++this->in_flight[answer.replica];
+        hooks.on_granted(answer.replica);
+        return;
+    case slot_answer::verdict::refused:
+        hooks.on_refused(answer.retry_after);
+        return;
+    case slot_answer::verdict::reclaimed:
+        if (hooks.on_reclaimed)
+        {
+            hooks.on_reclaimed();
+        }
+        return;
+    }
+}
+
+void slot_client::lose_broker(std::uint64_t number, const char* reason)
+{
+    const auto found = this->orders.find(number);
+    if (found == this->orders.end())
+    {
+        return;
+    }
+    order_state& state = found->second;
+    const time_point now = net::event_loop::now();
+    const bool was_known = this->silent_until[state.broker] > now;
+    this->silent_until[state.broker] = now + silence_pause;
+    if (!was_known)
+    {
+        log_event(log_level::warning, "slot_broker_lost",
+                  {{"broker", state.broker.str()},
+                   {"service", state.order.service.str()},
+                   {"reason", reason},
+                   {"request", state.order.request.str()}});
+    }
+    // The call may be the one whose callback runs.
+    this->context.loop.post(
+        [call = std::make_shared<std::unique_ptr<wire::peer_call>>(
+             std::move(state.call))] { call->reset(); });
+    state.patience.cancel();
+    if (state.granted)
+    {
+        // The next broker learns of the slot in use.
+        this->open(number);
+        return;
+    }
+    this->choose_alone(number);
+}
+
+void slot_client::choose_alone(std::uint64_t number)
+{
+    order_state& state = this->orders.at(number);
+    const routing::replica_entry* best = nullptr;
+    double best_load = 0.0;
+    for (const auto* entry :
+         this->context.replicas.book().usable(state.order.service))
+    {
+        if (state.order.excluded.contains(entry->id))
+        {
+            continue;
+        }
+        // Some jitter, so that nodes without a broker do not all choose alike.
+        std::uniform_real_distribution<double> jitter(0.0, 1.0);
+        const auto known = this->in_flight.find(entry->id);
+        const int used = known == this->in_flight.end() ? 0 : known->second;
+        const double load = (used + jitter(this->context.random)) /
+                            std::max(1, entry->slots);
+        if (best == nullptr || load < best_load)
+        {
+            best = entry;
+            best_load = load;
+        }
+    }
+    const callbacks hooks = state.hooks;
+    if (best == nullptr)
+    {
+        hooks.on_refused(retry_after_without_replica);
+        return;
+    }
+    log_event(log_level::info, "slot_chosen_alone",
+              {{"request", state.order.request.str()},
+               {"replica", best->id.str()}});
+    state.granted = true;
+    state.order.held = best->id;
+    ++this->in_flight[best->id];
+    const replica_id chosen = best->id;
+    this->open(number);
+    hooks.on_granted(chosen);
+}
+
+void slot_client::move_orders()
+{
+    std::vector<std::uint64_t> moved;
+    for (const auto& [number, state] : this->orders)
+    {
+        const auto broker = this->broker_of(state.order.service);
+        if (broker && broker->id != state.broker)
+        {
+            moved.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : moved)
+    {
+        const auto found = this->orders.find(number);
+        if (found == this->orders.end())
+        {
+            continue;
+        }
+        order_state& state = found->second;
+        state.call.reset();
+        if (state.ticket)
+        {
+            this->desk.close(*state.ticket);
+            state.ticket.reset();
+        }
+        this->open(number);
+    }
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/slot_client.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "relay/relay_context.hpp"
+#include "relay/replica_report.hpp"
+#include "relay/slot_desk.hpp"
+#include "relay/slot_order.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace parsleytrack::relay
+{
+
+class slot_client;
+
+/// An order for a slot, and the slot once it is granted. Destroying it gives
+/// the slot back.
+class slot_lease
+{
+public:
+    slot_lease(slot_client& owner, std::uint64_t order_number)
+        : client(owner), number(order_number)
+    {
+    }
+    ~slot_lease();
+    slot_lease(const slot_lease&) = delete;
+    slot_lease& operator=(const slot_lease&) = delete;
+
+private:
+    slot_client& client;
+    std::uint64_t number;
+};
+
+/// Gets slots for the requests of this node from the broker of each service,
+/// which is one of the living nodes. When the broker does not answer, a replica
+/// is chosen from what this node knows itself.
+class slot_client
+{
+public:
+    struct callbacks
+    {
+        /// The slot may be used.
+        std::function<void(const replica_id& replica)> on_granted;
+        /// There will be none in time.
+        std::function<void(duration retry_after)> on_refused;
+        /// The slot is to be given back at once. Optional.
+        std::function<void()> on_reclaimed;
+    };
+
+    /// \param node Outlives this object.
+    /// \param local_desk Serves orders for which this node is the broker.
+    slot_client(const relay_context& node, slot_desk& local_desk);
+
+    /// Orders a slot. No callback is called before order() has returned.
+    [[nodiscard]] std::unique_ptr<slot_lease> order(const slot_order& wanted,
+                                                    callbacks hooks);
+
+    /// Tells the broker that a request has failed at its replica.
+    void report(const replica_report& report);
+
+    /// Called by leases only.
+    void give_back(std::uint64_t number);
+
+private:
+    struct order_state
+    {
+        slot_order order;
+        callbacks hooks;
+        node_id broker;
+        /// Set when this node is the broker.
+        std::optional<slots::slot_ticket> ticket;
+        std::unique_ptr<wire::peer_call> call;
+        /// Ends the wait for a sign of life of the broker.
+        net::timer patience;
+        bool granted = false;
+        time_point opened;
+    };
+
+    std::optional<node_info> broker_of(const service_name& service) const;
+    void open(std::uint64_t number);
+    void take_answer(std::uint64_t number, const slot_answer& answer);
+    void lose_broker(std::uint64_t number, const char* reason);
+    void choose_alone(std::uint64_t number);
+    void move_orders();
+
+    const relay_context& context;
+    slot_desk& desk;
+    std::map<std::uint64_t, order_state> orders;
+    std::map<replica_id, int> in_flight;
+    std::map<node_id, time_point> silent_until;
+    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> reports;
+    std::uint64_t next_number = 1;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/slot_desk.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "relay/relay_context.hpp"
+#include "relay/replica_report.hpp"
+#include "relay/slot_answer.hpp"
+#include "relay/slot_order.hpp"
+#include "slots/slot_broker.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// Runs the slot brokers of the services for which this node is asked, for
+/// requests of this node and of others.
+class slot_desk
+{
+public:
+    using answer_callback = std::function<void(const slot_answer&)>;
+
+    /// \param node Outlives this object.
+    explicit slot_desk(const relay_context& node);
+
+    /// Takes an order.
+    ///
+    /// \param order What is wanted.
+    /// \param callback Gets the answers, never before open() has returned.
+    /// \returns The order's ticket, for close().
+    slots::slot_ticket open(const slot_order& order, answer_callback callback);
+
+    /// The slot is given back, or no longer wanted.
+    void close(slots::slot_ticket ticket);
+
+    /// A request has failed at its replica.
+    void take_report(const replica_report& report);
+
+private:
+    struct order_state
+    {
+        slot_order order;
+        answer_callback callback;
+        bool failed = false;
+        bool granted = false;
+        replica_id replica;
+    };
+
+    slots::slot_broker& broker_of(const service_name& service);
+    void answer_peer(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void take_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void update_replicas();
+    void tick();
+    void carry_out(slots::slot_broker& broker);
+
+    const relay_context& context;
+    std::map<service_name, slots::slot_broker> brokers;
+    std::map<slots::slot_ticket, order_state> orders;
+    std::map<request_id, slots::slot_ticket> tickets;
+    std::int64_t next_ticket = 1;
+    net::timer tick_timer;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/storage_node.cpp
@@ -0,0 +1,97 @@
+#include "relay/storage_node.hpp"
+
+#include "logging/log.hpp"
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+constexpr duration report_limit = std::chrono::seconds(5);
+constexpr duration report_pause = std::chrono::milliseconds(500);
+
+} // namespace
+
+storage_node::storage_node(settings::relay_settings node_settings,
+                           const relay_dialect& translator)
+    : settings(std::move(node_settings)), dialect(translator),
+      random(std::random_device()()), http(this->loop),
+      store(this->loop, this->http, this->settings.store, translator.records(),
+            this->random),
+      follower(this->loop, this->store, this->random,
+               translator.keys().retirement_prefix + this->settings.id.str(),
+               {[this](const key_value::record_listing& listing, bool)
+                {
+                    for (const auto& record : listing.records)
+                    {
+                        this->take(record);
+                    }
+                },
+                [this](const key_value::record_change& change)
+                {
+                    if (!change.deleted)
+                    {
+                        this->take(change.record);
+                    }
+                },
+                {}})
+{
+}
+
+void storage_node::run()
+{
+    const auto stop = [this]
+    {
+        this->loop.stop();
+    };
+    const net::timer on_term = this->loop.on_signal(SIGTERM, stop);
+    const net::timer on_interrupt = this->loop.on_signal(SIGINT, stop);
+    const net::timer on_reload = this->loop.on_signal(
+        SIGHUP, [] { log_event(log_level::info, "reload_without_effect"); });
+    this->follower.start();
+    log_event(log_level::info, "started",
+              {{"zone", this->settings.availability_zone.str()},
+               {"store", to_string(this->settings.store)}});
+    this->loop.run();
+    log_event(log_level::info, "stopped");
+}
+
+void storage_node::take(const key_value::stored_record& record)
+{
+    const std::string own_key =
+        this->dialect.keys().retirement_prefix + this->settings.id.str();
+    if (record.key != own_key || std::exchange(this->reporting, true))
+    {
+        return;
+    }
+    log_event(log_level::info, "retirement_asked",
+              {{"revision", record.revision.count()}});
+    this->report_empty();
+}
+
+void storage_node::report_empty()
+{
+    const std::string key = this->dialect.keys().retirement_state_prefix +
+                            this->settings.id.str();
+    key_value::record_transaction transaction;
+    transaction.puts = {{key, this->dialect.write_retirement_state(true)}};
+    this->store.commit(
+        std::move(transaction), report_limit,
+        [this](const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_value())
+            {
+                log_event(log_level::info, "retirement_completed");
+                return;
+            }
+            this->retry_timer = this->loop.call_after(
+                report_pause, [this] { this->report_empty(); });
+        });
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/storage_node.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "key_value/record_client.hpp"
+#include "key_value/record_follower.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "relay/relay_dialect.hpp"
+#include "settings/relay_settings.hpp"
+#include "units/random_source.hpp"
+
+namespace parsleytrack::relay
+{
+
+/// A node with a disk. Everything that must last is kept by the platform's
+/// store, so it holds no data, and says so as soon as it is to be emptied.
+class storage_node
+{
+public:
+    /// \param node_settings The settings.
+    /// \param translator Outlives this object.
+    storage_node(settings::relay_settings node_settings,
+                 const relay_dialect& translator);
+
+    /// Runs until it is told to stop.
+    void run();
+
+private:
+    void take(const key_value::stored_record& record);
+    void report_empty();
+
+    settings::relay_settings settings;
+    const relay_dialect& dialect;
+    random_source random;
+    net::event_loop loop;
+    net::http_client http;
+    key_value::record_client store;
+    key_value::record_follower follower;
+    net::timer retry_timer;
+    bool reporting = false;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/stream_event.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// One event of a streamed answer.
+struct stream_event
+{
+    /// As received, with the blank line that ends it.
+    std::string raw;
+    /// Its number within the stream; absent when it has none.
+    std::optional<std::int64_t> number;
+    /// Its data lines, joined by line feeds.
+    std::string data;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/routing/configuration.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "routing/caller_limits.hpp"
+#include "routing/route.hpp"
+#include "routing/service.hpp"
+#include "units/numbers.hpp"
+
+#include <vector>
+
+namespace parsleytrack::routing
+{
+
+/// One version of what operators have set, complete.
+struct configuration
+{
+    configuration_version version;
+    std::vector<route> routes;
+    std::vector<service> services;
+    caller_limits limits;
+};
+
+} // namespace parsleytrack::routing
