--- /dev/null
+++ b/src/routing/replica_book.cpp
@@ -0,0 +1,118 @@
+#include "routing/replica_book.hpp"
+
+namespace parsleytrack::routing
+{
+
+void replica_book::replace_all(const std::map<replica_id, replica_entry>& listed,
+                               bool after_outage, time_point now)
+{
+    this->store_reachable = true;
+    if (after_outage)
+    {
+        this->grace_end = now + return_grace;
+    }
+    for (const auto& [id, entry] : listed)
+    {
+        this->update(entry);
+    }
+    std::vector<replica_id> missing;
+    for (const auto& [id, entry] : this->entries)
+    {
+        if (!listed.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (const replica_id& id : missing)
+    {
+        this->remove(id, now);
+    }
+}
+
+void replica_book::update(const replica_entry& entry)
+{
+    ++this->changes;
+    this->missing_until.erase(entry.id);
+    const auto known = this->entries.find(entry.id);
+    if (known != this->entries.end() &&
+        known->second.started_at_ms != entry.started_at_ms)
+    {
+        this->leaving.erase(entry.id);
+    }
+    this->entries[entry.id] = entry;
+}
+
+void replica_book::remove(const replica_id& id, time_point now)
+{
+    if (!this->entries.contains(id))
+    {
+        return;
+    }
+    ++this->changes;
+    if (!this->store_reachable || now < this->grace_end)
+    {
+        this->missing_until.emplace(id, this->grace_end);
+        return;
+    }
+    this->entries.erase(id);
+    this->leaving.erase(id);
+    this->missing_until.erase(id);
+}
+
+void replica_book::mark_leaving(const replica_id& id)
+{
+    if (this->entries.contains(id) && this->leaving.insert(id).second)
+    {
+        ++this->changes;
+    }
+}
+
+std::vector<replica_id> replica_book::expire(time_point now)
+{
+    std::vector<replica_id> gone;
+    if (!this->store_reachable || now < this->grace_end)
+    {
+        return gone;
+    }
+    for (const auto& [id, until] : this->missing_until)
+    {
+        gone.push_back(id);
+        this->entries.erase(id);
+        this->leaving.erase(id);
+    }
+    this->missing_until.clear();
+    if (!gone.empty())
+    {
+        ++this->changes;
+    }
+    return gone;
+}
+
+std::vector<const replica_entry*>
+replica_book::usable(const service_name& name) const
+{
+    std::vector<const replica_entry*> found;
+    for (const auto& [id, entry] : this->entries)
+    {
+        if (entry.service == name && this->is_usable(entry))
+        {
+            found.push_back(&entry);
+        }
+    }
+    return found;
+}
+
+const replica_entry* replica_book::find_usable(const replica_id& id) const
+{
+    const auto found = this->entries.find(id);
+    return found != this->entries.end() && this->is_usable(found->second)
+               ? &found->second
+               : nullptr;
+}
+
+bool replica_book::is_usable(const replica_entry& entry) const
+{
+    return !entry.draining && !this->leaving.contains(entry.id);
+}
+
+} // namespace parsleytrack::routing
--- /dev/null
+++ b/src/routing/route.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "routing/request_kind.hpp"
+#include "units/ids.hpp"
+#include "units/numbers.hpp"
+#include "units/time.hpp"
+
+#include <string>
+#include <vector>
+
+namespace parsleytrack::routing
+{
+
+/// One of the services that a route's requests are spread over.
+struct weighted_service
+{
+    service_name service;
+    /// Share of the requests, relative to the other services of the route.
+    int weight = 1;
+};
+
+/// Where the requests of one host and path prefix go, and their bounds.
+struct route
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    request_kind kind = request_kind::at_most_once;
+    std::vector<weighted_service> services;
+    /// Most replicas that one attempt of a caller may be sent to.
+    int max_attempts = 1;
+    /// Longest time that a caller is kept waiting; zero for "no limit".
+    duration timeout = duration::zero();
+    /// Time within which an answer, or the first event of a stream, is due.
+    duration target_latency = duration::zero();
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Whether a stream may go on at another replica.
+    bool resumable = false;
+    /// Batch: how long after its submission a job's results are due.
+    duration run_target = duration::zero();
+    /// Batch: how long after its submission an item may be given up.
+    duration retention = duration::zero();
+    /// Batch: tokens of unfinished items over all jobs; 0 for "no limit".
+    token_count waiting_tokens_limit;
+
+    /// \returns Whether a request may be sent again after it may have run.
+    bool is_repeatable() const
+    {
+        return this->kind == request_kind::idempotent ||
+               (this->kind == request_kind::streaming && this->resumable);
+    }
+};
+
+} // namespace parsleytrack::routing
--- /dev/null
+++ b/src/routing/route_table.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "routing/configuration.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleytrack::routing
+{
+
+/// Finds routes of one version of the configuration. Cheap to look up with
+/// many routes: the longest prefix of a path is found by its slashes.
+class route_table
+{
+public:
+    explicit route_table(configuration contents);
+
+    /// \param host Name that the caller asked for, with or without a port.
+    /// \param path Path without the query.
+    /// \returns The route with the longest matching prefix; null when none
+    /// matches.
+    const route* find(std::string_view host, std::string_view path) const;
+
+    /// \returns The service, or null when the configuration has none such.
+    const service* find_service(const service_name& name) const;
+
+    /// \returns The route of that name, or null.
+    const route* find_by_name(const std::string& name) const;
+
+    const configuration& contents() const { return this->current; }
+
+private:
+    configuration current;
+    std::map<std::string, std::map<std::string, std::size_t, std::less<>>,
+             std::less<>>
+        by_host;
+    std::map<service_name, std::size_t> service_positions;
+};
+
+} // namespace parsleytrack::routing
--- /dev/null
+++ b/src/settings/relay_settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "logging/log.hpp"
+#include "units/endpoint.hpp"
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace parsleytrack::settings
+{
+
+/// Settings of a relay node, which takes its routes and replicas from the
+/// platform's store.
+struct relay_settings
+{
+    node_id id;
+    region_name region;
+    availability_zone_name availability_zone;
+    /// Where callers connect; absent for a node that takes none.
+    std::optional<endpoint> front;
+    /// Where the node answers whether it takes requests.
+    std::optional<endpoint> ready;
+    /// Where callers ask for addresses.
+    std::optional<endpoint> directory;
+    /// Where metrics are served.
+    std::optional<endpoint> metrics;
+    /// Where other nodes connect, over TCP and UDP.
+    endpoint peer;
+    /// Peer addresses of nodes to join through.
+    std::vector<endpoint> seeds;
+    endpoint store;
+    /// How long callers may keep an address answer.
+    duration address_validity = std::chrono::seconds(2);
+    /// Longest time of a planned stop.
+    duration stop_limit = std::chrono::seconds(8);
+    log_level level = log_level::info;
+};
+
+} // namespace parsleytrack::settings
--- a/src/settings/settings_loader.cpp
+++ b/src/settings/settings_loader.cpp
@@ -2,14 +2,11 @@
 
 #include "settings/document_parser.hpp"
 #include "settings/object_reader.hpp"
+#include "settings/settings_file.hpp"
 #include "settings/settings_reader.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include <cerrno>
-#include <cstring>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace parsleytrack::settings
@@ -36,15 +33,12 @@
 
 load_outcome load_settings(const std::string& path)
 {
-    std::ifstream file(path);
-    if (!file)
+    const auto text = detail::read_settings_file(path);
+    if (const auto* problems = std::get_if<findings>(&text))
     {
-        return findings{
-            {path, std::string("cannot be read: ") + std::strerror(errno)}};
+        return *problems;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parse_settings(text.str(), path);
+    return parse_settings(std::get<std::string>(text), path);
 }
 
 } // namespace parsleytrack::settings
--- /dev/null
+++ b/src/slots/slot_broker.cpp
@@ -0,0 +1,348 @@
+#include "slots/slot_broker.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace parsleytrack::slots
+{
+
+slot_broker::slot_broker(const slot_broker_options& broker_options)
+    : options(broker_options), mean_hold(broker_options.first_hold_estimate)
+{
+}
+
+void slot_broker::set_replicas(const std::vector<slot_replica>& usable,
+                               time_point now)
+{
+    std::map<replica_id, replica_state> next;
+    for (const slot_replica& replica : usable)
+    {
+        const auto known = this->replicas.find(replica.id);
+        if (known != this->replicas.end())
+        {
+            known->second.replica = replica;
+            next.emplace(replica.id, std::move(known->second));
+            continue;
+        }
+        replica_state state{replica,
+                            replica_health(this->options.failure_limit,
+                                           this->options.first_pause,
+                                           this->options.longest_pause),
+                            0};
+        for (const auto& [ticket, slot] : this->held)
+        {
+            state.used += slot.replica == replica.id ? 1 : 0;
+        }
+        next.emplace(replica.id, std::move(state));
+    }
+    this->replicas = std::move(next);
+    this->serve(now);
+}
+
+void slot_broker::request(slot_ticket ticket, const slot_request& wanted,
+                          time_point now)
+{
+    const waiting_request waiting{ticket, wanted};
+    queue& line =
+        wanted.kind == work_class::online ? this->online : this->batch;
+    line.emplace(rank_of(waiting, now > wanted.useful_until), waiting);
+    this->serve(now);
+}
+
+void slot_broker::adopt(slot_ticket ticket, const slot_request& wanted,
+                        const replica_id& replica, time_point now)
+{
+    this->held[ticket] = held_slot{replica, wanted, now, false};
+    const auto found = this->replicas.find(replica);
+    if (found != this->replicas.end())
+    {
+        ++found->second.used;
+    }
+}
+
+void slot_broker::end(slot_ticket ticket, time_point now)
+{
+    const auto found = this->held.find(ticket);
+    if (found == this->held.end())
+    {
+        const auto is_ticket = [ticket](const auto& entry)
+        { return entry.second.ticket == ticket; };
+        std::erase_if(this->online, is_ticket);
+        std::erase_if(this->batch, is_ticket);
+        return;
+    }
+    const held_slot slot = found->second;
+    this->held.erase(found);
+    const auto replica = this->replicas.find(slot.replica);
+    if (replica != this->replicas.end())
+    {
+        --replica->second.used;
+    }
+    if (slot.request.kind == work_class::online)
+    {
+        const double weight = this->options.hold_weight;
+        const double mean =
+            static_cast<double>(this->mean_hold.count()) * (1.0 - weight) +
+            static_cast<double>((now - slot.since).count()) * weight;
+        this->mean_hold = duration(static_cast<std::int64_t>(mean));
+    }
+    this->serve(now);
+}
+
+void slot_broker::report_failure(const replica_id& replica, time_point now)
+{
+    const auto found = this->replicas.find(replica);
+    if (found != this->replicas.end())
+    {
+        found->second.health.failure(now);
+    }
+}
+
+void slot_broker::report_success(const replica_id& replica)
+{
+    const auto found = this->replicas.find(replica);
+    if (found != this->replicas.end())
+    {
+        found->second.health.success();
+    }
+}
+
+void slot_broker::tick(time_point now)
+{
+    this->expire(now);
+    this->serve(now);
+}
+
+std::vector<slot_command> slot_broker::take_commands()
+{
+    return std::exchange(this->commands, {});
+}
+
+int slot_broker::total_slots() const
+{
+    int total = 0;
+    for (const auto& [id, state] : this->replicas)
+    {
+        total += state.replica.slots;
+    }
+    return total;
+}
+
+slot_broker::rank slot_broker::rank_of(const waiting_request& waiting,
+                                       bool late)
+{
+    return rank{late, waiting.request.priority, waiting.request.useful_until,
+                waiting.ticket};
+}
+
+void slot_broker::serve(time_point now)
+{
+    this->serve_online(now);
+    this->refuse_hopeless(now);
+    this->serve_batch(now);
+    this->reclaim_for_waiting();
+}
+
+void slot_broker::serve_online(time_point now)
+{
+    for (auto entry = this->online.begin(); entry != this->online.end();)
+    {
+        replica_state* chosen = this->choose(entry->second.request, now);
+        if (chosen == nullptr)
+        {
+            if (entry->second.request.excluded.empty())
+            {
+                return;
+            }
+            ++entry;
+            continue;
+        }
+        this->grant(entry->second, *chosen, now);
+        entry = this->online.erase(entry);
+    }
+}
+
+void slot_broker::serve_batch(time_point now)
+{
+    const int reserve =
+        static_cast<int>(this->total_slots() * this->options.online_reserve);
+    while (!this->batch.empty() && this->online.empty() &&
+           this->free_slots(now) > reserve)
+    {
+        const auto entry = this->batch.begin();
+        replica_state* chosen = this->choose(entry->second.request, now);
+        if (chosen == nullptr)
+        {
+            return;
+        }
+        this->grant(entry->second, *chosen, now);
+        this->batch.erase(entry);
+    }
+}
+
+void slot_broker::reclaim_for_waiting()
+{
+    std::size_t wanted = 0;
+    for (const auto& [rank, waiting] : this->online)
+    {
+        wanted += rank.late ? 0 : 1;
+    }
+    std::size_t under_way = 0;
+    std::vector<std::pair<time_point, slot_ticket>> candidates;
+    for (const auto& [ticket, slot] : this->held)
+    {
+        if (slot.reclaimed)
+        {
+            ++under_way;
+        }
+        else if (slot.request.kind == work_class::batch)
+        {
+            candidates.emplace_back(slot.request.useful_until, ticket);
+        }
+    }
+    if (wanted <= under_way)
+    {
+        return;
+    }
+    // Work that is due last loses least by waiting.
+    std::sort(candidates.rbegin(), candidates.rend());
+    candidates.resize(std::min(candidates.size(), wanted - under_way));
+    for (const auto& [due, ticket] : candidates)
+    {
+        this->held.at(ticket).reclaimed = true;
+        this->commands.push_back(
+            slot_command{ticket, slot_verdict::reclaimed, {}, {}, 0,
+                         static_cast<int>(this->online.size())});
+    }
+}
+
+void slot_broker::refuse_hopeless(time_point now)
+{
+    std::size_t ahead = 0;
+    for (auto entry = this->online.begin(); entry != this->online.end();)
+    {
+        const waiting_request& waiting = entry->second;
+        const duration wait = this->predicted_wait(ahead);
+        if (waiting.request.wait_when_late ||
+            now + wait <= waiting.request.useful_until)
+        {
+            ++ahead;
+            ++entry;
+            continue;
+        }
+        this->refuse(waiting, wait);
+        entry = this->online.erase(entry);
+    }
+}
+
+void slot_broker::expire(time_point now)
+{
+    std::vector<waiting_request> late;
+    for (auto entry = this->online.begin(); entry != this->online.end();)
+    {
+        if (entry->first.late || now <= entry->second.request.useful_until)
+        {
+            ++entry;
+            continue;
+        }
+        late.push_back(entry->second);
+        entry = this->online.erase(entry);
+    }
+    for (const waiting_request& waiting : late)
+    {
+        if (waiting.request.wait_when_late)
+        {
+            this->online.emplace(rank_of(waiting, true), waiting);
+            continue;
+        }
+        this->refuse(waiting, this->predicted_wait(this->online.size()));
+    }
+}
+
+void slot_broker::grant(const waiting_request& waiting, replica_state& chosen,
+                        time_point now)
+{
+    ++chosen.used;
+    this->held[waiting.ticket] =
+        held_slot{chosen.replica.id, waiting.request, now, false};
+    this->commands.push_back(slot_command{
+        waiting.ticket, slot_verdict::granted, chosen.replica.id, {},
+        this->free_slots(now),
+        static_cast<int>(this->online.size() + this->batch.size())});
+}
+
+void slot_broker::refuse(const waiting_request& waiting, duration wait)
+{
+    this->commands.push_back(
+        slot_command{waiting.ticket, slot_verdict::refused, {},
+                     std::clamp(wait, this->options.shortest_retry_after,
+                                this->options.longest_retry_after),
+                     0, static_cast<int>(this->online.size())});
+}
+
+slot_broker::replica_state* slot_broker::choose(const slot_request& wanted,
+                                                time_point now)
+{
+    replica_state* best = nullptr;
+    // Same zone first, then the most free slots.
+    std::tuple<bool, int> best_score{false, 0};
+    for (auto& [id, state] : this->replicas)
+    {
+        if (!state.health.usable(now) || wanted.excluded.contains(id))
+        {
+            continue;
+        }
+        const int free =
+            state.health.allowed(state.replica.slots, now) - state.used;
+        const std::tuple<bool, int> score{
+            state.replica.availability_zone == wanted.availability_zone, free};
+        if (free > 0 && (best == nullptr || score > best_score))
+        {
+            best = &state;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+int slot_broker::free_slots(time_point now) const
+{
+    int total = 0;
+    for (const auto& [id, state] : this->replicas)
+    {
+        if (state.health.usable(now))
+        {
+            total += std::max(
+                0, state.health.allowed(state.replica.slots, now) - state.used);
+        }
+    }
+    return total;
+}
+
+int slot_broker::reclaimable() const
+{
+    return static_cast<int>(
+        std::count_if(this->held.begin(), this->held.end(),
+                      [](const auto& entry) {
+                          return entry.second.request.kind == work_class::batch;
+                      }));
+}
+
+duration slot_broker::predicted_wait(std::size_t ahead) const
+{
+    const int total = this->total_slots();
+    if (total == 0)
+    {
+        return this->options.longest_retry_after;
+    }
+    const auto beyond_reclaim = static_cast<std::int64_t>(ahead) + 1 -
+                                this->reclaimable();
+    if (beyond_reclaim <= 0)
+    {
+        return this->options.reclaim_time;
+    }
+    return this->mean_hold * beyond_reclaim / total;
+}
+
+} // namespace parsleytrack::slots
--- /dev/null
+++ b/src/slots/slot_broker.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "decisions/replica_health.hpp"
+#include "slots/slot_broker_options.hpp"
+#include "slots/slot_command.hpp"
+#include "slots/slot_replica.hpp"
+#include "slots/slot_request.hpp"
+#include "units/time.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace parsleytrack::slots
+{
+
+/// Gives out the slots of all replicas of one service, so that the number of
+/// requests at each replica is known before one is sent. Online requests come
+/// before batch work, which fills the slots that are left and gives them back
+/// on demand. Requests that cannot get a slot in time are refused at once.
+class slot_broker
+{
+public:
+    explicit slot_broker(const slot_broker_options& broker_options = {});
+
+    /// Replaces the replicas whose slots are given out.
+    void set_replicas(const std::vector<slot_replica>& usable, time_point now);
+
+    /// Asks for a slot; take_commands() says what becomes of it.
+    void request(slot_ticket ticket, const slot_request& wanted,
+                 time_point now);
+
+    /// Takes over a slot that another broker had granted.
+    void adopt(slot_ticket ticket, const slot_request& wanted,
+               const replica_id& replica, time_point now);
+
+    /// The slot is given back, or no longer asked for.
+    void end(slot_ticket ticket, time_point now);
+
+    /// A request to the replica has failed, or has been answered.
+    void report_failure(const replica_id& replica, time_point now);
+    void report_success(const replica_id& replica);
+
+    /// Refuses what has become late, and grants what has become free.
+    void tick(time_point now);
+
+    /// \returns What is to be told to holders, in order.
+    std::vector<slot_command> take_commands();
+
+    int total_slots() const;
+    int used_slots() const { return static_cast<int>(this->held.size()); }
+    std::size_t waiting_online() const { return this->online.size(); }
+    std::size_t waiting_batch() const { return this->batch.size(); }
+
+private:
+    struct replica_state
+    {
+        slot_replica replica;
+        replica_health health;
+        int used = 0;
+    };
+    struct held_slot
+    {
+        replica_id replica;
+        slot_request request;
+        time_point since;
+        bool reclaimed = false;
+    };
+    struct waiting_request
+    {
+        slot_ticket ticket;
+        slot_request request;
+    };
+
+    /// Order in which waiting requests are served.
+    struct rank
+    {
+        bool late = false;
+        int priority = 0;
+        time_point useful_until;
+        slot_ticket ticket;
+        auto operator<=>(const rank&) const = default;
+    };
+    using queue = std::map<rank, waiting_request>;
+
+    static rank rank_of(const waiting_request& waiting, bool late);
+    void serve(time_point now);
+    void serve_online(time_point now);
+    void serve_batch(time_point now);
+    void reclaim_for_waiting();
+    void refuse_hopeless(time_point now);
+    void expire(time_point now);
+    void grant(const waiting_request& waiting, replica_state& chosen,
+               time_point now);
+    void refuse(const waiting_request& waiting, duration wait);
+    replica_state* choose(const slot_request& wanted, time_point now);
+    int free_slots(time_point now) const;
+    int reclaimable() const;
+    duration predicted_wait(std::size_t ahead) const;
+
+    slot_broker_options options;
+    std::map<replica_id, replica_state> replicas;
+    std::map<slot_ticket, held_slot> held;
+    queue online;
+    queue batch;
+    duration mean_hold;
+    std::vector<slot_command> commands;
+};
+
+} // namespace parsleytrack::slots
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -36,7 +36,13 @@
     directory_get = 62,
     /// Calls that must not run twice.
     once_call = 70,
-    once_state = 71
+    once_state = 71,
+    /// Relay: any node to the broker of a service's slots.
+    slot_request = 80,
+    slot_report = 81,
+    /// Relay: any node to the owner of a batch job.
+    node_job_read = 90,
+    node_job_news = 91
 };
 
 } // namespace parsleytrack::wire
--- /dev/null
+++ b/src/wire/node_jobs.thrift
@@ -0,0 +1,77 @@
+// Records of batch jobs in the platform's store, and calls about them between
+// nodes.
+namespace cpp parsleytrack.wire
+
+struct node_job_header {
+  1: string name;
+  2: string value;
+}
+
+struct node_job_item {
+  1: string id;
+  2: string target;
+  3: list<node_job_header> headers;
+  4: binary body;
+  5: i64 tokens;
+}
+
+// Written once, with the job's acceptance.
+struct node_job_input {
+  1: string job;
+  2: string route_name;
+  3: string host;
+  4: list<node_job_item> items;
+  // Unix milliseconds of the first submission.
+  5: i64 submitted_at_ms;
+}
+
+// The outcome of one item. Its position in the list never changes.
+struct node_job_outcome {
+  1: i32 item;
+  2: bool completed;
+}
+
+// Changes with each commit.
+struct node_job_state {
+  1: string job;
+  2: string route_name;
+  // Node that runs the job, and which life of it.
+  3: string owner;
+  4: i64 owner_incarnation;
+  5: bool cancelled;
+  6: list<node_job_outcome> outcomes;
+  // Unix milliseconds.
+  7: i64 submitted_at_ms;
+  8: i32 item_count;
+  // Tokens of the items without an outcome.
+  9: i64 waiting_tokens;
+}
+
+// Tokens of accepted items without an outcome, over all jobs of a route.
+struct node_job_usage {
+  1: i64 waiting_tokens;
+}
+
+// Call of type node_job_read, to the owner.
+struct node_job_read {
+  1: string job;
+  2: i32 after;
+  3: i64 wait_ms;
+}
+
+struct node_job_result {
+  1: string item;
+  2: bool completed;
+  3: binary output;
+}
+
+struct node_job_page {
+  1: i32 total;
+  2: list<node_job_result> results;
+}
+
+// Call of type node_job_news: the job's record was changed by another node.
+struct node_job_news {
+  1: string job;
+  2: string owner;
+}
--- a/tests/fake_store/fake_store_server.cpp
+++ b/tests/fake_store/fake_store_server.cpp
@@ -1,10 +1,10 @@
 #include "fake_store/fake_store_server.hpp"
 
-#include "platform/base64.hpp"
+#include "key_value/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 namespace
@@ -230,4 +230,4 @@
     return answer.dump();
 }
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/tests/fake_store/fake_store_server.hpp
+++ b/tests/fake_store/fake_store_server.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::platform
+namespace parsleytrack::key_value
 {
 
 /// A store of the etcd v3 HTTP/JSON form inside the test, with faults.
@@ -73,4 +73,4 @@
     std::int64_t last_lease = 0;
 };
 
-} // namespace parsleytrack::platform
+} // namespace parsleytrack::key_value
--- a/tests/fuzz/membership_fuzz_test.cpp
+++ b/tests/fuzz/membership_fuzz_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/membership_conversion.hpp"
+#include "peering/membership_conversion.hpp"
 #include "daemon/region_conversion.hpp"
 #include "daemon/seed_conversion.hpp"
 #include "decisions/membership.hpp"
--- a/tests/platform/call_budget_test.cpp
+++ b/tests/key_value/call_budget_test.cpp
@@ -1,7 +1,7 @@
-#include "platform/call_budget.hpp"
+#include "key_value/call_budget.hpp"
 
-#include "platform/backoff.hpp"
-#include "platform/outage_detector.hpp"
+#include "key_value/backoff.hpp"
+#include "key_value/outage_detector.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,7 +9,7 @@
 #include <vector>
 
 using namespace parsleytrack;
-using namespace parsleytrack::platform;
+using namespace parsleytrack::key_value;
 
 namespace
 {
--- a/tests/platform/etcd_store_test.cpp
+++ b/tests/key_value/etcd_store_test.cpp
@@ -1,7 +1,7 @@
 #include "fake_store/fake_store_server.hpp"
 
-#include "platform/etcd_store.hpp"
-#include "platform/write_envelope.hpp"
+#include "key_value/etcd_store.hpp"
+#include "key_value/write_envelope.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,7 +10,7 @@
 #include <set>
 
 using namespace parsleytrack;
-using namespace parsleytrack::platform;
+using namespace parsleytrack::key_value;
 
 namespace
 {
--- a/tests/platform/write_resolution_test.cpp
+++ b/tests/key_value/write_resolution_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/write_resolution.hpp"
+#include "key_value/write_resolution.hpp"
 
 #include "units/random_source.hpp"
 
@@ -11,7 +11,7 @@
 #include <vector>
 
 using namespace parsleytrack;
-using namespace parsleytrack::platform;
+using namespace parsleytrack::key_value;
 
 namespace
 {
--- a/tests/release/test_fleet.hpp
+++ b/tests/release/test_fleet.hpp
@@ -65,7 +65,7 @@
                             const std::string& body = std::string());
 
     net::event_loop loop;
-    platform::fake_store_server store{this->loop};
+    key_value::fake_store_server store{this->loop};
     std::vector<std::unique_ptr<test_node>> nodes;
     net::http_client client{this->loop};
 
