Keep sent requests from being taken for unsent, and end a stop with answers

Ruled out: the replica's answer (it was cut by the replica, as the report shows); the directory (the caller kept an old address). Test: net/a_connection_that_was_reset_late_was_not_unopened failed before.

--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -5,9 +5,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
 #include <strings.h>
-#include <sys/socket.h>
 
 #include <utility>
 
@@ -84,12 +82,13 @@
     {
         return [this, what]
         {
-            this->fail(error_code::deadline_exceeded, ran_state::unknown,
+            this->fail(error_code::deadline_exceeded, this->ran_so_far(),
                        std::string(what) + " of " + to_string(this->target) +
                            " did not come in time");
         };
     };
     event_loop& loop = this->client.loop();
+    this->watch_output();
     if (request.total_timeout > duration::zero())
     {
         this->total_timer =
@@ -98,7 +97,7 @@
     if (request.connect_timeout > duration::zero())
     {
         this->connect_timer = loop.call_after(
-            request.connect_timeout, [this] { this->check_connected(); });
+            request.connect_timeout, [this] { this->check_sent(); });
     }
     if (request.head_timeout > duration::zero())
     {
@@ -122,16 +121,35 @@
     }
 }
 
-void http_transfer::check_connected()
+void http_transfer::watch_output()
 {
-    bufferevent* link =
-        evhttp_connection_get_bufferevent(this->connection->handle());
-    sockaddr_in peer{};
-    socklen_t length = sizeof(peer);
-    const bool connected =
-        ::getpeername(bufferevent_getfd(link),
-                      reinterpret_cast<sockaddr*>(&peer), &length) == 0;
-    if (!connected)
+    evbuffer* output = bufferevent_get_output(
+        evhttp_connection_get_bufferevent(this->connection->handle()));
+    this->output_watch = evbuffer_add_cb(
+        output,
+        [](evbuffer*, const evbuffer_cb_info* change, void* argument)
+        {
+            auto* transfer = static_cast<http_transfer*>(argument);
+            transfer->sent = transfer->sent || change->n_added > 0;
+        },
+        this);
+}
+
+void http_transfer::unwatch_output()
+{
+    if (this->output_watch != nullptr)
+    {
+        evbuffer_remove_cb_entry(
+            bufferevent_get_output(evhttp_connection_get_bufferevent(
+                this->connection->handle())),
+            this->output_watch);
+        this->output_watch = nullptr;
+    }
+}
+
+void http_transfer::check_sent()
+{
+    if (!this->sent)
     {
         this->fail(error_code::peer_unreachable, ran_state::no,
                    "the connection to " + to_string(this->target) +
@@ -139,6 +157,11 @@
     }
 }
 
+ran_state http_transfer::ran_so_far() const
+{
+    return this->sent ? ran_state::unknown : ran_state::no;
+}
+
 void http_transfer::cancel()
 {
     if (this->ended)
@@ -232,14 +255,14 @@
     kept->active = nullptr;
     if (request == nullptr || kept->failed)
     {
-        kept->fail(error_code::connection_lost, ran_state::unknown,
+        kept->fail(error_code::connection_lost, kept->ran_so_far(),
                    "the connection to " + to_string(kept->target) +
                        " was lost before the end of the answer");
         return;
     }
     if (evhttp_request_get_response_code(request) == 0)
     {
-        kept->fail(error_code::peer_unreachable, ran_state::no,
+        kept->fail(error_code::peer_unreachable, kept->ran_so_far(),
                    "cannot connect to " + to_string(kept->target));
         return;
     }
@@ -279,6 +302,7 @@
 
 void http_transfer::release_connection(bool reusable)
 {
+    this->unwatch_output();
     this->total_timer.cancel();
     this->connect_timer.cancel();
     this->head_timer.cancel();
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -3,6 +3,7 @@
 #include "net/http_client.hpp"
 #include "net/http_connection.hpp"
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include <memory>
@@ -34,9 +35,12 @@
     void read_body(evhttp_request* request);
     void fail(error_code code, ran_state ran, const std::string& message);
     void end(result<http_response> outcome, bool reusable);
+    void unwatch_output();
     void release_connection(bool reusable);
     void restart_idle_timer();
-    void check_connected();
+    void watch_output();
+    void check_sent();
+    ran_state ran_so_far() const;
 
     http_client& client;
     endpoint target;
@@ -49,6 +53,10 @@
     timer head_timer;
     timer idle_timer;
     evhttp_request* active = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
+    /// Whether any byte of the request was handed to the connection. The
+    /// library does so only once the connection is open.
+    bool sent = false;
     bool head_seen = false;
     bool failed = false;
     bool ended = false;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -10,11 +10,12 @@
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
 #include "relay/slot_desk.hpp"
-#include "relay/wall_clock.hpp"
+#include "relay/stop_schedule.hpp"
 #include "settings/relay_settings_loader.hpp"
 
 #include <algorithm>
 #include <csignal>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -28,11 +29,8 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr duration retry_after_start = std::chrono::milliseconds(300);
-/// Callers keep an address answer up to three times its validity.
-constexpr int kept_answer_factor = 3;
-/// Before the end of the time for a stop, so that the last connections are
-/// closed by the node itself.
-constexpr duration stop_margin = std::chrono::milliseconds(400);
+/// Another node can be asked at once.
+constexpr duration retry_after_stop = std::chrono::milliseconds(10);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
 
 node_info own_info(const settings::relay_settings& settings)
@@ -107,7 +105,7 @@
     address_service addresses{this->context};
     std::vector<net::timer> signals;
     net::timer stop_timer;
-    bool stopping = false;
+    std::optional<stop_schedule> stop;
 
     result<bool> listen();
     void take(const std::shared_ptr<net::http_exchange>& exchange);
@@ -116,7 +114,7 @@
     void take_metrics(const std::shared_ptr<net::http_exchange>& exchange);
     void reload();
     void begin_stop();
-    void finish_stop(time_point earliest, time_point latest);
+    void finish_stop();
 };
 
 result<bool> relay_node::state::listen()
@@ -170,6 +168,13 @@
                      retry_after_start});
         return;
     }
+    if (this->stop && !this->stop->takes_requests(net::event_loop::now()))
+    {
+        refuse(*exchange,
+               error{error_code::shutting_down, "this node is stopping",
+                     ran_state::no, retry_after_stop});
+        return;
+    }
     const net::http_request_head& head = exchange->head();
     if (const auto call = this->dialect.read_job_call(head))
     {
@@ -205,7 +210,7 @@
 void relay_node::state::take_ready(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
-    const bool is_ready = !this->stopping && this->configuration.current();
+    const bool is_ready = !this->stop && this->configuration.current();
     exchange->respond(is_ready ? status_ok : status_unavailable, {}, {});
 }
 
@@ -269,29 +274,31 @@
 
 void relay_node::state::begin_stop()
 {
-    if (std::exchange(this->stopping, true))
+    if (this->stop)
     {
         return;
     }
     log_event(log_level::info, "stopping",
               {{"open_requests", this->front.open_requests()}});
+    this->stop.emplace(net::event_loop::now(), this->settings.address_validity,
+                       this->settings.stop_limit);
     this->group.announce_leaving();
     this->front.close_after_answers();
     this->jobs.stop();
-    const time_point now = net::event_loop::now();
-    const time_point latest = now + this->settings.stop_limit - stop_margin;
-    const time_point earliest = std::min(
-        latest, now + this->settings.address_validity * kept_answer_factor);
-    this->stop_timer = this->loop.call_every(
-        stop_poll_interval,
-        [this, earliest, latest] { this->finish_stop(earliest, latest); });
+    this->stop_timer = this->loop.call_every(stop_poll_interval,
+                                             [this] { this->finish_stop(); });
 }
 
-void relay_node::state::finish_stop(time_point earliest, time_point latest)
+void relay_node::state::finish_stop()
 {
     const time_point now = net::event_loop::now();
+    if (this->stop->takes_requests(now))
+    {
+        return;
+    }
+    this->front.stop_accepting();
     const std::size_t open = this->front.open_requests();
-    if (now < earliest || (open > 0 && now < latest))
+    if (!this->stop->is_over(now, open))
     {
         return;
     }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -251,3 +251,38 @@
     STRCMP_EQUAL("close", connection_field().c_str());
     LONGS_EQUAL(0, this->server.open_requests());
 }
+
+TEST(http, a_connection_that_was_reset_late_was_not_unopened)
+{
+    // The loop is held up until the connect timeout is over, and the server
+    // resets the connection just before the timeout is looked at.
+    closing_listener listener(this->loop);
+    this->address.port = listener.port;
+    http_request request;
+    static constexpr duration timeout = std::chrono::milliseconds(60);
+    request.connect_timeout = timeout;
+    const auto call = this->send(request);
+    int connection = -1;
+    const timer hold_up = this->loop.call_after(
+        timeout / 2,
+        [&listener, &connection]
+        {
+            connection = ::accept(listener.descriptor, nullptr, nullptr);
+            char buffer[512];
+            CHECK(::read(connection, buffer, sizeof(buffer)) > 0);
+            ::usleep(static_cast<useconds_t>(timeout.count()));
+        });
+    const timer reset = this->loop.call_after(
+        timeout - std::chrono::milliseconds(2),
+        [&connection]
+        {
+            const linger abortive{1, 0};
+            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &abortive,
+                         sizeof(abortive));
+            ::close(connection);
+            ::usleep(5000);
+        });
+    this->wait();
+    CHECK(this->outcome->has_error());
+    CHECK(this->outcome->error().ran == ran_state::unknown);
+}
