Divide replicas among several slot brokers on strong nodes; spare store calls

Ruled out: entry nodes (0.008 of a core on average). Change: at most 16 replicas a broker, brokers on nodes with at least half of the largest capacity; items are committed together; tokens are taken off a route's usage with the last item; jobs are run by the node that rendezvous hashing names, so readers need no look-up.

--- a/src/decisions/node_info.hpp
+++ b/src/decisions/node_info.hpp
@@ -18,6 +18,8 @@
     availability_zone_name availability_zone;
     bool entry = true;
     bool keeper = false;
+    /// What the node may spend, in thousandths of a core.
+    int capacity = 1000;
     node_state state = node_state::alive;
     incarnation_number incarnation;
 
--- a/src/jobs/job_commit.hpp
+++ b/src/jobs/job_commit.hpp
@@ -20,8 +20,8 @@
     /// Position of the first new result.
     std::size_t first_position = 0;
     std::vector<job_result> results;
-    /// Tokens of the items that end with this commit.
-    token_count finished_tokens;
+    /// Tokens that the route's usage no longer counts after this commit.
+    token_count released_tokens;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -35,7 +35,8 @@
     std::vector<item_outcome> outcomes;
     std::int64_t submitted_at_ms = 0;
     std::size_t item_count = 0;
-    /// Tokens of the items that have no outcome.
+    /// Tokens that the route's usage counts for this job; at least those of
+    /// the items that have no outcome.
     token_count waiting_tokens;
 
     bool is_finished() const
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -90,7 +90,7 @@
     this->uncommitted.push_back(std::move(ended));
 }
 
-std::optional<job_commit> owned_job::begin_commit()
+std::optional<job_commit> owned_job::begin_commit(bool release)
 {
     if (this->committing || this->uncommitted.empty() || this->agreed.cancelled)
     {
@@ -109,14 +109,32 @@
         const job_item& item = this->submitted.items[ended.item];
         commit.state.outcomes.push_back(
             item_outcome{ended.item, ended.completed});
-        commit.state.waiting_tokens -= item.tokens;
-        commit.finished_tokens += item.tokens;
         commit.results.push_back(
             job_result{item.id, ended.completed, std::move(ended.output)});
     }
+    if (release || commit.state.is_finished())
+    {
+        const token_count unfinished = this->unfinished_tokens(commit.state);
+        commit.released_tokens = commit.state.waiting_tokens - unfinished;
+        commit.state.waiting_tokens = unfinished;
+    }
     return commit;
 }
 
+token_count owned_job::unfinished_tokens(const job_state& state) const
+{
+    token_count tokens;
+    for (const job_item& item : this->submitted.items)
+    {
+        tokens += item.tokens;
+    }
+    for (const item_outcome& outcome : state.outcomes)
+    {
+        tokens -= this->submitted.items[outcome.item].tokens;
+    }
+    return tokens;
+}
+
 void owned_job::commit_applied(const job_commit& commit,
                                store_revision revision)
 {
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -56,9 +56,14 @@
     /// Gives up all items that do not run and have no outcome.
     void give_up_waiting_items();
 
+    /// \returns Whether outcomes wait to be written.
+    bool has_uncommitted() const { return !this->uncommitted.empty(); }
+
+    /// \param release Whether the tokens of ended items are to be taken off the
+    /// route's usage; always so with the last outcome.
     /// \returns What is to be written next; absent when there is nothing, or
     /// another commit is under way.
-    std::optional<job_commit> begin_commit();
+    std::optional<job_commit> begin_commit(bool release);
 
     /// The commit was applied.
     void commit_applied(const job_commit& commit, store_revision revision);
@@ -82,6 +87,7 @@
     };
 
     void end_item(ended_item ended);
+    token_count unfinished_tokens(const job_state& state) const;
 
     job_input submitted;
     job_state agreed;
--- a/src/peering/membership_conversion.cpp
+++ b/src/peering/membership_conversion.cpp
@@ -52,6 +52,7 @@
     message.availability_zone = node.availability_zone.str();
     message.entry_node = node.entry;
     message.keeper = node.keeper;
+    message.capacity = node.capacity;
     return message;
 }
 
@@ -113,6 +114,7 @@
         availability_zone_name(message.availability_zone);
     record.node.entry = message.entry_node;
     record.node.keeper = message.keeper;
+    record.node.capacity = message.capacity;
     return record;
 }
 
--- a/src/peering/peer_group.cpp
+++ b/src/peering/peer_group.cpp
@@ -41,6 +41,7 @@
       members(own, group_options(), random_numbers, this->board)
 {
     this->members.set_seeds(std::move(seeds));
+    this->update_living();
     this->peers.on_datagram([this](const endpoint& from, std::string_view bytes)
                             { this->receive(from, bytes); });
     this->peers.on_call(
@@ -51,17 +52,16 @@
         this->loop.call_every(tick_interval, [this] { this->tick(); });
 }
 
-std::vector<node_info> peer_group::living() const
+void peer_group::update_living()
 {
-    std::vector<node_info> found;
-    for (const node_info& node : this->members.nodes())
+    this->alive.clear();
+    for (node_info& node : this->members.nodes())
     {
         if (node.state == node_state::alive)
         {
-            found.push_back(node);
+            this->alive.push_back(std::move(node));
         }
     }
-    return found;
 }
 
 std::optional<node_info> peer_group::find(const node_id& id) const
@@ -192,6 +192,7 @@
 
 void peer_group::carry_out(const view_changed_command&)
 {
+    this->update_living();
     for (const auto& callback : this->change_callbacks)
     {
         callback();
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -30,7 +30,7 @@
 
     /// \returns Nodes that are held to live, this one included, leaving ones
     /// left out.
-    std::vector<node_info> living() const;
+    const std::vector<node_info>& living() const { return this->alive; }
 
     /// \returns The node, if it is known and not dead.
     std::optional<node_info> find(const node_id& id) const;
@@ -44,6 +44,7 @@
     void announce_gone();
 
 private:
+    void update_living();
     void tick();
     void receive(const endpoint& from, std::string_view bytes);
     void answer_exchange(const std::shared_ptr<wire::peer_exchange>& exchange);
@@ -59,6 +60,7 @@
     wire::peer_network& peers;
     gossip_board board;
     membership members;
+    std::vector<node_info> alive;
     std::map<std::int64_t, std::unique_ptr<wire::peer_call>> exchanges;
     std::int64_t next_exchange = 1;
     std::vector<std::function<void()>> change_callbacks;
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -34,7 +34,7 @@
     this->service = name;
     slot_order order;
     order.request = request_id(this->item.id);
-    order.service = name;
+    order.pool.service = name;
     order.kind = work_class::batch;
     order.priority = priority;
     order.useful_for = due_in;
--- a/src/relay/job_intake.cpp
+++ b/src/relay/job_intake.cpp
@@ -49,8 +49,8 @@
 }
 
 void job_intake::accept(std::shared_ptr<const jobs::job_input> input,
-                        token_count limit, duration patience,
-                        accept_callback callback)
+                        const node_info& owner, token_count limit,
+                        duration patience, accept_callback callback)
 {
     const auto entry = std::make_shared<submission>();
     entry->input = std::move(input);
@@ -60,8 +60,8 @@
     jobs::job_state& state = entry->state;
     state.id = entry->input->id;
     state.route_name = entry->input->route_name;
-    state.owner = this->context.group.own().id;
-    state.owner_incarnation = this->context.group.own().incarnation;
+    state.owner = owner.id;
+    state.owner_incarnation = owner.incarnation;
     state.submitted_at_ms = entry->input->submitted_at_ms;
     state.item_count = entry->input->items.size();
     state.waiting_tokens = total_tokens(*entry->input);
--- a/src/relay/job_intake.hpp
+++ b/src/relay/job_intake.hpp
@@ -35,10 +35,12 @@
     /// Accepts a job, or finds that it has been accepted before.
     ///
     /// \param input What was submitted.
+    /// \param owner The node that is to run the job.
     /// \param limit Tokens that may wait on the route; 0 for "no limit".
     /// \param patience How long the store may take.
-    void accept(std::shared_ptr<const jobs::job_input> input, token_count limit,
-                duration patience, accept_callback callback);
+    void accept(std::shared_ptr<const jobs::job_input> input,
+                const node_info& owner, token_count limit, duration patience,
+                accept_callback callback);
 
 private:
     struct submission;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -18,6 +18,11 @@
 /// Items of one job that hold or wait for a slot at the same time; bounds the
 /// messages to the broker for large jobs.
 constexpr std::size_t max_runs = 32;
+/// Outcomes are collected for so long before they are written, to spare calls
+/// to the store; what a node that dies has not written is run again.
+constexpr duration commit_interval = std::chrono::milliseconds(1500);
+/// Shortly before the job is due each outcome is written at once.
+constexpr duration urgent_before_due = std::chrono::seconds(4);
 /// Results larger than this are read in several answers; the callers' bound.
 constexpr std::size_t max_page_bytes = 1'000'000;
 /// Lost answers of a commit are followed up for so long before the outcomes
@@ -87,8 +92,7 @@
 void job_owner::start_item(std::size_t item, const routing::route& route)
 {
     const jobs::job_input& input = this->owned.input();
-    const duration since_submission =
-        std::chrono::milliseconds(wall_clock_ms() - input.submitted_at_ms);
+    this->run_target = route.run_target;
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
         this->progress[item],
@@ -100,7 +104,7 @@
     item_run& started = *run;
     this->runs[item] = std::move(run);
     started.start(route.services.front().service, route.priority,
-                  route.run_target - since_submission);
+                  this->due_in());
 }
 
 void job_owner::take_item_end(std::size_t item, item_end end,
@@ -144,7 +148,7 @@
                {"reason", reason}});
     this->context.metrics.count("parsleytrack_item_runs_total",
                                 {{"outcome", outcome}});
-    this->commit();
+    this->commit_when_due();
     const duration pause =
         end == item_end::interrupted ? interruption_pause : duration::zero();
     this->pump_timer =
@@ -165,17 +169,38 @@
     this->log_state("job_let_go");
 }
 
-void job_owner::commit()
+void job_owner::commit_when_due()
 {
-    auto commit = this->owned.begin_commit();
-    if (!commit)
+    if (!this->owned.has_uncommitted())
+    {
+        return;
+    }
+    const bool is_last =
+        this->runs.empty() && !this->owned.has_waiting_item();
+    if (is_last || this->due_in() < urgent_before_due)
     {
+        this->commit();
         return;
     }
+    if (!std::exchange(this->commit_is_planned, true))
+    {
+        this->commit_timer = this->context.loop.call_after(
+            commit_interval, [this] { this->commit(); });
+    }
+}
+
+void job_owner::commit()
+{
+    this->commit_is_planned = false;
     const usage_book::usage usage =
         this->usages.get(this->owned.input().route_name);
+    auto commit = this->owned.begin_commit(this->must_release(usage.waiting));
+    if (!commit)
+    {
+        return;
+    }
     const token_count left =
-        std::max(token_count(0), usage.waiting - commit->finished_tokens);
+        std::max(token_count(0), usage.waiting - commit->released_tokens);
     auto transaction = this->transaction_of(
         *commit, usage_book::usage{left, usage.revision});
     this->context.store.commit(
@@ -190,6 +215,25 @@
         });
 }
 
+bool job_owner::must_release(token_count waiting) const
+{
+    const auto table = this->context.configuration.current();
+    const routing::route* route =
+        table ? table->find_by_name(this->owned.input().route_name) : nullptr;
+    const token_count limit =
+        route == nullptr ? token_count(0) : route->waiting_tokens_limit;
+    // Far below the limit the tokens are taken off once, with the last item,
+    // so that jobs seldom change the same record.
+    return limit > token_count(0) && waiting + waiting > limit;
+}
+
+duration job_owner::due_in() const
+{
+    return this->run_target -
+           std::chrono::milliseconds(wall_clock_ms() -
+                                     this->owned.input().submitted_at_ms);
+}
+
 key_value::record_transaction
 job_owner::transaction_of(const jobs::job_commit& commit,
                           usage_book::usage usage) const
@@ -198,10 +242,14 @@
     const std::string usage_key =
         job_usage_key(this->owned.input().route_name);
     key_value::record_transaction transaction;
-    transaction.conditions = {{job_state_key(job), commit.expected},
-                              {usage_key, usage.revision}};
-    transaction.puts = {{job_state_key(job), jobs::encode(commit.state)},
-                        {usage_key, jobs::encode_usage(usage.waiting)}};
+    transaction.conditions = {{job_state_key(job), commit.expected}};
+    transaction.puts = {{job_state_key(job), jobs::encode(commit.state)}};
+    if (commit.released_tokens > token_count(0))
+    {
+        transaction.conditions.push_back({usage_key, usage.revision});
+        transaction.puts.push_back(
+            {usage_key, jobs::encode_usage(usage.waiting)});
+    }
     for (std::size_t index = 0; index < commit.results.size(); ++index)
     {
         jobs::job_page page;
@@ -236,10 +284,13 @@
     }
     const store_revision revision = outcome.value().revision;
     this->owned.commit_applied(commit, revision);
-    this->usages.set(commit.state.route_name, {usage, revision});
+    if (commit.released_tokens > token_count(0))
+    {
+        this->usages.set(commit.state.route_name, {usage, revision});
+    }
     this->log_state("job_committed");
     this->answer_readers();
-    this->commit();
+    this->commit_when_due();
 }
 
 void job_owner::resolve_conflict(const jobs::job_commit& commit,
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -61,7 +61,10 @@
     void start_item(std::size_t item, const routing::route& route);
     void take_item_end(std::size_t item, item_end end,
                        const std::string& reason, int most_failures);
+    void commit_when_due();
     void commit();
+    bool must_release(token_count waiting) const;
+    duration due_in() const;
     key_value::record_transaction transaction_of(const jobs::job_commit& commit,
                                                  usage_book::usage usage) const;
     void take_commit(const jobs::job_commit& commit, token_count usage,
@@ -79,6 +82,10 @@
     std::map<std::size_t, item_progress> progress;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
     std::list<parked_reader> readers;
+    /// How long after its submission the job is due, by the newest route.
+    duration run_target = duration::zero();
+    bool commit_is_planned = false;
+    net::timer commit_timer;
     net::timer retry_timer;
     net::timer pump_timer;
     bool stopped = false;
--- a/src/relay/job_reader.hpp
+++ b/src/relay/job_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job_page.hpp"
+#include "jobs/job_state.hpp"
 #include "relay/relay_context.hpp"
 #include "units/ids.hpp"
 #include "units/result.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace parsleytrack::relay
 {
@@ -32,14 +34,26 @@
               page_callback callback);
 
 private:
-    void ask_owner(const node_info& owner, const job_id& job, std::size_t after,
-                   duration wait, page_callback callback);
-    void find_owner(const job_id& job, std::size_t after, duration wait,
-                    page_callback callback);
-    void read_store(const job_id& job, std::size_t after,
-                    page_callback callback);
+    /// One read until it is answered.
+    struct question
+    {
+        job_id job;
+        std::size_t after = 0;
+        duration wait = duration::zero();
+        page_callback callback;
+        /// Nodes that did not have the job.
+        std::set<node_id> asked;
+    };
+    using shared_question = std::shared_ptr<question>;
+
+    bool ask(const shared_question& asked, const node_id& node);
+    void read_state(const shared_question& asked);
+    void take_state(const shared_question& asked,
+                    const result<key_value::stored_record>& record);
+    void read_outputs(const shared_question& asked, std::size_t total);
 
     const relay_context& context;
+    /// Owners that the store has named, where they are not the preferred ones.
     std::map<job_id, node_id> owners;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
     std::uint64_t next_number = 1;
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -3,6 +3,7 @@
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
+#include "relay/job_placement.hpp"
 #include "relay/refusal.hpp"
 #include "relay/wall_clock.hpp"
 #include "wire/codec.hpp"
@@ -62,6 +63,10 @@
         wire::message_type::node_job_news,
         [this](const std::shared_ptr<wire::peer_exchange>& exchange)
         { this->take_peer_news(exchange); });
+    this->context.peers.on_call(
+        wire::message_type::node_job_handover,
+        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
+        { this->take_handover(exchange); });
     this->pump_timer = this->context.loop.call_every(pump_interval,
                                                      [this] { this->pump(); });
 }
@@ -130,7 +135,8 @@
     }
     const auto kept = std::make_shared<const jobs::job_input>(input);
     this->intake.accept(
-        kept, route.waiting_tokens_limit, accept_patience,
+        kept, preferred_owner(this->context.group, input.id),
+        route.waiting_tokens_limit, accept_patience,
         [this, exchange, kept, received = net::event_loop::now()](
             const result<accepted_job>& accepted)
         { this->take_acceptance(exchange, kept, received, accepted); });
@@ -168,14 +174,81 @@
         return;
     }
     const jobs::job_state& state = accepted.value().state;
+    if (!state.outcomes.empty() || state.cancelled)
+    {
+        return;
+    }
     const node_info& own = this->context.group.own();
-    const bool is_own = state.owner == own.id &&
-                        state.owner_incarnation == own.incarnation;
-    if (is_own && state.outcomes.empty() && !state.cancelled)
+    if (state.owner == own.id && state.owner_incarnation == own.incarnation)
     {
         this->own(
             jobs::owned_job(*input, state, accepted.value().revision, {}));
     }
+    else if (!accepted.value().was_known)
+    {
+        this->hand_over(*input, accepted.value());
+    }
+}
+
+void job_service::hand_over(const jobs::job_input& input,
+                            const accepted_job& accepted)
+{
+    const auto owner = this->context.group.find(accepted.state.owner);
+    if (!owner)
+    {
+        return;
+    }
+    wire::node_job_handover message;
+    message.input = jobs::encode(input);
+    message.state = jobs::encode(accepted.state);
+    message.revision = accepted.revision.count();
+    const std::uint64_t number = this->next_number++;
+    this->news[number] = this->context.peers.call(
+        owner->peer, wire::message_type::node_job_handover,
+        wire::encode(message), news_timeout,
+        {{},
+         [this, number, job = input.id,
+          owner = owner->id](const result<std::string>& outcome)
+         {
+             if (outcome.has_error())
+             {
+                 // The next look at the records finds the job.
+                 log_event(log_level::info, "job_handover_lost",
+                           {{"job", job.str()},
+                            {"owner", owner.str()},
+                            {"reason", outcome.error().message}});
+             }
+             this->news.erase(number);
+         }});
+}
+
+void job_service::take_handover(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto message =
+        wire::decode<wire::node_job_handover>(exchange->request());
+    if (message.has_error())
+    {
+        exchange->fail(message.error());
+        return;
+    }
+    auto input = jobs::decode_input(message.value().input);
+    auto state = jobs::decode_state(message.value().state);
+    const node_info& own = this->context.group.own();
+    if (input.has_error() || state.has_error() || this->stopped ||
+        state.value().owner != own.id ||
+        state.value().owner_incarnation != own.incarnation)
+    {
+        exchange->fail(error{error_code::bad_request,
+                             "this node cannot take the job",
+                             ran_state::no,
+                             {}});
+        return;
+    }
+    this->own(jobs::owned_job(std::move(input.value()),
+                              std::move(state.value()),
+                              store_revision(message.value().revision), {}));
+    exchange->finish({});
 }
 
 void job_service::take(const std::shared_ptr<net::http_exchange>& exchange,
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -47,6 +47,8 @@
                          std::shared_ptr<const jobs::job_input> input,
                          time_point received,
                          const result<accepted_job>& accepted);
+    void hand_over(const jobs::job_input& input, const accepted_job& accepted);
+    void take_handover(const std::shared_ptr<wire::peer_exchange>& exchange);
     void read_results(const std::shared_ptr<net::http_exchange>& exchange,
                       const job_call& call);
     void read_body(const std::shared_ptr<net::http_exchange>& exchange,
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -1,9 +1,9 @@
 #include "relay/job_takeover.hpp"
 
-#include "decisions/rendezvous.hpp"
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
+#include "relay/job_placement.hpp"
 
 #include <utility>
 #include <vector>
@@ -118,19 +118,8 @@
     {
         return false;
     }
-    std::vector<std::string> candidates;
-    std::size_t own_position = 0;
-    for (const node_info& node : this->context.group.living())
-    {
-        if (node.id == this->context.group.own().id)
-        {
-            own_position = candidates.size();
-        }
-        candidates.push_back(node.id.str());
-    }
-    const auto ranked = rendezvous_rank(candidates, state.id.str(), 1);
-    return !ranked.empty() && ranked.front() == own_position &&
-           candidates[own_position] == this->context.group.own().id.str();
+    return preferred_owner(this->context.group, state.id).id ==
+           this->context.group.own().id;
 }
 
 void job_takeover::take(jobs::job_state state, store_revision revision)
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -78,7 +78,7 @@
 {
     slot_order order;
     order.request = this->request.id;
-    order.service = this->service;
+    order.pool.service = this->service;
     order.priority = this->request.route->priority;
     order.useful_for = this->useful_time();
     order.wait_when_late = this->request.is_repeated || this->answer_started ||
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -42,6 +42,7 @@
     own.region = settings.region;
     own.availability_zone = settings.availability_zone;
     own.entry = settings.front.has_value();
+    own.capacity = settings.capacity;
     // Above that of any earlier process of the same node.
     own.incarnation = incarnation_number(
         std::chrono::duration_cast<std::chrono::microseconds>(
--- a/src/relay/slot_answer.hpp
+++ b/src/relay/slot_answer.hpp
@@ -24,6 +24,8 @@
     replica_id replica;
     /// Refused: when asking again may help.
     duration retry_after = duration::zero();
+    /// Slots of the pool that are free, less the orders that wait.
+    int spare = 0;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -1,11 +1,15 @@
 #include "relay/slot_client.hpp"
 
 #include "decisions/rendezvous.hpp"
+#include "decisions/strong_nodes.hpp"
 #include "logging/log.hpp"
 #include "relay/slot_codec.hpp"
+#include "slots/replica_pools.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -31,7 +35,12 @@
 slot_client::slot_client(const relay_context& node, slot_desk& local_desk)
     : context(node), desk(local_desk)
 {
-    this->context.group.on_change([this] { this->move_orders(); });
+    this->context.group.on_change(
+        [this]
+        {
+            this->forget_brokers();
+            this->move_orders();
+        });
 }
 
 std::unique_ptr<slot_lease> slot_client::order(const slot_order& wanted,
@@ -40,6 +49,7 @@
     const std::uint64_t number = this->next_number++;
     order_state& state = this->orders[number];
     state.order = wanted;
+    state.order.pool = this->choose_pool(wanted.pool.service);
     state.hooks = std::move(hooks);
     state.opened = net::event_loop::now();
     this->open(number);
@@ -48,15 +58,18 @@
 
 void slot_client::report(const replica_report& report)
 {
-    const auto broker = this->broker_of(report.service);
-    if (!broker || broker->id == this->context.group.own().id)
+    const slot_pool pool{report.service,
+                         slots::pool_of(report.replica,
+                                        this->pools_of(report.service))};
+    const node_info broker = this->broker_of(pool);
+    if (broker.id == this->context.group.own().id)
     {
         this->desk.take_report(report);
         return;
     }
     const std::uint64_t number = this->next_number++;
     this->reports[number] = this->context.peers.call(
-        broker->peer, wire::message_type::slot_report, encode(report),
+        broker.peer, wire::message_type::slot_report, encode(report),
         report_timeout,
         {{},
          [this, number, replica = report.replica](result<std::string> outcome)
@@ -90,36 +103,73 @@
     }
 }
 
-std::optional<node_info>
-slot_client::broker_of(const service_name& service) const
+int slot_client::pools_of(const service_name& service)
+{
+    const routing::replica_book& book = this->context.replicas.book();
+    service_pools& known = this->pools[service];
+    if (known.generation != book.generation())
+    {
+        known.generation = book.generation();
+        known.count = slots::pool_count(book.usable(service).size());
+    }
+    return known.count;
+}
+
+slot_pool slot_client::choose_pool(const service_name& service)
+{
+    const int count = this->pools_of(service);
+    if (count == 1)
+    {
+        return slot_pool{service, 0};
+    }
+    // Of two pools drawn at random, the one with more room.
+    std::uniform_int_distribution<int> draw(0, count - 1);
+    const slot_pool first{service, draw(this->context.random)};
+    const slot_pool second{service, draw(this->context.random)};
+    const slot_pool& chosen =
+        this->known_spare[second] > this->known_spare[first] ? second : first;
+    --this->known_spare[chosen];
+    return chosen;
+}
+
+const node_info& slot_client::broker_of(const slot_pool& pool)
 {
+    const auto known = this->brokers.find(pool);
+    if (known != this->brokers.end())
+    {
+        return known->second;
+    }
     const time_point now = net::event_loop::now();
-    std::optional<node_info> best;
+    std::vector<node_info> nodes = this->context.group.living();
+    std::erase_if(nodes,
+                  [this, now](const node_info& node)
+                  {
+                      const auto silent = this->silent_until.find(node.id);
+                      return silent != this->silent_until.end() &&
+                             now < silent->second;
+                  });
+    const node_info* best = &this->context.group.own();
     std::uint64_t best_score = 0;
-    for (const node_info& node : this->context.group.living())
+    const std::string name = pool.name();
+    nodes = strong_nodes(std::move(nodes));
+    for (const node_info& node : nodes)
     {
-        const auto silent = this->silent_until.find(node.id);
-        if (silent != this->silent_until.end() && now < silent->second)
-        {
-            continue;
-        }
-        const std::uint64_t score =
-            rendezvous_score(node.id.str(), service.str());
-        if (!best || score > best_score)
+        const std::uint64_t score = rendezvous_score(node.id.str(), name);
+        if (score > best_score)
         {
-            best = node;
+            best = &node;
             best_score = score;
         }
     }
-    return best;
+    return this->brokers.emplace(pool, *best).first->second;
 }
 
 void slot_client::open(std::uint64_t number)
 {
     order_state& state = this->orders.at(number);
-    const auto broker = this->broker_of(state.order.service);
+    const node_info broker = this->broker_of(state.order.pool);
     const node_id& own = this->context.group.own().id;
-    state.broker = broker ? broker->id : own;
+    state.broker = broker.id;
     if (state.broker == own)
     {
         state.ticket =
@@ -129,7 +179,7 @@
         return;
     }
     state.call = this->context.peers.call(
-        broker->peer, wire::message_type::slot_request, encode(state.order),
+        broker.peer, wire::message_type::slot_request, encode(state.order),
         duration::zero(),
         {[this, number](const std::string& bytes)
          {
@@ -160,6 +210,7 @@
     }
     order_state& state = found->second;
     state.patience.cancel();
+    this->known_spare[state.order.pool] = answer.spare;
     // Callbacks may destroy the lease and with it this order.
     const callbacks hooks = state.hooks;
     switch (answer.what)
@@ -201,9 +252,12 @@
     this->silent_until[state.broker] = now + silence_pause;
     if (!was_known)
     {
+        this->forget_brokers();
+        this->silence_timer = this->context.loop.call_after(
+            silence_pause, [this] { this->forget_brokers(); });
         log_event(log_level::warning, "slot_broker_lost",
                   {{"broker", state.broker.str()},
-                   {"service", state.order.service.str()},
+                   {"pool", state.order.pool.name()},
                    {"reason", reason},
                    {"request", state.order.request.str()}});
     }
@@ -227,7 +281,7 @@
     const routing::replica_entry* best = nullptr;
     double best_load = 0.0;
     for (const auto* entry :
-         this->context.replicas.book().usable(state.order.service))
+         this->context.replicas.book().usable(state.order.pool.service))
     {
         if (state.order.excluded.contains(entry->id))
         {
@@ -267,8 +321,7 @@
     std::vector<std::uint64_t> moved;
     for (const auto& [number, state] : this->orders)
     {
-        const auto broker = this->broker_of(state.order.service);
-        if (broker && broker->id != state.broker)
+        if (this->broker_of(state.order.pool).id != state.broker)
         {
             moved.push_back(number);
         }
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -33,8 +33,8 @@
     std::uint64_t number;
 };
 
-/// Gets slots for the requests of this node from the broker of each service,
-/// which is one of the living nodes. When the broker does not answer, a replica
+/// Gets slots for the requests of this node from the brokers of each service,
+/// which are some of the living nodes. When the broker does not answer, a replica
 /// is chosen from what this node knows itself.
 class slot_client
 {
@@ -78,7 +78,17 @@
         time_point opened;
     };
 
-    std::optional<node_info> broker_of(const service_name& service) const;
+    struct service_pools
+    {
+        /// The state of the list of replicas for which the count holds.
+        std::uint64_t generation = 0;
+        int count = 1;
+    };
+
+    int pools_of(const service_name& service);
+    slot_pool choose_pool(const service_name& service);
+    const node_info& broker_of(const slot_pool& pool);
+    void forget_brokers() { this->brokers.clear(); }
     void open(std::uint64_t number);
     void take_answer(std::uint64_t number, const slot_answer& answer);
     void lose_broker(std::uint64_t number, const char* reason);
@@ -90,6 +100,13 @@
     std::map<std::uint64_t, order_state> orders;
     std::map<replica_id, int> in_flight;
     std::map<node_id, time_point> silent_until;
+    /// Brokers of the pools, as far as they have been worked out since the
+    /// last change of the nodes.
+    std::map<slot_pool, node_info> brokers;
+    std::map<service_name, service_pools> pools;
+    /// Free slots less waiting orders, as the brokers last told.
+    std::map<slot_pool, int> known_spare;
+    net::timer silence_timer;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> reports;
     std::uint64_t next_number = 1;
 };
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -47,7 +47,7 @@
 {
     wire::slot_order message;
     message.request = order.request.str();
-    message.service_name = order.service.str();
+    message.service_name = order.pool.service.str();
     message.priority = order.priority;
     message.batch = order.kind == work_class::batch;
     message.useful_for_ms = to_milliseconds(order.useful_for);
@@ -58,6 +58,7 @@
     }
     message.availability_zone = order.availability_zone.str();
     message.held_replica = order.held.str();
+    message.pool = order.pool.index;
     return wire::encode(message);
 }
 
@@ -71,7 +72,7 @@
     const wire::slot_order& read = message.value();
     slot_order order;
     order.request = request_id(read.request);
-    order.service = service_name(read.service_name);
+    order.pool.service = service_name(read.service_name);
     order.priority = read.priority;
     order.kind = read.batch ? work_class::batch : work_class::online;
     order.useful_for = std::chrono::milliseconds(read.useful_for_ms);
@@ -82,6 +83,7 @@
     }
     order.availability_zone = availability_zone_name(read.availability_zone);
     order.held = replica_id(read.held_replica);
+    order.pool.index = read.pool;
     return order;
 }
 
@@ -91,6 +93,7 @@
     message.verdict = to_wire(answer.what);
     message.replica = answer.replica.str();
     message.retry_after_ms = to_milliseconds(answer.retry_after);
+    message.spare = answer.spare;
     return wire::encode(message);
 }
 
@@ -106,6 +109,7 @@
     answer.replica = replica_id(message.value().replica);
     answer.retry_after =
         std::chrono::milliseconds(message.value().retry_after_ms);
+    answer.spare = message.value().spare;
     return answer;
 }
 
--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/log.hpp"
 #include "relay/slot_codec.hpp"
+#include "slots/replica_pools.hpp"
 
 #include <utility>
 
@@ -36,7 +37,7 @@
 {
     const time_point now = net::event_loop::now();
     const slots::slot_ticket ticket(this->next_ticket++);
-    slots::slot_broker& broker = this->broker_of(order.service);
+    slots::slot_broker& broker = this->broker_of(order.pool);
     slots::slot_request wanted;
     wanted.kind = order.kind;
     wanted.priority = order.priority;
@@ -59,13 +60,16 @@
     }
     // Not before the caller knows its ticket.
     this->context.loop.post(
-        [this, service = order.service, ticket]
+        [this, pool = order.pool, ticket]
         {
-            this->carry_out(this->broker_of(service));
+            this->carry_out(this->broker_of(pool));
             const auto found = this->orders.find(ticket);
             if (found != this->orders.end() && !found->second.granted)
             {
-                found->second.callback(slot_answer{});
+                slot_answer queued;
+                queued.spare =
+                    this->broker_of(pool).spare(net::event_loop::now());
+                found->second.callback(queued);
             }
         });
     return ticket;
@@ -85,7 +89,7 @@
     {
         this->tickets.erase(named);
     }
-    slots::slot_broker& broker = this->broker_of(state.order.service);
+    slots::slot_broker& broker = this->broker_of(state.order.pool);
     if (state.granted && !state.failed)
     {
         broker.report_success(state.replica);
@@ -106,31 +110,42 @@
         this->context.replicas.mark_leaving(report.replica, "another_node");
         return;
     }
-    this->broker_of(report.service)
-        .report_failure(report.replica, net::event_loop::now());
+    const std::size_t replicas =
+        this->context.replicas.book().usable(report.service).size();
+    const slot_pool pool{
+        report.service,
+        slots::pool_of(report.replica, slots::pool_count(replicas))};
+    this->broker_of(pool).report_failure(report.replica,
+                                         net::event_loop::now());
 }
 
-slots::slot_broker& slot_desk::broker_of(const service_name& service)
+slots::slot_broker& slot_desk::broker_of(const slot_pool& pool)
 {
-    const auto known = this->brokers.find(service);
+    const auto known = this->brokers.find(pool);
     if (known != this->brokers.end())
     {
         return known->second;
     }
-    slots::slot_broker& broker = this->brokers[service];
+    slots::slot_broker& broker = this->brokers[pool];
     this->update_replicas();
     return broker;
 }
 
 void slot_desk::update_replicas()
 {
-    for (auto& [service, broker] : this->brokers)
+    for (auto& [pool, broker] : this->brokers)
     {
+        const auto replicas =
+            this->context.replicas.book().usable(pool.service);
+        const int pools = slots::pool_count(replicas.size());
         std::vector<slots::slot_replica> usable;
-        for (const auto* entry : this->context.replicas.book().usable(service))
+        for (const routing::replica_entry* entry : replicas)
         {
-            usable.push_back(slots::slot_replica{
-                entry->id, entry->availability_zone, entry->slots});
+            if (slots::pool_of(entry->id, pools) == pool.index)
+            {
+                usable.push_back(slots::slot_replica{
+                    entry->id, entry->availability_zone, entry->slots});
+            }
         }
         broker.set_replicas(usable, net::event_loop::now());
         this->carry_out(broker);
@@ -172,7 +187,7 @@
 void slot_desk::tick()
 {
     const time_point now = net::event_loop::now();
-    for (auto& [service, broker] : this->brokers)
+    for (auto& [pool, broker] : this->brokers)
     {
         if (broker.waiting_online() > 0 || broker.waiting_batch() > 0)
         {
@@ -195,6 +210,7 @@
         slot_answer answer;
         answer.replica = command.replica;
         answer.retry_after = command.retry_after;
+        answer.spare = command.free_slots - command.waiting;
         switch (command.verdict)
         {
         case slots::slot_verdict::granted:
@@ -206,7 +222,7 @@
             answer.what = slot_answer::verdict::refused;
             log_event(log_level::info, "slot_refused",
                       {{"request", state.order.request.str()},
-                       {"service", state.order.service.str()},
+                       {"pool", state.order.pool.name()},
                        {"waiting", command.waiting},
                        {"used", broker.used_slots()},
                        {"slots", broker.total_slots()},
--- a/src/relay/slot_desk.hpp
+++ b/src/relay/slot_desk.hpp
@@ -14,7 +14,7 @@
 namespace parsleytrack::relay
 {
 
-/// Runs the slot brokers of the services for which this node is asked, for
+/// Runs the slot brokers of the pools for which this node is asked, for
 /// requests of this node and of others.
 class slot_desk
 {
@@ -47,7 +47,7 @@
         replica_id replica;
     };
 
-    slots::slot_broker& broker_of(const service_name& service);
+    slots::slot_broker& broker_of(const slot_pool& pool);
     void answer_peer(const std::shared_ptr<wire::peer_exchange>& exchange);
     void take_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
     void update_replicas();
@@ -55,7 +55,7 @@
     void carry_out(slots::slot_broker& broker);
 
     const relay_context& context;
-    std::map<service_name, slots::slot_broker> brokers;
+    std::map<slot_pool, slots::slot_broker> brokers;
     std::map<slots::slot_ticket, order_state> orders;
     std::map<request_id, slots::slot_ticket> tickets;
     std::int64_t next_ticket = 1;
--- a/src/relay/slot_order.hpp
+++ b/src/relay/slot_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/slot_pool.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 #include "units/work_class.hpp"
@@ -13,7 +14,7 @@
 struct slot_order
 {
     request_id request;
-    service_name service;
+    slot_pool pool;
     work_class kind = work_class::online;
     /// 0 is the most urgent.
     int priority = 0;
--- a/src/settings/relay_settings.hpp
+++ b/src/settings/relay_settings.hpp
@@ -18,6 +18,8 @@
     node_id id;
     region_name region;
     availability_zone_name availability_zone;
+    /// What the node may spend, in thousandths of a core.
+    int capacity = 1000;
     /// Where callers connect; absent for a node that takes none.
     std::optional<endpoint> front;
     /// Where the node answers whether it takes requests.
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -15,6 +15,10 @@
 
 using detail::object_reader;
 
+constexpr double least_cores = 0.01;
+constexpr double most_cores = 1024.0;
+constexpr double thousandths_per_core = 1000.0;
+
 std::optional<endpoint> read_optional_address(object_reader& reader,
                                               const char* field)
 {
@@ -49,6 +53,9 @@
     settings.region = region_name(reader.required_text("region"));
     settings.availability_zone =
         availability_zone_name(reader.required_text("availability_zone"));
+    settings.capacity = static_cast<int>(
+        reader.number("cores", 1.0, least_cores, most_cores) *
+        thousandths_per_core);
 }
 
 void read_listen(object_reader& reader, relay_settings& settings)
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -53,7 +53,7 @@
 void slot_broker::adopt(slot_ticket ticket, const slot_request& wanted,
                         const replica_id& replica, time_point now)
 {
-    this->held[ticket] = held_slot{replica, wanted, now, false};
+    this->hold(ticket, held_slot{replica, wanted, now, false});
     const auto found = this->replicas.find(replica);
     if (found != this->replicas.end())
     {
@@ -74,6 +74,8 @@
     }
     const held_slot slot = found->second;
     this->held.erase(found);
+    this->batch_held -= slot.request.kind == work_class::batch ? 1 : 0;
+    this->reclaims_under_way -= slot.reclaimed ? 1 : 0;
     const auto replica = this->replicas.find(slot.replica);
     if (replica != this->replicas.end())
     {
@@ -183,34 +185,32 @@
 
 void slot_broker::reclaim_for_waiting()
 {
-    std::size_t wanted = 0;
-    for (const auto& [rank, waiting] : this->online)
+    int wanted = -this->reclaims_under_way;
+    for (auto entry = this->online.begin();
+         entry != this->online.end() && !entry->first.late; ++entry)
     {
-        wanted += rank.late ? 0 : 1;
+        ++wanted;
+    }
+    if (wanted <= 0 || this->batch_held <= this->reclaims_under_way)
+    {
+        return;
     }
-    std::size_t under_way = 0;
     std::vector<std::pair<time_point, slot_ticket>> candidates;
     for (const auto& [ticket, slot] : this->held)
     {
-        if (slot.reclaimed)
-        {
-            ++under_way;
-        }
-        else if (slot.request.kind == work_class::batch)
+        if (!slot.reclaimed && slot.request.kind == work_class::batch)
         {
             candidates.emplace_back(slot.request.useful_until, ticket);
         }
     }
-    if (wanted <= under_way)
-    {
-        return;
-    }
     // Work that is due last loses least by waiting.
     std::sort(candidates.rbegin(), candidates.rend());
-    candidates.resize(std::min(candidates.size(), wanted - under_way));
+    candidates.resize(
+        std::min(candidates.size(), static_cast<std::size_t>(wanted)));
     for (const auto& [due, ticket] : candidates)
     {
         this->held.at(ticket).reclaimed = true;
+        ++this->reclaims_under_way;
         this->commands.push_back(
             slot_command{ticket, slot_verdict::reclaimed, {}, {}, 0,
                          static_cast<int>(this->online.size())});
@@ -260,12 +260,18 @@
     }
 }
 
+void slot_broker::hold(slot_ticket ticket, held_slot slot)
+{
+    this->batch_held += slot.request.kind == work_class::batch ? 1 : 0;
+    this->held.insert_or_assign(ticket, std::move(slot));
+}
+
 void slot_broker::grant(const waiting_request& waiting, replica_state& chosen,
                         time_point now)
 {
     ++chosen.used;
-    this->held[waiting.ticket] =
-        held_slot{chosen.replica.id, waiting.request, now, false};
+    this->hold(waiting.ticket,
+               held_slot{chosen.replica.id, waiting.request, now, false});
     this->commands.push_back(slot_command{
         waiting.ticket, slot_verdict::granted, chosen.replica.id, {},
         this->free_slots(now),
@@ -320,13 +326,10 @@
     return total;
 }
 
-int slot_broker::reclaimable() const
+int slot_broker::spare(time_point now) const
 {
-    return static_cast<int>(
-        std::count_if(this->held.begin(), this->held.end(),
-                      [](const auto& entry) {
-                          return entry.second.request.kind == work_class::batch;
-                      }));
+    return this->free_slots(now) -
+           static_cast<int>(this->online.size() + this->batch.size());
 }
 
 duration slot_broker::predicted_wait(std::size_t ahead) const
@@ -337,7 +340,7 @@
         return this->options.longest_retry_after;
     }
     const auto beyond_reclaim = static_cast<std::int64_t>(ahead) + 1 -
-                                this->reclaimable();
+                                this->batch_held;
     if (beyond_reclaim <= 0)
     {
         return this->options.reclaim_time;
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -52,6 +52,10 @@
     std::size_t waiting_online() const { return this->online.size(); }
     std::size_t waiting_batch() const { return this->batch.size(); }
 
+    /// \returns Free slots less the requests that wait; below zero when the
+    /// broker is short of slots.
+    int spare(time_point now) const;
+
 private:
     struct replica_state
     {
@@ -90,17 +94,20 @@
     void reclaim_for_waiting();
     void refuse_hopeless(time_point now);
     void expire(time_point now);
+    void hold(slot_ticket ticket, held_slot slot);
     void grant(const waiting_request& waiting, replica_state& chosen,
                time_point now);
     void refuse(const waiting_request& waiting, duration wait);
     replica_state* choose(const slot_request& wanted, time_point now);
     int free_slots(time_point now) const;
-    int reclaimable() const;
     duration predicted_wait(std::size_t ahead) const;
 
     slot_broker_options options;
     std::map<replica_id, replica_state> replicas;
     std::map<slot_ticket, held_slot> held;
+    /// How many of them are held by batch work, and reclaimed.
+    int batch_held = 0;
+    int reclaims_under_way = 0;
     queue online;
     queue batch;
     duration mean_hold;
--- a/src/wire/membership.thrift
+++ b/src/wire/membership.thrift
@@ -20,6 +20,8 @@
   9: string availability_zone;
   10: bool entry_node;
   11: bool keeper;
+  // Thousandths of a core.
+  12: i32 capacity;
 }
 
 // A value of the gossip board.
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -42,7 +42,8 @@
     slot_report = 81,
     /// Relay: any node to the owner of a batch job.
     node_job_read = 90,
-    node_job_news = 91
+    node_job_news = 91,
+    node_job_handover = 92
 };
 
 } // namespace parsleytrack::wire
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -43,7 +43,7 @@
   // Unix milliseconds.
   7: i64 submitted_at_ms;
   8: i32 item_count;
-  // Tokens of the items without an outcome.
+  // Tokens that the route's usage counts for the job.
   9: i64 waiting_tokens;
 }
 
@@ -70,6 +70,14 @@
   2: list<node_job_result> results;
 }
 
+// Call of type node_job_handover, from the node that accepted the job to the
+// one that is to run it.
+struct node_job_handover {
+  1: binary input;
+  2: binary state;
+  3: i64 revision;
+}
+
 // Call of type node_job_news: the job's record was changed by another node.
 struct node_job_news {
   1: string job;
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -19,6 +19,8 @@
   8: string held_replica;
   // A slot is wanted even when the answer will be late.
   9: bool wait_when_late;
+  // Which part of the service's replicas is asked for.
+  10: i32 pool;
 }
 
 enum slot_verdict {
@@ -36,6 +38,8 @@
   2: string replica;
   // Refused: when asking again may help.
   3: i64 retry_after_ms;
+  // Slots of the pool that are free, less the orders that wait.
+  4: i32 spare;
 }
 
 // Opens a call of type slot_report: a request has failed at its replica.
