Tell the lives of a node apart by the incarnation it started with

Ruled out: dead owners (10 node_dead lines, at the closing fault only). Mend: node_info carries the incarnation of the process's start; items that end without an output are written at once. Test: job_placement/an_owner_that_refuted_a_suspicion_keeps_its_job failed.

--- a/src/decisions/membership_packet.cpp
+++ b/src/decisions/membership_packet.cpp
@@ -35,7 +35,7 @@
     constexpr std::size_t flags = 4 * flag_bytes;
     return text_size(node.id.str()) + endpoint_size(node.peer) +
            endpoint_size(node.http) + text_size(node.availability_zone.str()) +
-           flags + 2 * number_bytes + end_bytes;
+           flags + 3 * number_bytes + end_bytes;
 }
 
 std::size_t encoded_size_bound(const board_item& item)
--- a/src/decisions/node_info.hpp
+++ b/src/decisions/node_info.hpp
@@ -21,7 +21,10 @@
     /// What the node may spend, in thousandths of a core.
     int capacity = 1000;
     node_state state = node_state::alive;
+    /// Grows with each suspicion that the node refutes.
     incarnation_number incarnation;
+    /// The incarnation with which its process started; tells its lives apart.
+    incarnation_number started_as;
 
     bool operator==(const node_info&) const = default;
 };
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -28,8 +28,8 @@
     job_id id;
     std::string route_name;
     node_id owner;
-    /// Which life of the owner.
-    incarnation_number owner_incarnation;
+    /// Which life of the owner; see node_info::started_as.
+    incarnation_number owner_life;
     bool cancelled = false;
     /// In the order in which results are read; only ever grows at its end.
     std::vector<item_outcome> outcomes;
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -2,6 +2,7 @@
 
 #include "units/invariant.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::jobs
@@ -90,6 +91,13 @@
     this->uncommitted.push_back(std::move(ended));
 }
 
+bool owned_job::has_uncommitted_failure() const
+{
+    return std::any_of(this->uncommitted.begin(), this->uncommitted.end(),
+                       [](const ended_item& ended)
+                       { return !ended.completed; });
+}
+
 std::optional<job_commit> owned_job::begin_commit(bool release)
 {
     if (this->committing || this->uncommitted.empty() || this->agreed.cancelled)
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -177,7 +177,8 @@
     }
     const bool is_last =
         this->runs.empty() && !this->owned.has_waiting_item();
-    if (is_last || this->due_in() < urgent_before_due)
+    if (is_last || this->owned.has_uncommitted_failure() ||
+        this->due_in() < urgent_before_due)
     {
         this->commit();
         return;
@@ -313,8 +314,8 @@
         const auto state = jobs::decode_state(record.value);
         if (state.has_value() &&
             state.value().owner == commit.state.owner &&
-            state.value().owner_incarnation ==
-                commit.state.owner_incarnation &&
+            state.value().owner_life ==
+                commit.state.owner_life &&
             state.value().outcomes == commit.state.outcomes)
         {
             // Its answer was lost.
@@ -351,7 +352,7 @@
     const jobs::job_state& now = state.value();
     const bool still_owned =
         now.owner == this->owned.state().owner &&
-        now.owner_incarnation == this->owned.state().owner_incarnation &&
+        now.owner_life == this->owned.state().owner_life &&
         now.outcomes.size() == this->owned.state().outcomes.size();
     if (!still_owned)
     {
--- a/src/relay/job_placement.cpp
+++ b/src/relay/job_placement.cpp
@@ -25,4 +25,11 @@
     return *best;
 }
 
+bool is_owner_gone(const std::optional<node_info>& owner,
+                   const jobs::job_state& state)
+{
+    return !owner || owner->state == node_state::leaving ||
+           owner->started_as != state.owner_life;
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -179,7 +179,7 @@
         return;
     }
     const node_info& own = this->context.group.own();
-    if (state.owner == own.id && state.owner_incarnation == own.incarnation)
+    if (state.owner == own.id && state.owner_life == own.started_as)
     {
         this->own(
             jobs::owned_job(*input, state, accepted.value().revision, {}));
@@ -237,7 +237,7 @@
     const node_info& own = this->context.group.own();
     if (input.has_error() || state.has_error() || this->stopped ||
         state.value().owner != own.id ||
-        state.value().owner_incarnation != own.incarnation)
+        state.value().owner_life != own.started_as)
     {
         exchange->fail(error{error_code::bad_request,
                              "this node cannot take the job",
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -95,7 +95,7 @@
     }
     const node_info& own = this->context.group.own();
     if (state.value().owner == own.id &&
-        state.value().owner_incarnation == own.incarnation)
+        state.value().owner_life == own.started_as)
     {
         // A write of this node whose answer was lost, or a takeover that
         // could not be finished.
@@ -112,9 +112,7 @@
 
 bool job_takeover::falls_to_this_node(const jobs::job_state& state) const
 {
-    const auto owner = this->context.group.find(state.owner);
-    if (owner && owner->state != node_state::leaving &&
-        owner->incarnation == state.owner_incarnation)
+    if (!is_owner_gone(this->context.group.find(state.owner), state))
     {
         return false;
     }
@@ -127,7 +125,7 @@
     this->under_way.insert(state.id);
     const node_id previous = state.owner;
     state.owner = this->context.group.own().id;
-    state.owner_incarnation = this->context.group.own().incarnation;
+    state.owner_life = this->context.group.own().started_as;
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(state.id), revision}};
     transaction.puts = {{job_state_key(state.id), jobs::encode(state)}};
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -48,6 +48,7 @@
         std::chrono::duration_cast<std::chrono::microseconds>(
             std::chrono::system_clock::now().time_since_epoch())
             .count());
+    own.started_as = own.incarnation;
     return own;
 }
 
--- a/src/wire/membership.thrift
+++ b/src/wire/membership.thrift
@@ -22,6 +22,8 @@
   11: bool keeper;
   // Thousandths of a core.
   12: i32 capacity;
+  // Incarnation with which the node's process started.
+  13: i64 started_as;
 }
 
 // A value of the gossip board.
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -37,7 +37,7 @@
   2: string route_name;
   // Node that runs the job, and which life of it.
   3: string owner;
-  4: i64 owner_incarnation;
+  4: i64 owner_life;
   5: bool cancelled;
   6: list<node_job_outcome> outcomes;
   // Unix milliseconds.
--- /dev/null
+++ b/tests/relay/job_placement_test.cpp
@@ -0,0 +1,48 @@
+#include "relay/job_placement.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay;
+
+TEST_GROUP(job_placement)
+{
+    node_info owner;
+    jobs::job_state state;
+
+    void setup() override
+    {
+        this->owner.id = node_id("a");
+        this->owner.incarnation = incarnation_number(1000);
+        this->owner.started_as = incarnation_number(1000);
+        this->state.owner = this->owner.id;
+        this->state.owner_life = incarnation_number(1000);
+    }
+};
+
+TEST(job_placement, a_living_owner_keeps_its_job)
+{
+    CHECK_FALSE(is_owner_gone(this->owner, this->state));
+    this->owner.state = node_state::suspect;
+    CHECK_FALSE(is_owner_gone(this->owner, this->state));
+}
+
+TEST(job_placement, an_owner_that_refuted_a_suspicion_keeps_its_job)
+{
+    this->owner.incarnation = incarnation_number(1001);
+    CHECK_FALSE(is_owner_gone(this->owner, this->state));
+}
+
+TEST(job_placement, a_restarted_owner_has_lost_its_job)
+{
+    this->owner.incarnation = incarnation_number(5000);
+    this->owner.started_as = incarnation_number(5000);
+    CHECK(is_owner_gone(this->owner, this->state));
+}
+
+TEST(job_placement, a_dead_or_leaving_owner_loses_its_job)
+{
+    CHECK(is_owner_gone(std::nullopt, this->state));
+    this->owner.state = node_state::leaving;
+    CHECK(is_owner_gone(this->owner, this->state));
+}
