Move waiting orders out of pools that are gone or full

Ruled out: lost jobs (the owner lived and committed at 25.7 s), full replicas. Mend: a waiting order is moved when its pool is gone or another has room. Test: pool_choice/an_order_leaves_a_pool_that_is_no_more failed before.

--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -22,6 +22,8 @@
 constexpr duration broker_patience = std::chrono::milliseconds(80);
 /// How long a broker that did not answer is not asked.
 constexpr duration silence_pause = std::chrono::seconds(1);
+/// How long an order waits in one pool before another one is looked at.
+constexpr duration rebalance_interval = std::chrono::milliseconds(300);
 constexpr duration report_timeout = std::chrono::milliseconds(500);
 constexpr duration retry_after_without_replica = std::chrono::seconds(1);
 
@@ -41,6 +43,8 @@
             this->forget_brokers();
             this->move_orders();
         });
+    this->rebalance_timer = this->context.loop.call_every(
+        rebalance_interval, [this] { this->rebalance(); });
 }
 
 std::unique_ptr<slot_lease> slot_client::order(const slot_order& wanted,
@@ -49,7 +53,8 @@
     const std::uint64_t number = this->next_number++;
     order_state& state = this->orders[number];
     state.order = wanted;
-    state.order.pool = this->choose_pool(wanted.pool.service);
+    state.order.pool.index =
+        this->pools_of(wanted.pool.service).choice.choose(this->context.random);
     state.hooks = std::move(hooks);
     state.opened = net::event_loop::now();
     this->open(number);
@@ -60,7 +65,7 @@
 {
     const slot_pool pool{report.service,
                          slots::pool_of(report.replica,
-                                        this->pools_of(report.service))};
+                                        this->pools_of(report.service).count)};
     const node_info broker = this->broker_of(pool);
     if (broker.id == this->context.group.own().id)
     {
@@ -103,7 +108,7 @@
     }
 }
 
-int slot_client::pools_of(const service_name& service)
+slot_client::service_pools& slot_client::pools_of(const service_name& service)
 {
     const routing::replica_book& book = this->context.replicas.book();
     service_pools& known = this->pools[service];
@@ -111,25 +116,9 @@
     {
         known.generation = book.generation();
         known.count = slots::pool_count(book.usable(service).size());
+        known.choice.set_count(known.count);
     }
-    return known.count;
-}
-
-slot_pool slot_client::choose_pool(const service_name& service)
-{
-    const int count = this->pools_of(service);
-    if (count == 1)
-    {
-        return slot_pool{service, 0};
-    }
-    // Of two pools drawn at random, the one with more room.
-    std::uniform_int_distribution<int> draw(0, count - 1);
-    const slot_pool first{service, draw(this->context.random)};
-    const slot_pool second{service, draw(this->context.random)};
-    const slot_pool& chosen =
-        this->known_spare[second] > this->known_spare[first] ? second : first;
-    --this->known_spare[chosen];
-    return chosen;
+    return known;
 }
 
 const node_info& slot_client::broker_of(const slot_pool& pool)
@@ -210,7 +199,8 @@
     }
     order_state& state = found->second;
     state.patience.cancel();
-    this->known_spare[state.order.pool] = answer.spare;
+    this->pools_of(state.order.pool.service)
+        .choice.note(state.order.pool.index, answer.spare);
     // Callbacks may destroy the lease and with it this order.
     const callbacks hooks = state.hooks;
     switch (answer.what)
@@ -328,20 +318,54 @@
     }
     for (const std::uint64_t number : moved)
     {
-        const auto found = this->orders.find(number);
-        if (found == this->orders.end())
+        this->reopen(number);
+    }
+}
+
+void slot_client::rebalance()
+{
+    std::vector<std::pair<std::uint64_t, int>> moved;
+    const time_point now = net::event_loop::now();
+    for (const auto& [number, state] : this->orders)
+    {
+        if (state.granted || now - state.opened < rebalance_interval)
         {
             continue;
         }
-        order_state& state = found->second;
-        state.call.reset();
-        if (state.ticket)
+        service_pools& pools = this->pools_of(state.order.pool.service);
+        if (const auto better =
+                pools.choice.better_than(state.order.pool.index))
         {
-            this->desk.close(*state.ticket);
-            state.ticket.reset();
+            pools.choice.note(*better, pools.choice.spare_of(*better) - 1);
+            moved.emplace_back(number, *better);
         }
-        this->open(number);
     }
+    for (const auto& [number, pool] : moved)
+    {
+        const auto found = this->orders.find(number);
+        if (found != this->orders.end())
+        {
+            found->second.order.pool.index = pool;
+            this->reopen(number);
+        }
+    }
+}
+
+void slot_client::reopen(std::uint64_t number)
+{
+    const auto found = this->orders.find(number);
+    if (found == this->orders.end())
+    {
+        return;
+    }
+    order_state& state = found->second;
+    state.call.reset();
+    if (state.ticket)
+    {
+        this->desk.close(*state.ticket);
+        state.ticket.reset();
+    }
+    this->open(number);
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -4,6 +4,7 @@
 #include "relay/replica_report.hpp"
 #include "relay/slot_desk.hpp"
 #include "relay/slot_order.hpp"
+#include "slots/pool_choice.hpp"
 
 #include <functional>
 #include <map>
@@ -83,10 +84,10 @@
         /// The state of the list of replicas for which the count holds.
         std::uint64_t generation = 0;
         int count = 1;
+        slots::pool_choice choice;
     };
 
-    int pools_of(const service_name& service);
-    slot_pool choose_pool(const service_name& service);
+    service_pools& pools_of(const service_name& service);
     const node_info& broker_of(const slot_pool& pool);
     void forget_brokers() { this->brokers.clear(); }
     void open(std::uint64_t number);
@@ -94,6 +95,8 @@
     void lose_broker(std::uint64_t number, const char* reason);
     void choose_alone(std::uint64_t number);
     void move_orders();
+    void rebalance();
+    void reopen(std::uint64_t number);
 
     const relay_context& context;
     slot_desk& desk;
@@ -104,9 +107,8 @@
     /// last change of the nodes.
     std::map<slot_pool, node_info> brokers;
     std::map<service_name, service_pools> pools;
-    /// Free slots less waiting orders, as the brokers last told.
-    std::map<slot_pool, int> known_spare;
     net::timer silence_timer;
+    net::timer rebalance_timer;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> reports;
     std::uint64_t next_number = 1;
 };
--- /dev/null
+++ b/src/slots/pool_choice.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "units/random_source.hpp"
+
+#include <map>
+#include <optional>
+
+namespace parsleytrack::slots
+{
+
+/// Chooses between the pools of a service by what their brokers last said of
+/// the room in them.
+class pool_choice
+{
+public:
+    /// \param count The number of pools.
+    void set_count(int count) { this->pools = count; }
+
+    /// \returns The pool for a new order: of two drawn at random, the one with
+    /// more room.
+    int choose(random_source& random);
+
+    /// A broker has said how many slots of its pool are free, less the orders
+    /// that wait.
+    void note(int pool, int spare) { this->known[pool] = spare; }
+
+    /// \param current The pool in which an order waits.
+    /// \returns The pool to which the order is to be moved; absent when it is
+    /// to stay.
+    std::optional<int> better_than(int current) const;
+
+    /// \returns What is known of the room in a pool; 0 when nothing is.
+    int spare_of(int pool) const;
+
+private:
+    int pools = 1;
+    std::map<int, int> known;
+};
+
+} // namespace parsleytrack::slots
