--- /dev/null
+++ b/tests/platform/replica_decoder_test.cpp
@@ -0,0 +1,77 @@
+#include "platform/replica_decoder.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace parsleytrack;
+using namespace parsleytrack::platform;
+
+namespace
+{
+
+const std::string good =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","coldLeftMs":0,"seq":4,"born":1700000000123})";
+
+} // namespace
+
+TEST_GROUP(replica_decoder)
+{
+    static bool reads(const std::string& text)
+    {
+        return decode_replica(replica_id("i"), text).has_value();
+    }
+
+    /// \returns The good entry with one text replaced.
+    static std::string with(const std::string& from, const std::string& to)
+    {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    }
+};
+
+TEST(replica_decoder, reads_an_entry)
+{
+    const auto read = decode_replica(replica_id("i"), good);
+    CHECK(read.has_value());
+    STRCMP_EQUAL("10.128.0.9:8080",
+                 to_string(read.value().address).c_str());
+    CHECK_EQUAL(8, read.value().slots);
+    CHECK_FALSE(read.value().draining);
+    CHECK(read.value().started_at_ms == 1'700'000'000'123);
+    CHECK(decode_replica(replica_id("i"), with("ready", "draining"))
+              .value()
+              .draining);
+}
+
+TEST(replica_decoder, an_entry_of_another_writer_names_no_replica)
+{
+    CHECK_FALSE(reads(""));
+    CHECK_FALSE(reads("\xff\xfe"));
+    CHECK_FALSE(reads("null"));
+    CHECK_FALSE(reads("[]"));
+    CHECK_FALSE(reads(with("\"ready\"", "\"resting\"")));
+    CHECK_FALSE(reads(with("\"ready\"", "3")));
+    CHECK_FALSE(reads(with("8,", "\"8\",")));
+    CHECK_FALSE(reads(with("8,", "0,")));
+    CHECK_FALSE(reads(with("8,", "8.5,")));
+    CHECK_FALSE(reads(with("10.128.0.9:8080", "host:8080")));
+    CHECK_FALSE(reads(with("\"service\":\"s\"", "\"other\":1")));
+    CHECK_FALSE(decode_replica(replica_id(), good).has_value());
+}
+
+TEST(replica_decoder, survives_random_bytes)
+{
+    std::mt19937 random(11);
+    for (int round = 0; round < 20'000; ++round)
+    {
+        std::string text = good;
+        for (unsigned count = random() % 4 + 1; count > 0; --count)
+        {
+            text[random() % text.size()] = static_cast<char>(random() % 256);
+        }
+        text.resize(text.size() - random() % 3);
+        (void)decode_replica(replica_id("i"), text);
+    }
+}
--- /dev/null
+++ b/tests/relay/event_splitter_test.cpp
@@ -0,0 +1,53 @@
+#include "relay/event_splitter.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack::relay;
+
+TEST_GROUP(event_splitter)
+{
+    event_splitter splitter;
+};
+
+TEST(event_splitter, cuts_at_any_place)
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n"
+                             ": a comment\n\nid: 3\ndata:\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut)
+    {
+        event_splitter fresh;
+        std::vector<stream_event> events = fresh.feed(text.substr(0, cut));
+        for (stream_event& event : fresh.feed(text.substr(cut)))
+        {
+            events.push_back(std::move(event));
+        }
+        CHECK_EQUAL(4, events.size());
+        CHECK_EQUAL(1, *events[0].number);
+        STRCMP_EQUAL("a", events[0].data.c_str());
+        STRCMP_EQUAL("b\nc", events[1].data.c_str());
+        CHECK_FALSE(events[2].number.has_value());
+        STRCMP_EQUAL("", events[3].data.c_str());
+        CHECK_FALSE(fresh.has_partial_event());
+        std::string raw;
+        for (const stream_event& event : events)
+        {
+            raw += event.raw;
+        }
+        STRCMP_EQUAL(text.c_str(), raw.c_str());
+    }
+}
+
+TEST(event_splitter, keeps_what_is_not_complete)
+{
+    CHECK(this->splitter.feed("id: 1\ndata: a\n").empty());
+    CHECK(this->splitter.has_partial_event());
+    CHECK_EQUAL(1, this->splitter.feed("\n").size());
+    CHECK_FALSE(this->splitter.has_partial_event());
+}
+
+TEST(event_splitter, notices_an_endless_event)
+{
+    this->splitter.feed(
+        std::string(event_splitter::max_event_bytes + 1, 'x'));
+    CHECK(this->splitter.is_too_long());
+}
--- /dev/null
+++ b/tests/relay/stop_schedule_test.cpp
@@ -0,0 +1,43 @@
+#include "relay/stop_schedule.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(stop_schedule)
+{
+    const time_point begin{seconds(100)};
+};
+
+TEST(stop_schedule, serves_while_callers_may_keep_the_address)
+{
+    const stop_schedule schedule(begin, seconds(1), seconds(8));
+    CHECK(schedule.takes_requests(begin + milliseconds(2999)));
+    CHECK_FALSE(schedule.takes_requests(begin + seconds(3)));
+    CHECK_FALSE(schedule.is_over(begin + seconds(2), 0));
+    CHECK(schedule.is_over(begin + seconds(3), 0));
+    CHECK_FALSE(schedule.is_over(begin + seconds(3), 1));
+}
+
+// A node that took requests until its last moment cut them at its end.
+TEST(stop_schedule, leaves_time_for_what_was_taken_last)
+{
+    const stop_schedule schedule(begin, seconds(5), seconds(8));
+    time_point last = begin;
+    while (schedule.takes_requests(last + milliseconds(10)))
+    {
+        last += milliseconds(10);
+    }
+    CHECK_FALSE(schedule.is_over(last + milliseconds(2400), 1));
+    CHECK(schedule.is_over(begin + milliseconds(7600), 1));
+}
+
+TEST(stop_schedule, a_short_limit_ends_in_time)
+{
+    const stop_schedule schedule(begin, seconds(2), seconds(1));
+    CHECK_FALSE(schedule.takes_requests(begin));
+    CHECK(schedule.is_over(begin + milliseconds(600), 5));
+}
--- /dev/null
+++ b/tests/slots/slot_broker_test.cpp
@@ -0,0 +1,253 @@
+#include "slots/slot_broker.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace parsleytrack;
+using namespace parsleytrack::slots;
+
+TEST_GROUP(slot_broker)
+{
+    slot_broker broker;
+    time_point now{std::chrono::seconds(100)};
+    std::int64_t next_ticket = 1;
+    std::map<slot_ticket, slot_command> last;
+
+    void replicas(int count, int slots, const char* zone = "z")
+    {
+        std::vector<slot_replica> usable;
+        for (int number = 0; number < count; ++number)
+        {
+            usable.push_back(slot_replica{
+                replica_id("r" + std::to_string(number)),
+                availability_zone_name(zone), slots});
+        }
+        this->broker.set_replicas(usable, this->now);
+    }
+
+    slot_ticket ask(work_class kind, duration useful_for,
+                    bool wait_when_late = false)
+    {
+        slot_request wanted;
+        wanted.kind = kind;
+        wanted.useful_until = this->now + useful_for;
+        wanted.wait_when_late = wait_when_late;
+        const slot_ticket ticket(this->next_ticket++);
+        this->broker.request(ticket, wanted, this->now);
+        this->collect();
+        return ticket;
+    }
+
+    slot_ticket online() { return this->ask(work_class::online, useful); }
+    slot_ticket batch()
+    {
+        return this->ask(work_class::batch, std::chrono::seconds(18), true);
+    }
+
+    void end(slot_ticket ticket)
+    {
+        this->broker.end(ticket, this->now);
+        this->collect();
+    }
+
+    void pass(duration span)
+    {
+        this->now += span;
+        this->broker.tick(this->now);
+        this->collect();
+    }
+
+    void collect()
+    {
+        for (const slot_command& command : this->broker.take_commands())
+        {
+            this->last[command.ticket] = command;
+        }
+    }
+
+    bool is(slot_ticket ticket, slot_verdict verdict) const
+    {
+        const auto found = this->last.find(ticket);
+        return found != this->last.end() && found->second.verdict == verdict;
+    }
+
+    static constexpr duration useful = std::chrono::milliseconds(225);
+};
+
+TEST(slot_broker, never_grants_more_than_the_slots)
+{
+    this->replicas(2, 3);
+    int granted = 0;
+    for (int count = 0; count < 10; ++count)
+    {
+        granted += this->is(this->online(), slot_verdict::granted) ? 1 : 0;
+    }
+    CHECK_EQUAL(6, granted);
+    CHECK_EQUAL(6, this->broker.used_slots());
+}
+
+TEST(slot_broker, spreads_over_replicas_and_prefers_the_callers_zone)
+{
+    this->broker.set_replicas(
+        {slot_replica{replica_id("near"), availability_zone_name("a"), 2},
+         slot_replica{replica_id("far"), availability_zone_name("b"), 2}},
+        this->now);
+    std::map<std::string, int> chosen;
+    for (int count = 0; count < 3; ++count)
+    {
+        slot_request wanted;
+        wanted.useful_until = this->now + useful;
+        wanted.availability_zone = availability_zone_name("a");
+        const slot_ticket ticket(this->next_ticket++);
+        this->broker.request(ticket, wanted, this->now);
+        this->collect();
+        ++chosen[this->last.at(ticket).replica.str()];
+    }
+    CHECK_EQUAL(2, chosen["near"]);
+    CHECK_EQUAL(1, chosen["far"]);
+}
+
+TEST(slot_broker, batch_fills_what_online_leaves_but_for_the_reserve)
+{
+    this->replicas(4, 8);
+    for (int count = 0; count < 40; ++count)
+    {
+        this->batch();
+    }
+    CHECK_EQUAL(30, this->broker.used_slots());
+    CHECK(this->is(this->online(), slot_verdict::granted));
+}
+
+// The pattern of the sites: online load comes in steps of seconds and finds
+// the slots taken by batch work.
+TEST(slot_broker, a_burst_gets_slots_back_from_batch_that_is_due_last)
+{
+    this->replicas(1, 4);
+    const slot_ticket due_first =
+        this->ask(work_class::batch, std::chrono::seconds(5), true);
+    const slot_ticket due_last =
+        this->ask(work_class::batch, std::chrono::seconds(18), true);
+    this->batch();
+    this->batch();
+    const slot_ticket waiting = this->online();
+    CHECK_FALSE(this->is(waiting, slot_verdict::granted));
+    CHECK_FALSE(this->is(due_first, slot_verdict::reclaimed));
+    int reclaimed = 0;
+    for (const auto& [ticket, command] : this->last)
+    {
+        reclaimed += command.verdict == slot_verdict::reclaimed ? 1 : 0;
+    }
+    CHECK_EQUAL(1, reclaimed);
+    for (const auto& [ticket, command] : std::map(this->last))
+    {
+        if (command.verdict == slot_verdict::reclaimed)
+        {
+            this->end(ticket);
+        }
+    }
+    CHECK(this->is(waiting, slot_verdict::granted));
+    (void)due_last;
+}
+
+TEST(slot_broker, one_slot_is_reclaimed_for_each_request_that_waits)
+{
+    this->replicas(1, 8);
+    for (int count = 0; count < 8; ++count)
+    {
+        this->batch();
+    }
+    for (int count = 0; count < 3; ++count)
+    {
+        this->online();
+    }
+    int reclaimed = 0;
+    for (const auto& [ticket, command] : this->last)
+    {
+        reclaimed += command.verdict == slot_verdict::reclaimed ? 1 : 0;
+    }
+    CHECK_EQUAL(3, reclaimed);
+}
+
+TEST(slot_broker, what_cannot_be_served_in_time_is_refused_at_once)
+{
+    this->replicas(1, 2);
+    this->online();
+    this->online();
+    // Each slot is held for some 0.5 s, so the wait is about 0.25 s.
+    const slot_ticket late = this->online();
+    CHECK(this->is(late, slot_verdict::refused));
+    CHECK(this->last.at(late).retry_after >= std::chrono::milliseconds(200));
+    CHECK(this->last.at(late).retry_after <= std::chrono::seconds(2));
+}
+
+TEST(slot_broker, a_request_that_has_become_late_is_refused)
+{
+    this->replicas(1, 8);
+    for (int count = 0; count < 8; ++count)
+    {
+        this->online();
+    }
+    const slot_ticket waiting = this->online();
+    CHECK_FALSE(this->is(waiting, slot_verdict::refused));
+    this->pass(useful + std::chrono::milliseconds(1));
+    CHECK(this->is(waiting, slot_verdict::refused));
+}
+
+TEST(slot_broker, a_caller_that_was_refused_before_waits_behind_those_on_time)
+{
+    this->replicas(1, 8);
+    std::vector<slot_ticket> running;
+    for (int count = 0; count < 8; ++count)
+    {
+        running.push_back(this->online());
+    }
+    const slot_ticket again =
+        this->ask(work_class::online, duration::zero(), true);
+    this->pass(std::chrono::milliseconds(10));
+    const slot_ticket on_time = this->online();
+    this->end(running[0]);
+    CHECK(this->is(on_time, slot_verdict::granted));
+    this->end(running[1]);
+    CHECK(this->is(again, slot_verdict::granted));
+}
+
+TEST(slot_broker, a_replica_that_fails_is_left_alone_and_tried_again)
+{
+    this->replicas(1, 4);
+    const slot_ticket first = this->online();
+    this->broker.report_failure(replica_id("r0"), this->now);
+    this->broker.report_failure(replica_id("r0"), this->now);
+    this->end(first);
+    CHECK_FALSE(this->is(this->online(), slot_verdict::granted));
+    this->pass(std::chrono::seconds(1));
+    // One at a time until it has answered.
+    CHECK(this->is(this->online(), slot_verdict::granted));
+    CHECK_FALSE(this->is(this->online(), slot_verdict::granted));
+    this->broker.report_success(replica_id("r0"));
+    CHECK(this->is(this->online(), slot_verdict::granted));
+}
+
+TEST(slot_broker, adopted_slots_count)
+{
+    this->replicas(1, 2);
+    slot_request wanted;
+    wanted.useful_until = this->now + useful;
+    const slot_ticket adopted(this->next_ticket++);
+    this->broker.adopt(adopted, wanted, replica_id("r0"), this->now);
+    this->online();
+    CHECK_EQUAL(2, this->broker.used_slots());
+    CHECK_FALSE(this->is(this->online(), slot_verdict::granted));
+    this->end(adopted);
+    CHECK(this->is(this->online(), slot_verdict::granted));
+}
+
+TEST(slot_broker, without_replicas_online_is_refused_and_batch_waits)
+{
+    const slot_ticket refused = this->online();
+    const slot_ticket waiting = this->batch();
+    CHECK(this->is(refused, slot_verdict::refused));
+    this->replicas(1, 4);
+    this->pass(std::chrono::milliseconds(20));
+    CHECK(this->is(waiting, slot_verdict::granted));
+}
