--- /dev/null
+++ b/tests/relay_process/relay_fleet.cpp
@@ -0,0 +1,272 @@
+#include "relay_process/relay_fleet.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace parsleytrack::relay_process
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr duration patience = std::chrono::seconds(20);
+constexpr int engine_count = 3;
+
+/// \returns A port that was free a moment ago.
+endpoint free_address(net::event_loop& loop)
+{
+    net::http_server probe(loop);
+    endpoint address{"127.0.0.1", 0};
+    address.port = probe.listen(address).value();
+    probe.stop_accepting();
+    return address;
+}
+
+const char* const configuration = R"({"version":3,"routes":[
+ {"name":"plain","host":"h","prefix":"/plain/","kind":"safe","timeoutMs":2000,
+  "targetLatencyMs":500,"service":"web","maxAttempts":2,"priority":2},
+ {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming",
+  "timeoutMs":5000,"targetLatencyMs":1000,"service":"llm","maxAttempts":3,
+  "resumable":true,"priority":0},
+ {"name":"once","host":"h","prefix":"/once/","kind":"streaming",
+  "timeoutMs":5000,"targetLatencyMs":1000,"service":"llm","maxAttempts":1,
+  "priority":0},
+ {"name":"batch","host":"h","prefix":"/batch/","kind":"batch",
+  "targetLatencyMs":400,"runTargetMs":18000,"retentionS":60,"maxAttempts":2,
+  "maxCount":100000,"service":"llm","priority":2}],
+ "services":[{"name":"llm","healthPath":"/health","maxConns":100},
+  {"name":"web","healthPath":"/health","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+} // namespace
+
+relay_fleet::relay_fleet(int node_count)
+{
+    this->store.put("op/config", configuration);
+    for (int number = 0; number < engine_count; ++number)
+    {
+        auto engine = std::make_unique<replica_stand_in>(
+            this->loop, "i-" + std::to_string(number));
+        this->store.put("servers/" + engine->name(), engine->entry("llm"));
+        this->engines.push_back(std::move(engine));
+    }
+    this->web = std::make_unique<replica_stand_in>(this->loop, "i-web");
+    this->store.put("servers/i-web", this->web->entry("web"));
+    this->store.put("servers/i-broken", "{\"service\":1}");
+    this->nodes.resize(static_cast<std::size_t>(node_count));
+    for (node& entry : this->nodes)
+    {
+        entry.front = free_address(this->loop);
+        entry.ready = free_address(this->loop);
+        entry.directory = free_address(this->loop);
+        entry.store = this->store.add_address();
+    }
+    // All nodes use one port for one another, each at its own address.
+    const std::uint16_t peer_port = free_address(this->loop).port;
+    for (std::size_t number = 0; number < this->nodes.size(); ++number)
+    {
+        this->nodes[number].peer = endpoint{
+            "127.0.0." + std::to_string(number + 2), peer_port};
+    }
+    for (int number = 0; number < node_count; ++number)
+    {
+        this->write_settings(static_cast<std::size_t>(number));
+        this->start(number);
+    }
+    for (int number = 0; number < node_count; ++number)
+    {
+        this->wait_ready(number);
+    }
+    // Until each node answers with all of them.
+    this->wait(
+        [this, node_count]
+        {
+            const answer directory =
+                this->call(-1, "GET",
+                           "/v1/resolve?name=h&region=r&zone=z");
+            const json body = json::parse(directory.body, nullptr, false);
+            return body.is_object() &&
+                   body["addresses"].size() ==
+                       static_cast<std::size_t>(node_count);
+        });
+}
+
+void relay_fleet::write_settings(std::size_t number)
+{
+    node& entry = this->nodes[number];
+    entry.settings =
+        this->folder.path("node" + std::to_string(number) + ".json");
+    json seeds = json::array();
+    for (const node& other : this->nodes)
+    {
+        seeds.push_back(to_string(other.peer));
+    }
+    const json document{
+        {"node",
+         {{"id", "n" + std::to_string(number)},
+          {"region", "r"},
+          {"availability_zone", "z"}}},
+        {"listen",
+         {{"front", to_string(entry.front)},
+          {"ready", to_string(entry.ready)},
+          {"directory", to_string(entry.directory)},
+          {"peer", to_string(entry.peer)}}},
+        {"seeds", seeds},
+        {"store", {{"address", to_string(entry.store)}}},
+        {"addresses", {{"validity_s", 0.5}}},
+        {"stop", {{"limit_s", 8}}}};
+    std::ofstream(entry.settings) << document.dump();
+}
+
+void relay_fleet::start(int number)
+{
+    node& entry = this->nodes.at(static_cast<std::size_t>(number));
+    entry.process = std::make_unique<process_support::child_process>(
+        std::vector<std::string>{DAEMON_PROGRAM, "--relay",
+                                 "--settings=" + entry.settings},
+        entry.settings + ".log");
+}
+
+void relay_fleet::wait_ready(int number)
+{
+    const bool ready = this->wait(
+        [this, number]
+        {
+            const auto into = std::make_shared<answer>();
+            const std::uint64_t call = this->next_call++;
+            bool ended = false;
+            this->calls[call] = this->client.send(
+                this->nodes[static_cast<std::size_t>(number)].ready,
+                net::http_request{},
+                {{},
+                 {},
+                 [&ended, into](const result<net::http_response>& end)
+                 {
+                     ended = true;
+                     into->status =
+                         end.has_value() ? end.value().status : 0;
+                 }});
+            while (!ended)
+            {
+                this->loop.run_for(std::chrono::milliseconds(10));
+            }
+            this->calls.erase(call);
+            return into->status == 200;
+        });
+    if (!ready)
+    {
+        throw std::runtime_error("a node is not ready: " +
+                                 this->process(number).output());
+    }
+}
+
+void relay_fleet::begin(int number, const std::string& method,
+                        const std::string& path, const std::string& id,
+                        const std::string& body, std::shared_ptr<answer> into)
+{
+    net::http_request request;
+    request.method = method;
+    request.target = path;
+    request.body = body;
+    request.total_timeout = patience;
+    request.allow_connection_reuse = false;
+    request.headers = {{"Host", "h"}, {"Parsleytrack-Wait-Ms", "500"}};
+    if (!id.empty())
+    {
+        request.headers.emplace_back("Parsleytrack-Request-Id", id);
+        request.headers.emplace_back("Parsleytrack-Deadline-Ms", "5000");
+    }
+    const endpoint& target =
+        number < 0 ? this->nodes.front().directory
+                   : this->nodes.at(static_cast<std::size_t>(number)).front;
+    into->status = -1;
+    this->calls[this->next_call++] = this->client.send(
+        target, request,
+        {{},
+         {},
+         [into](const result<net::http_response>& end)
+         {
+             into->status = end.has_value() ? end.value().status : 0;
+             if (end.has_value())
+             {
+                 into->headers = end.value().headers;
+                 into->body = end.value().body;
+             }
+         }});
+}
+
+relay_fleet::answer relay_fleet::call(int number, const std::string& method,
+                                      const std::string& path,
+                                      const std::string& id,
+                                      const std::string& body)
+{
+    const auto into = std::make_shared<answer>();
+    this->begin(number, method, path, id, body, into);
+    while (into->status < 0)
+    {
+        this->loop.run_for(std::chrono::milliseconds(10));
+    }
+    return *into;
+}
+
+relay_fleet::answer relay_fleet::submit(int number, const std::string& job,
+                                        int items)
+{
+    json body{{"items", json::array()}};
+    for (int item = 0; item < items; ++item)
+    {
+        body["items"].push_back({{"id", job + "-" + std::to_string(item)},
+                                 {"path", "/batch/x"},
+                                 {"headers", {{"A", "b"}}},
+                                 {"body", "q83vEjRWeJA="},
+                                 {"tokens", 100}});
+    }
+    return this->call(number, "POST", "/batch/" + job, job, body.dump());
+}
+
+json relay_fleet::results(int number, const std::string& job)
+{
+    json all = json::array();
+    this->wait(
+        [this, number, &job, &all]
+        {
+            const answer page =
+                this->call(number, "GET",
+                           "/v1/lots/" + job +
+                               "?after=" + std::to_string(all.size()));
+            if (page.status != 200)
+            {
+                return false;
+            }
+            const json body = json::parse(page.body);
+            for (const json& entry : body["results"])
+            {
+                all.push_back(entry);
+            }
+            return all.size() >= body["total"].get<std::size_t>();
+        });
+    return all;
+}
+
+bool relay_fleet::wait(const std::function<bool()>& condition)
+{
+    const time_point limit = net::event_loop::now() + patience;
+    while (!condition())
+    {
+        if (net::event_loop::now() > limit)
+        {
+            return false;
+        }
+        this->loop.run_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/relay_fleet.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "process_support/child_process.hpp"
+#include "process_support/temporary_folder.hpp"
+#include "relay_process/replica_stand_in.hpp"
+#include "relay_process/store_stand_in.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleytrack::relay_process
+{
+
+/// Relay nodes as processes, with the store and the replicas in this process.
+class relay_fleet
+{
+public:
+    /// \param node_count How many nodes.
+    explicit relay_fleet(int node_count);
+
+    /// An answer, or status 0 when the connection ended without one.
+    struct answer
+    {
+        int status = 0;
+        net::http_header_list headers;
+        std::string body;
+    };
+
+    /// Sends a request and waits for its answer.
+    answer call(int node, const std::string& method, const std::string& path,
+                const std::string& id = "", const std::string& body = "");
+
+    /// Starts a request; the answer is put where the pointer points.
+    void begin(int node, const std::string& method, const std::string& path,
+               const std::string& id, const std::string& body,
+               std::shared_ptr<answer> into);
+
+    /// Submits a job of some items.
+    answer submit(int node, const std::string& job, int items);
+
+    /// Reads results until all are there or the time is over.
+    nlohmann::json results(int node, const std::string& job);
+
+    /// Runs the loop until a condition holds.
+    ///
+    /// \returns Whether it came to hold within the patience.
+    bool wait(const std::function<bool()>& condition);
+
+    /// Waits until a node takes requests.
+    void wait_ready(int node);
+
+    void start(int node);
+    process_support::child_process& process(int node)
+    {
+        return *this->nodes.at(static_cast<std::size_t>(node)).process;
+    }
+    const endpoint& store_address(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).store;
+    }
+
+    net::event_loop loop;
+    store_stand_in store{this->loop};
+    std::vector<std::unique_ptr<replica_stand_in>> engines;
+    std::unique_ptr<replica_stand_in> web;
+
+private:
+    struct node
+    {
+        endpoint front;
+        endpoint ready;
+        endpoint directory;
+        endpoint peer;
+        endpoint store;
+        std::string settings;
+        std::unique_ptr<process_support::child_process> process;
+    };
+
+    void write_settings(std::size_t number);
+
+    net::http_client client{this->loop};
+    process_support::temporary_folder folder;
+    std::vector<node> nodes;
+    std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
+    std::uint64_t next_call = 1;
+};
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/replica_stand_in.cpp
@@ -0,0 +1,126 @@
+#include "relay_process/replica_stand_in.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace parsleytrack::relay_process
+{
+
+namespace
+{
+
+constexpr duration event_interval = std::chrono::milliseconds(5);
+constexpr int cut_after = 3;
+
+} // namespace
+
+replica_stand_in::replica_stand_in(net::event_loop& event_loop,
+                                   std::string replica_name)
+    : loop(event_loop), id(std::move(replica_name)), server(event_loop)
+{
+    this->address.port = this->server.listen(this->address).value();
+    this->server.set_handler(
+        [this](const std::shared_ptr<net::http_exchange>& exchange)
+        {
+            exchange->on_body(1024 * 1024,
+                              [this, exchange](const std::string&)
+                              { this->take(exchange); });
+        });
+}
+
+std::string replica_stand_in::entry(const std::string& service,
+                                    const std::string& state) const
+{
+    return nlohmann::json{{"service", service},
+                          {"address", to_string(this->address)},
+                          {"zone", "z"},
+                          {"version", "v1"},
+                          {"slots", 4},
+                          {"state", state},
+                          {"seq", 1},
+                          {"born", 1}}
+        .dump();
+}
+
+void replica_stand_in::take(const std::shared_ptr<net::http_exchange>& exchange)
+{
+    const auto& headers = exchange->head().headers;
+    const std::string* request =
+        net::find_header(headers, "Parsleytrack-Request-Id");
+    const std::string* expected =
+        net::find_header(headers, "Parsleytrack-Expect-Instance");
+    if (request == nullptr || (expected != nullptr && *expected != this->id))
+    {
+        exchange->respond(request == nullptr ? 400 : 421, {}, "");
+        return;
+    }
+    if (this->behaviour == fault::full)
+    {
+        exchange->respond(503,
+                          {{"Parsleytrack-Not-Executed", "1"},
+                           {"Parsleytrack-Request-Id", *request}},
+                          "");
+        return;
+    }
+    ++this->runs[*request];
+    const net::http_header_list answer{
+        {"Parsleytrack-Request-Id", *request},
+        {"Parsleytrack-Response-Seal", "seal-" + *request}};
+    if (this->behaviour == fault::failing)
+    {
+        exchange->respond(500, answer, "failed");
+        return;
+    }
+    if (exchange->head().path.starts_with("/plain/"))
+    {
+        exchange->respond(200, answer, "page of " + *request);
+        return;
+    }
+    this->start_stream(exchange, answer);
+}
+
+void replica_stand_in::start_stream(
+    const std::shared_ptr<net::http_exchange>& exchange,
+    const net::http_header_list& headers)
+{
+    const std::string* resumed =
+        net::find_header(exchange->head().headers, "Last-Event-Id");
+    const std::uint64_t number = this->next_stream++;
+    stream& entry = this->streams[number];
+    entry.exchange = exchange;
+    entry.next = resumed == nullptr ? 1 : std::stoi(*resumed) + 1;
+    net::http_header_list fields = headers;
+    fields.emplace_back("Content-Type", "text/event-stream");
+    exchange->start_stream(200, fields);
+    entry.pace = this->loop.call_every(
+        event_interval, [this, number] { this->step(number); });
+}
+
+void replica_stand_in::step(std::uint64_t number)
+{
+    stream& entry = this->streams.at(number);
+    const auto exchange = entry.exchange;
+    const bool is_cut =
+        this->behaviour == fault::cut && entry.next > cut_after;
+    if (entry.next > stream_events || is_cut || !exchange->is_open())
+    {
+        if (is_cut)
+        {
+            exchange->write_chunk("id: 99\ndata: br");
+            exchange->abort();
+        }
+        else
+        {
+            exchange->finish_stream();
+        }
+        const net::timer own = std::move(entry.pace);
+        this->streams.erase(number);
+        return;
+    }
+    exchange->write_chunk("id: " + std::to_string(entry.next) +
+                          "\ndata: t" + std::to_string(entry.next) + "\n\n");
+    ++entry.next;
+}
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/replica_stand_in.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_exchange.hpp"
+#include "net/http_server.hpp"
+#include "units/endpoint.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleytrack::relay_process
+{
+
+/// A replica: answers plain requests at once, and streams numbered events for
+/// paths that begin with "/stream/" and for items of jobs.
+class replica_stand_in
+{
+public:
+    enum class fault
+    {
+        none,
+        /// Says that it did not run the request.
+        full,
+        /// Breaks a stream off after its third event.
+        cut,
+        /// Answers items with 500.
+        failing
+    };
+
+    replica_stand_in(net::event_loop& event_loop, std::string replica_name);
+
+    /// \returns What it writes of itself to the store.
+    std::string entry(const std::string& service,
+                      const std::string& state = "ready") const;
+
+    const std::string& name() const { return this->id; }
+
+    /// Events of each stream.
+    static constexpr int stream_events = 12;
+
+    fault behaviour = fault::none;
+    /// How often each request was run.
+    std::map<std::string, int> runs;
+
+private:
+    struct stream
+    {
+        std::shared_ptr<net::http_exchange> exchange;
+        int next = 1;
+        net::timer pace;
+    };
+
+    void take(const std::shared_ptr<net::http_exchange>& exchange);
+    void start_stream(const std::shared_ptr<net::http_exchange>& exchange,
+                      const net::http_header_list& headers);
+    void step(std::uint64_t number);
+
+    net::event_loop& loop;
+    std::string id;
+    net::http_server server;
+    endpoint address{"127.0.0.1", 0};
+    std::map<std::uint64_t, stream> streams;
+    std::uint64_t next_stream = 1;
+};
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/store_stand_in.cpp
@@ -0,0 +1,265 @@
+#include "relay_process/store_stand_in.hpp"
+
+#include "key_value/base64.hpp"
+
+#include <utility>
+
+namespace parsleytrack::relay_process
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::size_t max_body = 8 * 1024 * 1024;
+
+std::string query(const net::http_exchange& exchange, const char* name)
+{
+    const auto found = exchange.head().query.find(name);
+    return found == exchange.head().query.end() ? "" : found->second;
+}
+
+} // namespace
+
+store_stand_in::store_stand_in(net::event_loop& event_loop) : loop(event_loop)
+{
+}
+
+endpoint store_stand_in::add_address()
+{
+    door& entry = this->doors.emplace_back(this->loop);
+    entry.address = endpoint{"127.0.0.1", 0};
+    entry.address.port = entry.server.listen(entry.address).value();
+    entry.server.set_handler(
+        [this, &entry](const std::shared_ptr<net::http_exchange>& exchange)
+        { this->take(entry, exchange); });
+    return entry.address;
+}
+
+void store_stand_in::put(const std::string& key, const std::string& value)
+{
+    ++this->revision;
+    this->write(key, value, false);
+    this->tell_watches();
+}
+
+void store_stand_in::erase(const std::string& key)
+{
+    ++this->revision;
+    this->write(key, "", true);
+    this->tell_watches();
+}
+
+std::vector<std::string>
+store_stand_in::values(const std::string& prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto& [key, entry] : this->keys)
+    {
+        if (!entry.deleted && key.starts_with(prefix))
+        {
+            found.push_back(entry.value);
+        }
+    }
+    return found;
+}
+
+void store_stand_in::turn_away(const endpoint& address, bool away)
+{
+    for (door& entry : this->doors)
+    {
+        if (entry.address == address)
+        {
+            entry.away = away;
+        }
+    }
+}
+
+void store_stand_in::take(const door& entry,
+                          const std::shared_ptr<net::http_exchange>& exchange)
+{
+    if (entry.away)
+    {
+        exchange->respond(503, {}, "");
+        return;
+    }
+    const std::string& path = exchange->head().path;
+    if (path == "/v1/kv-key")
+    {
+        this->get(*exchange);
+    }
+    else if (path == "/v1/kv-range")
+    {
+        this->list(*exchange);
+    }
+    else if (path == "/v1/kv-watch")
+    {
+        this->watch(exchange);
+    }
+    else if (path == "/v1/kv-txn")
+    {
+        exchange->on_body(max_body, [this, exchange](const std::string& body)
+                          { this->commit(*exchange, body); });
+    }
+    else
+    {
+        exchange->respond(404, {}, "");
+    }
+}
+
+json store_stand_in::item(const std::string& key, const stored& entry) const
+{
+    return {{"key", key},
+            {"value", key_value::encode_base64(entry.value)},
+            {"revision", entry.revision},
+            {"createRev", entry.created},
+            {"lease", 0},
+            {"currentRev", this->revision}};
+}
+
+void store_stand_in::get(net::http_exchange& exchange)
+{
+    const std::string key = query(exchange, "key");
+    const auto found = this->keys.find(key);
+    if (found == this->keys.end() || found->second.deleted)
+    {
+        exchange.respond(404, {}, "");
+        return;
+    }
+    exchange.respond_json(200, this->item(key, found->second).dump());
+}
+
+void store_stand_in::list(net::http_exchange& exchange)
+{
+    const std::string prefix = query(exchange, "prefix");
+    json items = json::array();
+    for (const auto& [key, entry] : this->keys)
+    {
+        if (!entry.deleted && key.starts_with(prefix) &&
+            key > query(exchange, "after"))
+        {
+            items.push_back(this->item(key, entry));
+        }
+    }
+    exchange.respond_json(200, json{{"items", items},
+                                    {"truncated", false},
+                                    {"currentRev", this->revision}}
+                                   .dump());
+}
+
+json store_stand_in::events(const std::string& prefix,
+                            std::int64_t after) const
+{
+    json found = json::array();
+    for (const auto& [key, entry] : this->keys)
+    {
+        if (!key.starts_with(prefix) || entry.revision <= after)
+        {
+            continue;
+        }
+        json event = this->item(key, entry);
+        if (entry.deleted)
+        {
+            event.erase("value");
+            event["deleted"] = true;
+        }
+        found.push_back(event);
+    }
+    return found;
+}
+
+void store_stand_in::watch(const std::shared_ptr<net::http_exchange>& exchange)
+{
+    waiting_watch& entry = this->watches.emplace_back();
+    entry.prefix = query(*exchange, "prefix");
+    entry.after = std::stoll("0" + query(*exchange, "after"));
+    entry.exchange = exchange;
+    entry.expiry = this->loop.call_after(
+        std::chrono::milliseconds(std::stoll("0" + query(*exchange, "waitMs"))),
+        [exchange, this]
+        {
+            exchange->respond_json(200, json{{"events", json::array()},
+                                             {"currentRev", this->revision}}
+                                            .dump());
+        });
+    this->tell_watches();
+}
+
+void store_stand_in::tell_watches()
+{
+    for (auto entry = this->watches.begin(); entry != this->watches.end();)
+    {
+        const json found = this->events(entry->prefix, entry->after);
+        if (entry->exchange->is_open() && found.empty())
+        {
+            ++entry;
+            continue;
+        }
+        entry->exchange->respond_json(
+            200,
+            json{{"events", found}, {"currentRev", this->revision}}.dump());
+        entry = this->watches.erase(entry);
+    }
+}
+
+void store_stand_in::write(const std::string& key, const std::string& value,
+                           bool deleted)
+{
+    stored& entry = this->keys[key];
+    if (entry.deleted || entry.created == 0)
+    {
+        entry.created = this->revision;
+    }
+    entry.value = value;
+    entry.revision = this->revision;
+    entry.deleted = deleted;
+}
+
+void store_stand_in::commit(net::http_exchange& exchange,
+                            const std::string& body)
+{
+    ++this->transaction_count;
+    const json change = json::parse(body);
+    json current = json::array();
+    bool holds = true;
+    for (const json& condition : change["expectRev"])
+    {
+        const std::string key = condition["key"];
+        const auto found = this->keys.find(key);
+        const bool exists = found != this->keys.end() && !found->second.deleted;
+        const std::int64_t now = exists ? found->second.revision : 0;
+        holds = holds && now == condition["revision"].get<std::int64_t>();
+        if (exists)
+        {
+            current.push_back(this->item(key, found->second));
+        }
+    }
+    if (holds)
+    {
+        ++this->revision;
+        for (const json& put : change["puts"])
+        {
+            this->write(put["key"],
+                        *key_value::decode_base64(
+                            put["value"].get<std::string>()),
+                        false);
+        }
+    }
+    if (this->lost_answers > 0)
+    {
+        --this->lost_answers;
+        exchange.abort();
+    }
+    else if (holds)
+    {
+        exchange.respond_json(200, json{{"revision", this->revision}}.dump());
+    }
+    else
+    {
+        exchange.respond_json(412, json{{"items", current}}.dump());
+    }
+    this->tell_watches();
+}
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/store_stand_in.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_exchange.hpp"
+#include "net/http_server.hpp"
+#include "units/endpoint.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleytrack::relay_process
+{
+
+/// The platform's store, as far as the relay uses it. Each address that it
+/// listens on can be turned away for itself.
+class store_stand_in
+{
+public:
+    explicit store_stand_in(net::event_loop& event_loop);
+
+    /// Listens on one more address.
+    endpoint add_address();
+
+    /// Writes a key as operators and replicas do.
+    void put(const std::string& key, const std::string& value);
+    void erase(const std::string& key);
+
+    /// \returns The values of all keys with a prefix.
+    std::vector<std::string> values(const std::string& prefix) const;
+
+    /// Refuses all calls at an address with 503, or no longer.
+    void turn_away(const endpoint& address, bool away);
+
+    /// The next transactions are carried out and not answered.
+    int lost_answers = 0;
+
+    int transactions() const { return this->transaction_count; }
+
+private:
+    struct stored
+    {
+        std::string value;
+        std::int64_t revision = 0;
+        std::int64_t created = 0;
+        bool deleted = false;
+    };
+    struct waiting_watch
+    {
+        std::string prefix;
+        std::int64_t after = 0;
+        std::shared_ptr<net::http_exchange> exchange;
+        net::timer expiry;
+    };
+    struct door
+    {
+        explicit door(net::event_loop& loop) : server(loop) {}
+        net::http_server server;
+        endpoint address;
+        bool away = false;
+    };
+
+    void take(const door& entry,
+              const std::shared_ptr<net::http_exchange>& exchange);
+    void get(net::http_exchange& exchange);
+    void list(net::http_exchange& exchange);
+    void watch(const std::shared_ptr<net::http_exchange>& exchange);
+    void commit(net::http_exchange& exchange, const std::string& body);
+    nlohmann::json item(const std::string& key, const stored& entry) const;
+    nlohmann::json events(const std::string& prefix, std::int64_t after) const;
+    void write(const std::string& key, const std::string& value, bool deleted);
+    void tell_watches();
+
+    net::event_loop& loop;
+    std::list<door> doors;
+    std::map<std::string, stored> keys;
+    std::list<waiting_watch> watches;
+    std::int64_t revision = 1;
+    int transaction_count = 0;
+};
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/whole_path_test.cpp
@@ -0,0 +1,352 @@
+#include "relay_process/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <set>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_process;
+
+namespace
+{
+
+std::string whole_stream()
+{
+    std::string text;
+    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    {
+        text += "id: " + std::to_string(number) + "\ndata: t" +
+                std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+std::string whole_output()
+{
+    std::string text;
+    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    {
+        text += (number > 1 ? "\nt" : "t") + std::to_string(number);
+    }
+    return text;
+}
+
+/// Checks that each item has one result with the whole text.
+void check_results(const nlohmann::json& results, std::size_t count)
+{
+    CHECK_EQUAL(count, results.size());
+    std::set<std::string> items;
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL("completed", entry["state"].get<std::string>().c_str());
+        STRCMP_EQUAL(whole_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
+        CHECK(items.insert(entry["id"]).second);
+    }
+}
+
+int runs_of(const relay_fleet& fleet, const std::string& request)
+{
+    int runs = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        const auto found = engine->runs.find(request);
+        runs += found == engine->runs.end() ? 0 : found->second;
+    }
+    return runs;
+}
+
+} // namespace
+
+TEST_GROUP(relay_calm)
+{
+};
+
+TEST(relay_calm, serves_plain_streamed_and_batch_requests)
+{
+    relay_fleet fleet(2);
+    const auto page = fleet.call(0, "POST", "/plain/a?b=c", "id1", "body");
+    CHECK_EQUAL(200, page.status);
+    STRCMP_EQUAL("page of id1", page.body.c_str());
+    STRCMP_EQUAL("seal-id1",
+                 net::find_header(page.headers, "Parsleytrack-Response-Seal")
+                     ->c_str());
+    const auto stream = fleet.call(1, "POST", "/stream/a", "id2", "body");
+    STRCMP_EQUAL(whole_stream().c_str(), stream.body.c_str());
+    CHECK_EQUAL(1, runs_of(fleet, "id2"));
+    CHECK_EQUAL(202, fleet.submit(0, "job1", 7).status);
+    CHECK_EQUAL(202, fleet.submit(1, "job1", 7).status);
+    check_results(fleet.results(1, "job1"), 7);
+    check_results(fleet.results(0, "job1"), 7);
+    const auto body = fleet.call(1, "GET", "/v1/items/job1?id=job1-3");
+    CHECK_EQUAL(200, body.status);
+    CHECK_EQUAL(8, body.body.size());
+    CHECK_EQUAL(404, fleet.call(1, "GET", "/v1/lots/unknown").status);
+}
+
+TEST(relay_calm, refuses_what_cannot_be_served)
+{
+    relay_fleet fleet(1);
+    CHECK_EQUAL(404, fleet.call(0, "POST", "/other/", "id1").status);
+    CHECK_EQUAL(400, fleet.call(0, "POST", "/plain/a").status);
+    const std::string long_body(200'000, 'x');
+    CHECK_EQUAL(413,
+                fleet.call(0, "POST", "/plain/a", "id2", long_body).status);
+    CHECK_EQUAL(400,
+                fleet.call(0, "POST", "/batch/j", "id3", "no json").status);
+    // 60 items of 100 tokens fit the limit of 100,000 sixteen times.
+    int refused = 0;
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    for (int job = 0; job < 18; ++job)
+    {
+        const int status =
+            fleet.submit(0, "many" + std::to_string(job), 60).status;
+        refused += status == 429 ? 1 : 0;
+        CHECK(status == 202 || status == 429);
+    }
+    CHECK_EQUAL(2, refused);
+    CHECK(fleet.web->runs.empty());
+}
+
+TEST(relay_calm, ends_a_job)
+{
+    relay_fleet fleet(2);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 5).status);
+    CHECK_EQUAL(200, fleet.call(1, "DELETE", "/v1/lots/job").status);
+    CHECK_EQUAL(200, fleet.call(0, "DELETE", "/v1/lots/job").status);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+    }
+    const time_point until =
+        net::event_loop::now() + std::chrono::milliseconds(1500);
+    fleet.wait([until] { return net::event_loop::now() > until; });
+    CHECK_EQUAL(0, runs_of(fleet, "job-0"));
+}
+
+TEST_GROUP(relay_replica_faults)
+{
+};
+
+TEST(relay_replica_faults, a_cut_stream_goes_on_at_another_replica)
+{
+    relay_fleet fleet(1);
+    fleet.engines[0]->behaviour = replica_stand_in::fault::cut;
+    for (int count = 0; count < 8; ++count)
+    {
+        const auto stream = fleet.call(0, "POST", "/stream/a",
+                                       "id" + std::to_string(count), "body");
+        CHECK_EQUAL(200, stream.status);
+        STRCMP_EQUAL(whole_stream().c_str(), stream.body.c_str());
+    }
+    CHECK_FALSE(fleet.engines[0]->runs.empty());
+}
+
+TEST(relay_replica_faults, a_stream_that_must_not_run_twice_is_broken_off)
+{
+    relay_fleet fleet(1);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::cut;
+    }
+    const auto stream = fleet.call(0, "POST", "/once/a", "id1", "body");
+    CHECK_EQUAL(0, stream.status);
+    CHECK_EQUAL(1, runs_of(fleet, "id1"));
+}
+
+TEST(relay_replica_faults, a_request_that_was_not_run_goes_elsewhere)
+{
+    relay_fleet fleet(1);
+    fleet.engines[0]->behaviour = replica_stand_in::fault::full;
+    fleet.engines[1]->behaviour = replica_stand_in::fault::full;
+    for (int count = 0; count < 6; ++count)
+    {
+        const std::string id = "id" + std::to_string(count);
+        CHECK_EQUAL(200, fleet.call(0, "POST", "/once/a", id).status);
+        CHECK_EQUAL(1, runs_of(fleet, id));
+    }
+}
+
+TEST(relay_replica_faults, a_leaving_replica_gets_nothing_new)
+{
+    relay_fleet fleet(2);
+    fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
+    fleet.store.erase("servers/i-1");
+    const time_point until =
+        net::event_loop::now() + std::chrono::milliseconds(500);
+    fleet.wait([until] { return net::event_loop::now() > until; });
+    for (int count = 0; count < 10; ++count)
+    {
+        CHECK_EQUAL(200, fleet.call(count % 2, "POST", "/stream/a",
+                                    "id" + std::to_string(count))
+                             .status);
+    }
+    CHECK(fleet.engines[0]->runs.empty());
+    CHECK(fleet.engines[1]->runs.empty());
+}
+
+TEST(relay_replica_faults, items_that_always_fail_are_given_up)
+{
+    relay_fleet fleet(1);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::failing;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
+    const auto results = fleet.results(0, "job");
+    CHECK_EQUAL(2, results.size());
+    STRCMP_EQUAL("dead_letter",
+                 results[0]["state"].get<std::string>().c_str());
+    CHECK_EQUAL(2, runs_of(fleet, "job-0"));
+}
+
+TEST_GROUP(relay_store_faults)
+{
+};
+
+TEST(relay_store_faults, a_lost_answer_does_not_accept_a_job_twice)
+{
+    relay_fleet fleet(2);
+    fleet.store.lost_answers = 1;
+    CHECK_EQUAL(202, fleet.submit(0, "job", 5).status);
+    fleet.store.lost_answers = 1;
+    check_results(fleet.results(1, "job"), 5);
+    CHECK_EQUAL(1, fleet.store.values("parsleytrack/jobs/state/").size());
+    CHECK_EQUAL(5, fleet.store.values("parsleytrack/jobs/output/").size());
+}
+
+TEST(relay_store_faults, online_requests_outlast_an_outage)
+{
+    relay_fleet fleet(2);
+    fleet.store.turn_away(fleet.store_address(0), true);
+    fleet.store.turn_away(fleet.store_address(1), true);
+    const time_point until = net::event_loop::now() + std::chrono::seconds(2);
+    int served = 0;
+    int asked = 0;
+    while (net::event_loop::now() < until)
+    {
+        ++asked;
+        served += fleet.call(asked % 2, "POST", "/stream/a",
+                             "id" + std::to_string(asked))
+                              .status == 200
+                      ? 1
+                      : 0;
+    }
+    CHECK_EQUAL(asked, served);
+    // A refusal says that the job does not run.
+    const int status = fleet.submit(0, "job", 3).status;
+    CHECK(status == 503 || status == 504);
+    fleet.store.turn_away(fleet.store_address(0), false);
+    fleet.store.turn_away(fleet.store_address(1), false);
+    CHECK(fleet.wait([&fleet]
+                     { return fleet.submit(1, "job", 3).status == 202; }));
+    check_results(fleet.results(0, "job"), 3);
+}
+
+TEST(relay_store_faults, a_node_that_is_turned_away_still_serves)
+{
+    relay_fleet fleet(2);
+    CHECK_EQUAL(202, fleet.submit(1, "job", 4).status);
+    fleet.store.turn_away(fleet.store_address(0), true);
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/stream/a", "id1").status);
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/plain/a", "id2").status);
+    fleet.store.turn_away(fleet.store_address(0), false);
+    check_results(fleet.results(1, "job"), 4);
+}
+
+TEST_GROUP(relay_planned_stop)
+{
+};
+
+TEST(relay_planned_stop, no_request_is_cut)
+{
+    relay_fleet fleet(2);
+    std::vector<std::shared_ptr<relay_fleet::answer>> answers;
+    const auto ask = [&fleet, &answers]
+    {
+        const auto into = std::make_shared<relay_fleet::answer>();
+        fleet.begin(0, "POST", "/stream/a",
+                    "id" + std::to_string(answers.size()), "", into);
+        answers.push_back(into);
+    };
+    CHECK_EQUAL(202, fleet.submit(0, "job", 6).status);
+    ask();
+    fleet.process(0).signal(SIGTERM);
+    // Callers keep the address for three times its validity of 0.5 s.
+    const time_point until =
+        net::event_loop::now() + std::chrono::milliseconds(1300);
+    time_point next = net::event_loop::now();
+    while (net::event_loop::now() < until)
+    {
+        if (net::event_loop::now() >= next)
+        {
+            ask();
+            next += std::chrono::milliseconds(40);
+        }
+        fleet.loop.run_for(std::chrono::milliseconds(10));
+    }
+    CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
+    CHECK_EQUAL(0, fleet.process(0).exit_code());
+    for (const auto& answer : answers)
+    {
+        CHECK_EQUAL(200, answer->status);
+        STRCMP_EQUAL(whole_stream().c_str(), answer->body.c_str());
+    }
+    check_results(fleet.results(1, "job"), 6);
+}
+
+TEST_GROUP(relay_owner_killed)
+{
+};
+
+TEST(relay_owner_killed, another_node_goes_on_with_its_jobs)
+{
+    relay_fleet fleet(3);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    for (int job = 0; job < 6; ++job)
+    {
+        CHECK_EQUAL(
+            202, fleet.submit(job % 3, "job" + std::to_string(job), 3).status);
+    }
+    fleet.process(1).kill();
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+    }
+    for (int job = 0; job < 6; ++job)
+    {
+        check_results(fleet.results(2, "job" + std::to_string(job)), 3);
+    }
+}
+
+TEST(relay_owner_killed, all_nodes_start_anew_and_lose_nothing)
+{
+    relay_fleet fleet(2);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 4).status);
+    fleet.process(0).kill();
+    fleet.process(1).kill();
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+    }
+    fleet.start(0);
+    fleet.start(1);
+    fleet.wait_ready(0);
+    fleet.wait_ready(1);
+    check_results(fleet.results(1, "job"), 4);
+}
