--- a/scripts/check_lint.sh
+++ b/scripts/check_lint.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 files=("$@")
 if [ ${#files[@]} -eq 0 ]; then
-    mapfile -t files < <(find src tests -name generated -prune -o \
+    mapfile -t files < <(find src tests platform -name generated -prune -o \
         -name '*.cpp' -print | sort)
 fi
 printf '%s\n' "${files[@]}" |
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.."
 scripts/install_packages.sh
 scripts/build.sh
+scripts/check_boundary.sh
 scripts/check_format.sh
 scripts/check_lint.sh
 scripts/run_tests.sh
--- a/src/daemon/batch_module.cpp
+++ b/src/daemon/batch_module.cpp
@@ -1,7 +1,6 @@
 #include "daemon/batch_module.hpp"
 
 #include "daemon/batch_upload.hpp"
-#include "net/error_response.hpp"
 #include "daemon/job_cancel.hpp"
 #include "daemon/job_coordinator.hpp"
 #include "daemon/job_results.hpp"
@@ -10,6 +9,7 @@
 #include "daemon/wall_clock.hpp"
 #include "decisions/lot_assignment.hpp"
 #include "decisions/owner_liveness.hpp"
+#include "net/error_response.hpp"
 #include "storage/segment_store.hpp"
 #include "wire/codec.hpp"
 #include "wire/generated/job_types.h"
--- a/src/daemon/instance_watch.cpp
+++ b/src/daemon/instance_watch.cpp
@@ -85,8 +85,9 @@
         });
 }
 
-void instance_watch::take(const std::string& key,
-                          const std::optional<key_value::versioned_value>& value)
+void instance_watch::take(
+    const std::string& key,
+    const std::optional<key_value::versioned_value>& value)
 {
     if (!value)
     {
--- a/src/daemon/job_cancel.cpp
+++ b/src/daemon/job_cancel.cpp
@@ -1,7 +1,7 @@
 #include "daemon/job_cancel.hpp"
 
-#include "net/error_response.hpp"
 #include "logging/log.hpp"
+#include "net/error_response.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/job_results.cpp
+++ b/src/daemon/job_results.cpp
@@ -1,8 +1,8 @@
 #include "daemon/job_results.hpp"
 
-#include "net/error_response.hpp"
 #include "decisions/item_status.hpp"
 #include "logging/log.hpp"
+#include "net/error_response.hpp"
 #include "wire/codec.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/daemon/membership_module.cpp
+++ b/src/daemon/membership_module.cpp
@@ -1,8 +1,8 @@
 #include "daemon/membership_module.hpp"
 
-#include "peering/membership_conversion.hpp"
 #include "daemon/nodes_body.hpp"
 #include "logging/log.hpp"
+#include "peering/membership_conversion.hpp"
 
 #include <chrono>
 #include <string>
--- a/src/daemon/node_context.hpp
+++ b/src/daemon/node_context.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "net/http_router.hpp"
 #include "decisions/catalogue_view.hpp"
 #include "decisions/fleet_view.hpp"
 #include "decisions/gossip_board.hpp"
+#include "key_value/etcd_store.hpp"
 #include "metrics/registry.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "key_value/etcd_store.hpp"
+#include "net/http_router.hpp"
 #include "settings/node_settings.hpp"
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
--- a/src/daemon/online_call.cpp
+++ b/src/daemon/online_call.cpp
@@ -2,8 +2,8 @@
 
 #include "backends/completion_request.hpp"
 #include "daemon/answer_headers.hpp"
-#include "net/error_response.hpp"
 #include "logging/log.hpp"
+#include "net/error_response.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/daemon/online_call_ends.cpp
+++ b/src/daemon/online_call_ends.cpp
@@ -3,8 +3,8 @@
 
 #include "daemon/online_call.hpp"
 
-#include "net/error_response.hpp"
 #include "logging/log.hpp"
+#include "net/error_response.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/daemon/online_module.cpp
+++ b/src/daemon/online_module.cpp
@@ -1,8 +1,8 @@
 #include "daemon/online_module.hpp"
 
-#include "net/error_response.hpp"
 #include "daemon/forward_codec.hpp"
 #include "daemon/online_request_parser.hpp"
+#include "net/error_response.hpp"
 
 #include <fmt/format.h>
 
--- a/src/daemon/release_module.cpp
+++ b/src/daemon/release_module.cpp
@@ -1,6 +1,5 @@
 #include "daemon/release_module.hpp"
 
-#include "net/error_response.hpp"
 #include "daemon/release_answers.hpp"
 #include "daemon/release_keys.hpp"
 #include "daemon/release_submission.hpp"
@@ -8,6 +7,7 @@
 #include "decisions/release_record_codec.hpp"
 #include "decisions/store_watchers.hpp"
 #include "logging/log.hpp"
+#include "net/error_response.hpp"
 #include "wire/codec.hpp"
 #include "wire/generated/release_types.h"
 
--- a/src/daemon/release_submission.hpp
+++ b/src/daemon/release_submission.hpp
@@ -26,7 +26,8 @@
 
 private:
     void read_current();
-    void read_archived(const std::optional<key_value::versioned_value>& current);
+    void
+    read_archived(const std::optional<key_value::versioned_value>& current);
     void decide(const std::optional<accepted_note>& archived);
     void archive(const release_ledger::acceptance& accepted);
     void write_archived(const release_ledger::acceptance& accepted,
--- a/src/daemon/seed_keeper.cpp
+++ b/src/daemon/seed_keeper.cpp
@@ -93,7 +93,8 @@
         });
 }
 
-void seed_keeper::take_in(const std::optional<key_value::versioned_value>& found)
+void seed_keeper::take_in(
+    const std::optional<key_value::versioned_value>& found)
 {
     std::vector<seed_entry> listed;
     store_revision revision;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -119,9 +119,8 @@
         {
             return damaged("a job has an outcome of an unknown item");
         }
-        state.outcomes.push_back(
-            item_outcome{static_cast<std::size_t>(entry.item),
-                         entry.completed});
+        state.outcomes.push_back(item_outcome{
+            static_cast<std::size_t>(entry.item), entry.completed});
     }
     return state;
 }
@@ -165,13 +164,11 @@
         return message.error();
     }
     job_page page;
-    page.total =
-        static_cast<std::size_t>(std::max(0, message.value().total));
+    page.total = static_cast<std::size_t>(std::max(0, message.value().total));
     for (wire::node_job_result& entry : message.value().results)
     {
-        page.results.push_back(job_result{std::move(entry.item),
-                                          entry.completed,
-                                          std::move(entry.output)});
+        page.results.push_back(job_result{
+            std::move(entry.item), entry.completed, std::move(entry.output)});
     }
     return page;
 }
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -162,9 +162,8 @@
     {
         const item_outcome& outcome =
             commit.state.outcomes[commit.first_position + index - 1];
-        this->uncommitted.push_front(
-            ended_item{outcome.item, outcome.completed,
-                       commit.results[index - 1].output});
+        this->uncommitted.push_front(ended_item{
+            outcome.item, outcome.completed, commit.results[index - 1].output});
     }
 }
 
@@ -191,9 +190,8 @@
         {
             break;
         }
-        page.results.push_back(
-            job_result{this->submitted.items[outcome.item].id,
-                       outcome.completed, output});
+        page.results.push_back(job_result{
+            this->submitted.items[outcome.item].id, outcome.completed, output});
     }
     return page;
 }
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -59,8 +59,8 @@
     /// \returns Whether outcomes wait to be written.
     bool has_uncommitted() const { return !this->uncommitted.empty(); }
 
-    /// \returns Whether one of them ended without an output. It is to be written
-    /// at once, since another owner would send it to replicas again.
+    /// \returns Whether one of them ended without an output. It is to be
+    /// written at once, since another owner would send it to replicas again.
     bool has_uncommitted_failure() const;
 
     /// \param release Whether the tokens of ended items are to be taken off the
--- a/src/key_value/etcd_caller.hpp
+++ b/src/key_value/etcd_caller.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "net/event_loop.hpp"
-#include "net/http_client.hpp"
 #include "key_value/call_budget.hpp"
 #include "key_value/call_end.hpp"
 #include "key_value/outage_detector.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
 #include "units/endpoint.hpp"
 #include "units/random_source.hpp"
 
--- a/src/key_value/etcd_store.hpp
+++ b/src/key_value/etcd_store.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "key_value/platform_store.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
-#include "key_value/platform_store.hpp"
 #include "units/endpoint.hpp"
 
 #include <cstdint>
--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -46,7 +46,7 @@
 struct record_client::list_state
 {
     std::string prefix;
-    read_freshness freshness;
+    read_freshness freshness = read_freshness::latest;
     record_listing collected;
     bool first_page = true;
     list_callback callback;
@@ -176,9 +176,9 @@
                {
                    if (response.has_error())
                    {
-                       state->answer_lost = state->answer_lost ||
-                                            response.error().ran ==
-                                                ran_state::unknown;
+                       state->answer_lost =
+                           state->answer_lost ||
+                           response.error().ran == ran_state::unknown;
                        this->repeat_commit(state, response.error());
                        return;
                    }
@@ -244,12 +244,11 @@
              }
              if (!shows_working_store(outcome.value()))
              {
-                 const error refused{
-                     error_code::store_unavailable,
-                     "the store answered " +
-                         std::to_string(outcome.value().status),
-                     ran_state::no,
-                     {}};
+                 const error refused{error_code::store_unavailable,
+                                     "the store answered " +
+                                         std::to_string(outcome.value().status),
+                                     ran_state::no,
+                                     {}};
                  this->note_failure(refused);
                  callback(refused);
                  return;
@@ -262,14 +261,15 @@
 void record_client::after(duration delay, std::function<void()> callback)
 {
     const std::uint64_t number = this->next_number++;
-    this->timers[number] = this->loop.call_after(
-        delay,
-        [this, number, callback = std::move(callback)]
-        {
-            const auto timer = std::move(this->timers[number]);
-            this->timers.erase(number);
-            callback();
-        });
+    this->timers[number] =
+        this->loop.call_after(delay,
+                              [this, number, callback = std::move(callback)]
+                              {
+                                  const auto timer =
+                                      std::move(this->timers[number]);
+                                  this->timers.erase(number);
+                                  callback();
+                              });
 }
 
 void record_client::note_answer()
--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -34,22 +34,22 @@
 
 void record_follower::read_all()
 {
-    this->store.list(
-        this->prefix, read_freshness::latest,
-        [this](result<record_listing> listing)
-        {
-            if (listing.has_error())
-            {
-                this->fail(listing.error());
-                return;
-            }
-            this->position = listing.value().read_at;
-            this->confirmed = net::event_loop::now();
-            this->pauses.reset();
-            this->hooks.on_all(listing.value(),
-                               std::exchange(this->failing, false));
-            this->wait_for_changes();
-        });
+    this->store.list(this->prefix, read_freshness::latest,
+                     [this](result<record_listing> listing)
+                     {
+                         if (listing.has_error())
+                         {
+                             this->fail(listing.error());
+                             return;
+                         }
+                         this->position = listing.value().read_at;
+                         this->confirmed = net::event_loop::now();
+                         this->pauses.reset();
+                         this->hooks.on_all(
+                             listing.value(),
+                             std::exchange(this->failing, false));
+                         this->wait_for_changes();
+                     });
 }
 
 void record_follower::wait_for_changes()
@@ -85,12 +85,11 @@
 {
     if (!std::exchange(this->failing, true))
     {
-        log_event(
-            log_level::warning, "store_follower_failed",
-            {{"prefix", this->prefix},
-             {"reason", reason.message},
-             {"known_age_ms",
-              to_milliseconds(net::event_loop::now() - this->confirmed)}});
+        log_event(log_level::warning, "store_follower_failed",
+                  {{"prefix", this->prefix},
+                   {"reason", reason.message},
+                   {"known_age_ms", to_milliseconds(net::event_loop::now() -
+                                                    this->confirmed)}});
         if (this->hooks.on_failure)
         {
             this->hooks.on_failure(reason);
--- a/src/logging/bounded_sink.cpp
+++ b/src/logging/bounded_sink.cpp
@@ -56,8 +56,7 @@
     {
         return false;
     }
-    return ::write(this->descriptor, data, size) ==
-           static_cast<ssize_t>(size);
+    return ::write(this->descriptor, data, size) == static_cast<ssize_t>(size);
 }
 
 void bounded_sink::report_dropped()
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -212,8 +212,8 @@
     {
         return true;
     }
-    const evbuffer_ptr end = evbuffer_search(input, head_end.data(),
-                                             head_end.size(), nullptr);
+    const evbuffer_ptr end =
+        evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
     if (end.pos >= 0)
     {
         return true;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -96,8 +96,8 @@
     }
     if (request.connect_timeout > duration::zero())
     {
-        this->connect_timer = loop.call_after(
-            request.connect_timeout, [this] { this->check_sent(); });
+        this->connect_timer = loop.call_after(request.connect_timeout,
+                                              [this] { this->check_sent(); });
     }
     if (request.head_timeout > duration::zero())
     {
@@ -140,8 +140,8 @@
     if (this->output_watch != nullptr)
     {
         evbuffer_remove_cb_entry(
-            bufferevent_get_output(evhttp_connection_get_bufferevent(
-                this->connection->handle())),
+            bufferevent_get_output(
+                evhttp_connection_get_bufferevent(this->connection->handle())),
             this->output_watch);
         this->output_watch = nullptr;
     }
--- a/src/peering/peer_group.cpp
+++ b/src/peering/peer_group.cpp
@@ -104,9 +104,9 @@
     const auto packet = decode_packet(bytes);
     if (packet.has_error())
     {
-        log_event(log_level::warning, "peer_datagram_refused",
-                  {{"from", to_string(from)},
-                   {"reason", packet.error().message}});
+        log_event(
+            log_level::warning, "peer_datagram_refused",
+            {{"from", to_string(from)}, {"reason", packet.error().message}});
         return;
     }
     this->members.receive(net::event_loop::now(), from, packet.value());
--- a/src/relay/address_service.cpp
+++ b/src/relay/address_service.cpp
@@ -26,17 +26,15 @@
     std::vector<node_info> nodes = this->context.group.living();
     std::erase_if(nodes, [](const node_info& node) { return !node.entry; });
     std::shuffle(nodes.begin(), nodes.end(), this->context.random);
-    std::stable_partition(nodes.begin(), nodes.end(),
-                          [&question](const node_info& node) {
-                              return node.availability_zone ==
-                                     question.availability_zone;
-                          });
+    std::stable_partition(
+        nodes.begin(), nodes.end(),
+        [&question](const node_info& node)
+        { return node.availability_zone == question.availability_zone; });
     nodes.resize(std::min(nodes.size(), max_addresses));
     if (nodes.empty())
     {
-        refuse(*exchange,
-               error{error_code::no_replica, "no node takes callers",
-                     ran_state::no, std::chrono::seconds(1)});
+        refuse(*exchange, error{error_code::no_replica, "no node takes callers",
+                                ran_state::no, std::chrono::seconds(1)});
         return;
     }
     address_answer answer;
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -7,28 +7,28 @@
 namespace parsleytrack::relay
 {
 
-configuration_follower::configuration_follower(
-    net::event_loop& event_loop, key_value::record_client& client,
-    random_source& random_numbers, const relay_dialect& translator)
+configuration_follower::configuration_follower(net::event_loop& event_loop,
+                                               key_value::record_client& client,
+                                               random_source& random_numbers,
+                                               const relay_dialect& translator)
     : dialect(translator),
-      follower(event_loop, client, random_numbers,
-               translator.keys().configuration,
-               {[this](const key_value::record_listing& listing, bool)
-                {
-                    for (const key_value::stored_record& record :
-                         listing.records)
-                    {
-                        this->take(record);
-                    }
-                },
-                [this](const key_value::record_change& change)
-                {
-                    if (!change.deleted)
-                    {
-                        this->take(change.record);
-                    }
-                },
-                {}})
+      follower(
+          event_loop, client, random_numbers, translator.keys().configuration,
+          {[this](const key_value::record_listing& listing, bool)
+           {
+               for (const key_value::stored_record& record : listing.records)
+               {
+                   this->take(record);
+               }
+           },
+           [this](const key_value::record_change& change)
+           {
+               if (!change.deleted)
+               {
+                   this->take(change.record);
+               }
+           },
+           {}})
 {
 }
 
--- a/src/relay/hop_headers.cpp
+++ b/src/relay/hop_headers.cpp
@@ -12,10 +12,17 @@
 namespace
 {
 
-constexpr std::array<const char*, 11> hop_fields = {
-    "Connection",  "Keep-Alive",          "Proxy-Authenticate",
-    "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer",
-    "Transfer-Encoding",   "Upgrade",          "Content-Length", "Expect"};
+constexpr std::array<const char*, 11> hop_fields = {"Connection",
+                                                    "Keep-Alive",
+                                                    "Proxy-Authenticate",
+                                                    "Proxy-Authorization",
+                                                    "Proxy-Connection",
+                                                    "TE",
+                                                    "Trailer",
+                                                    "Transfer-Encoding",
+                                                    "Upgrade",
+                                                    "Content-Length",
+                                                    "Expect"};
 
 /// \returns Whether a Connection field names the field as one of its own.
 bool is_named(const std::string* connection, const std::string& field)
@@ -25,7 +32,9 @@
         return false;
     }
     const auto equal = [](char left, char right)
-    { return std::tolower(left) == std::tolower(right); };
+    {
+        return std::tolower(left) == std::tolower(right);
+    };
     return std::search(connection->begin(), connection->end(), field.begin(),
                        field.end(), equal) != connection->end();
 }
@@ -38,10 +47,10 @@
     net::http_header_list kept;
     for (const auto& field : headers)
     {
-        const bool is_hop = std::any_of(
-            hop_fields.begin(), hop_fields.end(),
-            [&field](const char* name)
-            { return strcasecmp(name, field.first.c_str()) == 0; });
+        const bool is_hop =
+            std::any_of(hop_fields.begin(), hop_fields.end(),
+                        [&field](const char* name)
+                        { return strcasecmp(name, field.first.c_str()) == 0; });
         if (!is_hop && !is_named(connection, field.first))
         {
             kept.push_back(field);
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -43,9 +43,11 @@
     this->lease = this->slots.order(
         order,
         {[this](const replica_id& granted) { this->send(granted); },
-         [this](duration)
-         { this->finish(item_end::interrupted, "no slot"); },
-         [this] { this->finish(item_end::interrupted, "slot reclaimed"); }});
+         [this](duration) { this->finish(item_end::interrupted, "no slot"); },
+         [this]
+         {
+             this->finish(item_end::interrupted, "slot reclaimed");
+         }});
 }
 
 void item_run::send(const replica_id& granted)
@@ -76,13 +78,19 @@
     request.idle_timeout = silence_timeout;
     replica_exchange::callbacks hooks;
     hooks.on_head = [this](const net::http_response& head)
-    { this->status = head.status; };
+    {
+        this->status = head.status;
+    };
     hooks.on_piece = [this](std::string_view piece)
-    { this->take_piece(piece); };
+    {
+        this->take_piece(piece);
+    };
     hooks.on_end = [this](replica_verdict verdict,
                           const net::http_response& response,
                           const std::string& reason)
-    { this->take_end(verdict, response, reason); };
+    {
+        this->take_end(verdict, response, reason);
+    };
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, names, *entry, std::move(request),
         request_id(this->item.id), std::move(hooks));
@@ -133,9 +141,8 @@
     }
     if (verdict != replica_verdict::not_run)
     {
-        this->slots.report(replica_report{request_id(this->item.id),
-                                          this->service, this->replica,
-                                          leaving});
+        this->slots.report(replica_report{
+            request_id(this->item.id), this->service, this->replica, leaving});
     }
     const bool failed = whole && response.status != status_ok;
     this->finish(failed ? item_end::failed : item_end::interrupted, reason);
--- a/src/relay/job_cancellation.cpp
+++ b/src/relay/job_cancellation.cpp
@@ -81,8 +81,7 @@
                         {usage_key, jobs::encode_usage(left)}};
     this->context.store.commit(
         std::move(transaction), commit_limit,
-        [this, state, usage_key, left, attempt,
-         callback = std::move(callback)](
+        [this, state, usage_key, left, attempt, callback = std::move(callback)](
             const result<key_value::transaction_outcome>& outcome)
         {
             if (outcome.has_error())
--- a/src/relay/job_intake.cpp
+++ b/src/relay/job_intake.cpp
@@ -87,13 +87,11 @@
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(state.id), store_revision()},
                               {usage_key, usage.revision}};
-    transaction.puts = {
-        {job_input_key(state.id), jobs::encode(*entry->input)},
-        {job_state_key(state.id), jobs::encode(state)},
-        {usage_key, jobs::encode_usage(entry->waiting)}};
+    transaction.puts = {{job_input_key(state.id), jobs::encode(*entry->input)},
+                        {job_state_key(state.id), jobs::encode(state)},
+                        {usage_key, jobs::encode_usage(entry->waiting)}};
     this->context.store.commit(
-        std::move(transaction),
-        entry->give_up_at - net::event_loop::now(),
+        std::move(transaction), entry->give_up_at - net::event_loop::now(),
         [this, entry](const result<key_value::transaction_outcome>& outcome)
         { this->take_outcome(entry, outcome); });
 }
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -98,9 +98,7 @@
         this->progress[item],
         [this, item, most = route.max_attempts](item_end end,
                                                 const std::string& reason)
-        {
-            this->take_item_end(item, end, reason, most);
-        });
+        { this->take_item_end(item, end, reason, most); });
     item_run& started = *run;
     this->runs[item] = std::move(run);
     started.start(route.services.front().service, route.priority,
@@ -133,8 +131,8 @@
         this->owned.give_up_item(item);
         break;
     case item_end::failed:
-        outcome = this->owned.fail_item(item, most_failures) ? "given_up"
-                                                             : "failed";
+        outcome =
+            this->owned.fail_item(item, most_failures) ? "given_up" : "failed";
         break;
     case item_end::interrupted:
         outcome = "interrupted";
@@ -175,8 +173,7 @@
     {
         return;
     }
-    const bool is_last =
-        this->runs.empty() && !this->owned.has_waiting_item();
+    const bool is_last = this->runs.empty() && !this->owned.has_waiting_item();
     if (is_last || this->owned.has_uncommitted_failure() ||
         this->due_in() < urgent_before_due)
     {
@@ -202,8 +199,8 @@
     }
     const token_count left =
         std::max(token_count(0), usage.waiting - commit->released_tokens);
-    auto transaction = this->transaction_of(
-        *commit, usage_book::usage{left, usage.revision});
+    auto transaction =
+        this->transaction_of(*commit, usage_book::usage{left, usage.revision});
     this->context.store.commit(
         std::move(transaction), commit_limit,
         [this, observed = this->alive, commit = std::move(*commit),
@@ -240,8 +237,7 @@
                           usage_book::usage usage) const
 {
     const job_id& job = this->owned.input().id;
-    const std::string usage_key =
-        job_usage_key(this->owned.input().route_name);
+    const std::string usage_key = job_usage_key(this->owned.input().route_name);
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(job), commit.expected}};
     transaction.puts = {{job_state_key(job), jobs::encode(commit.state)}};
@@ -274,8 +270,8 @@
                   {{"job", commit.state.id.str()},
                    {"results", commit.results.size()},
                    {"reason", outcome.error().message}});
-        this->retry_timer = this->context.loop.call_after(
-            retry_pause, [this] { this->commit(); });
+        this->retry_timer = this->context.loop.call_after(retry_pause, [this]
+                                                          { this->commit(); });
         return;
     }
     if (!outcome.value().applied)
@@ -312,10 +308,8 @@
             continue;
         }
         const auto state = jobs::decode_state(record.value);
-        if (state.has_value() &&
-            state.value().owner == commit.state.owner &&
-            state.value().owner_life ==
-                commit.state.owner_life &&
+        if (state.has_value() && state.value().owner == commit.state.owner &&
+            state.value().owner_life == commit.state.owner_life &&
             state.value().outcomes == commit.state.outcomes)
         {
             // Its answer was lost.
--- a/src/relay/job_placement.cpp
+++ b/src/relay/job_placement.cpp
@@ -14,8 +14,7 @@
     std::uint64_t best_score = 0;
     for (const node_info& node : group.living())
     {
-        const std::uint64_t score =
-            rendezvous_score(node.id.str(), job.str());
+        const std::uint64_t score = rendezvous_score(node.id.str(), job.str());
         if (node.entry && score > best_score)
         {
             best = &node;
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -52,10 +52,9 @@
     asked->wait = wait;
     asked->callback = std::move(callback);
     const auto known = this->owners.find(job);
-    const node_id owner =
-        known != this->owners.end()
-            ? known->second
-            : preferred_owner(this->context.group, job).id;
+    const node_id owner = known != this->owners.end()
+                              ? known->second
+                              : preferred_owner(this->context.group, job).id;
     if (!this->ask(asked, owner))
     {
         this->read_state(asked);
@@ -119,17 +118,17 @@
 {
     if (record.has_error())
     {
-        log_event(log_level::warning, "job_read_failed",
-                  {{"job", asked->job.str()},
-                   {"reason", record.error().message}});
+        log_event(
+            log_level::warning, "job_read_failed",
+            {{"job", asked->job.str()}, {"reason", record.error().message}});
         asked->callback(unreadable(asked->job));
         return;
     }
     if (!record.value().exists())
     {
-        log_event(log_level::info, "job_unknown",
-                  {{"job", asked->job.str()}, {"asked_nodes",
-                                               asked->asked.size()}});
+        log_event(
+            log_level::info, "job_unknown",
+            {{"job", asked->job.str()}, {"asked_nodes", asked->asked.size()}});
         asked->callback(error{error_code::not_found,
                               "there is no job " + asked->job.str(),
                               ran_state::no,
@@ -139,9 +138,9 @@
     const auto state = jobs::decode_state(record.value().value);
     if (state.has_error())
     {
-        log_event(log_level::error, "job_record_damaged",
-                  {{"key", record.value().key},
-                   {"reason", state.error().message}});
+        log_event(
+            log_level::error, "job_record_damaged",
+            {{"key", record.value().key}, {"reason", state.error().message}});
         asked->callback(unreadable(asked->job));
         return;
     }
@@ -177,8 +176,8 @@
             page.total = total;
             std::size_t bytes = 0;
             const auto& records = outputs.value().records;
-            for (std::size_t position = asked->after;
-                 position < records.size(); ++position)
+            for (std::size_t position = asked->after; position < records.size();
+                 ++position)
             {
                 auto entry = read_output(records[position].value);
                 if (!entry)
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -67,8 +67,8 @@
         wire::message_type::node_job_handover,
         [this](const std::shared_ptr<wire::peer_exchange>& exchange)
         { this->take_handover(exchange); });
-    this->pump_timer = this->context.loop.call_every(pump_interval,
-                                                     [this] { this->pump(); });
+    this->pump_timer =
+        this->context.loop.call_every(pump_interval, [this] { this->pump(); });
 }
 
 void job_service::submit(
@@ -76,8 +76,7 @@
     const std::shared_ptr<const routing::route_table>& table,
     const routing::route& route)
 {
-    const std::string& id_header =
-        this->context.dialect.headers().request_id;
+    const std::string& id_header = this->context.dialect.headers().request_id;
     const auto& headers = exchange->head().headers;
     const std::string* id = net::find_header(headers, id_header.c_str());
     const std::string* host = net::find_header(headers, "Host");
@@ -97,24 +96,24 @@
     input.host = *host;
     const std::size_t limit =
         static_cast<std::size_t>(table->contents().limits.body.count());
-    exchange->on_body(
-        limit,
-        [this, exchange, table, &route,
-         input = std::move(input)](const std::string& body) mutable
-        {
-            auto items = this->context.dialect.read_submission(body);
-            if (items.has_error())
-            {
-                log_event(log_level::info, "job_refused",
-                          {{"job", input.id.str()},
-                           {"reason", items.error().message}});
-                refuse(*exchange, items.error());
-                return;
-            }
-            input.items = std::move(items.value());
-            input.submitted_at_ms = wall_clock_ms();
-            this->take_submission(exchange, input, route);
-        });
+    exchange->on_body(limit,
+                      [this, exchange, table, &route, input = std::move(input)](
+                          const std::string& body) mutable
+                      {
+                          auto items =
+                              this->context.dialect.read_submission(body);
+                          if (items.has_error())
+                          {
+                              log_event(log_level::info, "job_refused",
+                                        {{"job", input.id.str()},
+                                         {"reason", items.error().message}});
+                              refuse(*exchange, items.error());
+                              return;
+                          }
+                          input.items = std::move(items.value());
+                          input.submitted_at_ms = wall_clock_ms();
+                          this->take_submission(exchange, input, route);
+                      });
 }
 
 void job_service::take_submission(
@@ -157,16 +156,15 @@
         exchange->respond_json(status_accepted, "{}");
     }
     const std::string outcome = describe(accepted);
-    log_event(log_level::info, "job_submitted",
-              {{"job", input->id.str()},
-               {"outcome", outcome},
-               {"status", status},
-               {"items", input->items.size()},
-               {"route", input->route_name},
-               {"reason",
-                accepted.has_error() ? accepted.error().message : "none"},
-               {"total_ms",
-                to_milliseconds(net::event_loop::now() - received)}});
+    log_event(
+        log_level::info, "job_submitted",
+        {{"job", input->id.str()},
+         {"outcome", outcome},
+         {"status", status},
+         {"items", input->items.size()},
+         {"route", input->route_name},
+         {"reason", accepted.has_error() ? accepted.error().message : "none"},
+         {"total_ms", to_milliseconds(net::event_loop::now() - received)}});
     this->context.metrics.count("parsleytrack_jobs_total",
                                 {{"outcome", outcome}});
     if (accepted.has_error())
@@ -366,10 +364,9 @@
         {
             log_event(log_level::info, "job_end_asked",
                       {{"job", call.job.str()},
-                       {"outcome", state.has_error()
-                                       ? std::string(to_string(
-                                             state.error().code))
-                                       : std::string("ended")}});
+                       {"outcome", state.has_error() ? std::string(to_string(
+                                                           state.error().code))
+                                                     : std::string("ended")}});
             if (state.has_error())
             {
                 refuse(*exchange, state.error());
@@ -404,9 +401,9 @@
              if (outcome.has_error())
              {
                  // The owner's next look at the records finds the change.
-                 log_event(log_level::info, "job_news_lost",
-                           {{"job", job.str()},
-                            {"reason", outcome.error().message}});
+                 log_event(
+                     log_level::info, "job_news_lost",
+                     {{"job", job.str()}, {"reason", outcome.error().message}});
              }
              this->news.erase(number);
          }});
@@ -425,11 +422,11 @@
             }
             if (record.has_error() || !record.value().exists())
             {
-                log_event(log_level::warning, "job_refresh_failed",
-                          {{"job", job.str()},
-                           {"reason", record.has_error()
-                                          ? record.error().message
-                                          : "it is missing"}});
+                log_event(
+                    log_level::warning, "job_refresh_failed",
+                    {{"job", job.str()},
+                     {"reason", record.has_error() ? record.error().message
+                                                   : "it is missing"}});
                 return;
             }
             found->second->take_record(record.value());
@@ -455,18 +452,16 @@
                              {}});
         return;
     }
-    found->second->read(
-        static_cast<std::size_t>(question.value().after),
-        std::chrono::milliseconds(question.value().wait_ms),
-        [exchange](const jobs::job_page& page)
-        { exchange->finish(jobs::encode(page)); });
+    found->second->read(static_cast<std::size_t>(question.value().after),
+                        std::chrono::milliseconds(question.value().wait_ms),
+                        [exchange](const jobs::job_page& page)
+                        { exchange->finish(jobs::encode(page)); });
 }
 
 void job_service::take_peer_news(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
-    const auto message =
-        wire::decode<wire::node_job_news>(exchange->request());
+    const auto message = wire::decode<wire::node_job_news>(exchange->request());
     if (message.has_error())
     {
         exchange->fail(message.error());
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -26,10 +26,10 @@
 } // namespace
 
 job_takeover::job_takeover(const relay_context& node, callbacks listener)
-    : context(node), hooks(std::move(listener)),
-      started(net::event_loop::now())
+    : context(node), hooks(std::move(listener)), started(net::event_loop::now())
 {
-    this->context.group.on_change([this] { this->schedule(scan_after_change); });
+    this->context.group.on_change([this]
+                                  { this->schedule(scan_after_change); });
     this->schedule(settling_time);
 }
 
@@ -131,8 +131,8 @@
     transaction.puts = {{job_state_key(state.id), jobs::encode(state)}};
     this->context.store.commit(
         std::move(transaction), commit_limit,
-        [this, state, previous](
-            const result<key_value::transaction_outcome>& outcome)
+        [this, state,
+         previous](const result<key_value::transaction_outcome>& outcome)
         {
             if (outcome.has_error())
             {
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -81,20 +81,19 @@
     order.pool.service = this->service;
     order.priority = this->request.route->priority;
     order.useful_for = this->useful_time();
-    order.wait_when_late = this->request.is_repeated || this->answer_started ||
-                           this->sends > 0;
+    order.wait_when_late =
+        this->request.is_repeated || this->answer_started || this->sends > 0;
     order.excluded = this->excluded;
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.order(
-        order,
-        {[this](const replica_id& granted) { this->send(granted); },
-         [this](duration retry_after)
-         {
-             this->fail(error{error_code::shutting_down,
-                              "no replica has a free slot in time",
-                              ran_state::no, retry_after});
-         },
-         {}});
+        order, {[this](const replica_id& granted) { this->send(granted); },
+                [this](duration retry_after)
+                {
+                    this->fail(error{error_code::shutting_down,
+                                     "no replica has a free slot in time",
+                                     ran_state::no, retry_after});
+                },
+                {}});
 }
 
 duration online_call::useful_time() const
@@ -122,15 +121,21 @@
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
     hooks.on_head = [this](const net::http_response& head)
-    { this->take_head(head); };
+    {
+        this->take_head(head);
+    };
     if (this->request.route->kind == routing::request_kind::streaming)
     {
         hooks.on_piece = [this](std::string_view piece)
-        { this->take_piece(piece); };
+        {
+            this->take_piece(piece);
+        };
     }
     hooks.on_end = [this](replica_verdict verdict, net::http_response response,
                           const std::string& reason)
-    { this->take_end(verdict, std::move(response), reason); };
+    {
+        this->take_end(verdict, std::move(response), reason);
+    };
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, this->context.dialect.headers(), *entry,
         this->make_request(), this->request.id, std::move(hooks));
@@ -160,10 +165,9 @@
             sent.headers.push_back(field);
         }
     }
-    sent.headers.emplace_back(
-        names.time_left_ms,
-        std::to_string(std::max<std::int64_t>(
-            1, to_milliseconds(this->remaining()))));
+    sent.headers.emplace_back(names.time_left_ms,
+                              std::to_string(std::max<std::int64_t>(
+                                  1, to_milliseconds(this->remaining()))));
     if (this->last_event > 0)
     {
         sent.headers.emplace_back(names.resume_after,
@@ -308,12 +312,11 @@
     if (!this->may_send_again())
     {
         const bool ran = this->runs > 0;
-        this->fail(error{ran ? error_code::backend_failed
-                             : error_code::no_replica,
-                         "the replica " + this->replica.str() +
-                             " has not answered: " + reason,
-                         ran ? ran_state::unknown : ran_state::no,
-                         retry_after_refused});
+        this->fail(error{
+            ran ? error_code::backend_failed : error_code::no_replica,
+            "the replica " + this->replica.str() +
+                " has not answered: " + reason,
+            ran ? ran_state::unknown : ran_state::no, retry_after_refused});
         return;
     }
     log_event(log_level::info, "request_sent_again",
@@ -343,7 +346,8 @@
         reason.ran = ran_state::unknown;
     }
     const int status = refuse(*this->exchange, reason);
-    const std::string outcome = "refused_" + std::string(to_string(reason.code));
+    const std::string outcome =
+        "refused_" + std::string(to_string(reason.code));
     this->finish(outcome.c_str(), status);
 }
 
@@ -355,11 +359,10 @@
         ++this->runs;
     }
     const bool ran = this->runs > 0;
-    this->fail(error{ran ? error_code::deadline_exceeded
-                         : error_code::no_replica,
-                     "the time for the request is over",
-                     ran ? ran_state::unknown : ran_state::no,
-                     retry_after_refused});
+    this->fail(
+        error{ran ? error_code::deadline_exceeded : error_code::no_replica,
+              "the time for the request is over",
+              ran ? ran_state::unknown : ran_state::no, retry_after_refused});
 }
 
 void online_call::report_failure(bool leaving)
@@ -388,20 +391,19 @@
          {"sends", this->sends},
          {"runs", this->runs},
          {"sent_after_ms",
-          this->sends > 0 ? to_milliseconds(this->sent_at -
-                                            this->request.received)
-                          : -1},
-         {"first_ms", this->first_output_at
-                          ? to_milliseconds(*this->first_output_at -
-                                            this->request.received)
-                          : -1},
+          this->sends > 0
+              ? to_milliseconds(this->sent_at - this->request.received)
+              : -1},
+         {"first_ms",
+          this->first_output_at
+              ? to_milliseconds(*this->first_output_at - this->request.received)
+              : -1},
          {"total_ms", to_milliseconds(now - this->request.received)},
-         {"replicas_age_ms",
-          to_milliseconds(this->context.replicas.age())}});
+         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
     auto& metrics = this->context.metrics;
-    metrics.count("parsleytrack_requests_total",
-                  {{"outcome", outcome},
-                   {"kind", to_string(this->request.route->kind)}});
+    metrics.count(
+        "parsleytrack_requests_total",
+        {{"outcome", outcome}, {"kind", to_string(this->request.route->kind)}});
     metrics.observe("parsleytrack_first_output_seconds",
                     {{"kind", to_string(this->request.route->kind)}},
                     this->first_output_at.value_or(now) -
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -75,13 +75,13 @@
     const std::size_t limit =
         static_cast<std::size_t>(table->contents().limits.body.count());
     request.table = std::move(table);
-    exchange->on_body(limit,
-                      [this, exchange,
-                       request = std::move(request)](std::string body) mutable
-                      {
-                          request.body = std::move(body);
-                          this->start(exchange, std::move(request));
-                      });
+    exchange->on_body(
+        limit,
+        [this, exchange, request = std::move(request)](std::string body) mutable
+        {
+            request.body = std::move(body);
+            this->start(exchange, std::move(request));
+        });
 }
 
 void online_service::start(const std::shared_ptr<net::http_exchange>& exchange,
@@ -90,8 +90,7 @@
     const std::uint64_t number = this->next_number++;
     auto call = std::make_unique<online_call>(
         this->context, this->slots, exchange, std::move(request),
-        [this, number]
-        {
+        [this, number] {
             this->context.loop.post([this, number]
                                     { this->calls.erase(number); });
         });
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -69,11 +69,11 @@
           dialect(translator), random(random_seed()), front(this->loop),
           ready(this->loop), directory(this->loop), metrics_server(this->loop),
           replica_client(this->loop), store_client(this->loop),
-          peers(this->loop), store(this->loop, this->store_client,
-                                   this->settings.store, translator.records(),
-                                   this->random),
-          group(this->loop, this->peers, this->random,
-                own_info(this->settings), this->settings.seeds),
+          peers(this->loop),
+          store(this->loop, this->store_client, this->settings.store,
+                translator.records(), this->random),
+          group(this->loop, this->peers, this->random, own_info(this->settings),
+                this->settings.seeds),
           configuration(this->loop, this->store, this->random, translator),
           replicas(this->loop, this->store, this->random, translator)
     {
@@ -96,10 +96,10 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
-    relay_context context{this->settings, this->dialect,       this->loop,
-                          this->replica_client, this->peers,   this->group,
-                          this->store,    this->configuration, this->replicas,
-                          this->metrics,  this->random};
+    relay_context context{
+        this->settings, this->dialect, this->loop,  this->replica_client,
+        this->peers,    this->group,   this->store, this->configuration,
+        this->replicas, this->metrics, this->random};
     slot_desk desk{this->context};
     slot_client slots{this->context, this->desk};
     online_service online{this->context, this->slots};
@@ -164,10 +164,9 @@
     const auto table = this->configuration.current();
     if (!table)
     {
-        refuse(*exchange,
-               error{error_code::shutting_down,
-                     "this node has no configuration yet", ran_state::no,
-                     retry_after_start});
+        refuse(*exchange, error{error_code::shutting_down,
+                                "this node has no configuration yet",
+                                ran_state::no, retry_after_start});
         return;
     }
     if (this->stop && !this->stop->takes_requests(net::event_loop::now()))
@@ -219,8 +218,7 @@
 void relay_node::state::take_directory(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
-    const auto question =
-        this->dialect.read_address_question(exchange->head());
+    const auto question = this->dialect.read_address_question(exchange->head());
     if (!question)
     {
         refuse(*exchange, error{error_code::not_found,
@@ -261,8 +259,7 @@
         for (const finding& problem : *problems)
         {
             log_event(log_level::error, "reload_refused",
-                      {{"place", problem.place},
-                       {"message", problem.message}});
+                      {{"place", problem.place}, {"message", problem.message}});
         }
         return;
     }
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -34,8 +34,7 @@
                                    const header_names& header_names_in_use,
                                    const routing::replica_entry& replica,
                                    net::http_request request,
-                                   request_id request_name,
-                                   callbacks listener)
+                                   request_id request_name, callbacks listener)
     : names(header_names_in_use), id(std::move(request_name)),
       hooks(std::move(listener))
 {
@@ -43,7 +42,9 @@
                                  replica.id.str());
     net::http_client::callbacks client_hooks;
     client_hooks.on_head = [this](const net::http_response& response)
-    { this->take_head(response); };
+    {
+        this->take_head(response);
+    };
     if (this->hooks.on_piece)
     {
         client_hooks.on_piece = [this](std::string_view piece)
@@ -55,7 +56,9 @@
         };
     }
     client_hooks.on_end = [this](result<net::http_response> outcome)
-    { this->end(std::move(outcome)); };
+    {
+        this->end(std::move(outcome));
+    };
     this->call = client.send(replica.address, request, std::move(client_hooks));
 }
 
@@ -63,36 +66,36 @@
 {
     this->head_seen = true;
     this->head = response;
-    const std::string* echoed =
-        net::find_header(response.headers, this->names.request_id.c_str());
-    const bool has_digest =
-        net::find_header(response.headers, this->names.digest.c_str()) !=
-        nullptr;
-    if (echoed != nullptr && *echoed != this->id.str())
+    this->kind = this->classify(response);
+    if (this->kind == answer_kind::own && this->hooks.on_head)
     {
-        this->kind = answer_kind::foreign;
+        this->hooks.on_head(response);
     }
-    else if (response.status == status_misdirected)
+}
+
+replica_exchange::answer_kind
+replica_exchange::classify(const net::http_response& response) const
+{
+    const auto field = [&response](const std::string& name)
     {
-        this->kind = answer_kind::wrong_replica;
-    }
-    else if (net::find_header(response.headers,
-                              this->names.not_executed.c_str()) != nullptr)
+        return net::find_header(response.headers, name.c_str());
+    };
+    const std::string* echoed = field(this->names.request_id);
+    if (echoed != nullptr && *echoed != this->id.str())
     {
-        this->kind = answer_kind::not_run;
+        return answer_kind::foreign;
     }
-    else if (!has_digest || echoed == nullptr)
+    if (response.status == status_misdirected)
     {
-        this->kind = answer_kind::foreign;
+        return answer_kind::wrong_replica;
     }
-    else
+    if (field(this->names.not_executed) != nullptr)
     {
-        this->kind = answer_kind::own;
-        if (this->hooks.on_head)
-        {
-            this->hooks.on_head(response);
-        }
+        return answer_kind::not_run;
     }
+    const bool is_signed =
+        echoed != nullptr && field(this->names.digest) != nullptr;
+    return is_signed ? answer_kind::own : answer_kind::foreign;
 }
 
 void replica_exchange::end(result<net::http_response> outcome)
@@ -115,8 +118,7 @@
         callback(verdict, this->head, reason.message);
         return;
     }
-    const std::string seen =
-        "status " + std::to_string(outcome.value().status);
+    const std::string seen = "status " + std::to_string(outcome.value().status);
     switch (this->kind)
     {
     case answer_kind::own:
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -83,6 +83,7 @@
     };
 
     void take_head(const net::http_response& response);
+    answer_kind classify(const net::http_response& response) const;
     void end(result<net::http_response> outcome);
 
     const header_names& names;
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -25,7 +25,10 @@
                 { this->take_listing(listing, failed); },
                 [this](const key_value::record_change& change)
                 { this->take_change(change); },
-                [this](const error&) { this->replicas.store_lost(); }})
+                [this](const error&)
+                {
+                    this->replicas.store_lost();
+                }})
 {
     this->expiry_timer =
         this->loop.call_every(expiry_interval, [this] { this->expire(); });
@@ -63,8 +66,7 @@
         if (entry.has_error())
         {
             log_event(log_level::warning, "replica_entry_skipped",
-                      {{"key", record.key},
-                       {"reason", entry.error().message}});
+                      {{"key", record.key}, {"reason", entry.error().message}});
             continue;
         }
         const replica_id id = entry.value().id;
@@ -114,8 +116,7 @@
 
 void replica_follower::expire()
 {
-    for (const replica_id& id :
-         this->replicas.expire(net::event_loop::now()))
+    for (const replica_id& id : this->replicas.expire(net::event_loop::now()))
     {
         log_event(log_level::info, "replica_missing_after_outage",
                   {{"replica", id.str()}});
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -63,9 +63,9 @@
 
 void slot_client::report(const replica_report& report)
 {
-    const slot_pool pool{report.service,
-                         slots::pool_of(report.replica,
-                                        this->pools_of(report.service).count)};
+    const slot_pool pool{
+        report.service,
+        slots::pool_of(report.replica, this->pools_of(report.service).count)};
     const node_info broker = this->broker_of(pool);
     if (broker.id == this->context.group.own().id)
     {
@@ -161,10 +161,9 @@
     state.broker = broker.id;
     if (state.broker == own)
     {
-        state.ticket =
-            this->desk.open(state.order,
-                            [this, number](const slot_answer& answer)
-                            { this->take_answer(number, answer); });
+        state.ticket = this->desk.open(state.order,
+                                       [this, number](const slot_answer& answer)
+                                       { this->take_answer(number, answer); });
         return;
     }
     state.call = this->context.peers.call(
@@ -181,7 +180,9 @@
              this->take_answer(number, answer.value());
          },
          [this, number](const result<std::string>&)
-         { this->lose_broker(number, "connection_lost"); }});
+         {
+             this->lose_broker(number, "connection_lost");
+         }});
     if (!state.granted)
     {
         state.patience = this->context.loop.call_after(
@@ -281,8 +282,8 @@
         std::uniform_real_distribution<double> jitter(0.0, 1.0);
         const auto known = this->in_flight.find(entry->id);
         const int used = known == this->in_flight.end() ? 0 : known->second;
-        const double load = (used + jitter(this->context.random)) /
-                            std::max(1, entry->slots);
+        const double load =
+            (used + jitter(this->context.random)) / std::max(1, entry->slots);
         if (best == nullptr || load < best_load)
         {
             best = entry;
@@ -295,9 +296,9 @@
         hooks.on_refused(retry_after_without_replica);
         return;
     }
-    log_event(log_level::info, "slot_chosen_alone",
-              {{"request", state.order.request.str()},
-               {"replica", best->id.str()}});
+    log_event(
+        log_level::info, "slot_chosen_alone",
+        {{"request", state.order.request.str()}, {"replica", best->id.str()}});
     state.granted = true;
     state.order.held = best->id;
     ++this->in_flight[best->id];
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -35,8 +35,8 @@
 };
 
 /// Gets slots for the requests of this node from the brokers of each service,
-/// which are some of the living nodes. When the broker does not answer, a replica
-/// is chosen from what this node knows itself.
+/// which are some of the living nodes. When the broker does not answer, a
+/// replica is chosen from what this node knows itself.
 class slot_client
 {
 public:
--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -28,8 +28,8 @@
         wire::message_type::slot_report,
         [this](const std::shared_ptr<wire::peer_exchange>& exchange)
         { this->take_peer_report(exchange); });
-    this->tick_timer = this->context.loop.call_every(tick_interval,
-                                                     [this] { this->tick(); });
+    this->tick_timer =
+        this->context.loop.call_every(tick_interval, [this] { this->tick(); });
 }
 
 slots::slot_ticket slot_desk::open(const slot_order& order,
@@ -220,14 +220,14 @@
             break;
         case slots::slot_verdict::refused:
             answer.what = slot_answer::verdict::refused;
-            log_event(log_level::info, "slot_refused",
-                      {{"request", state.order.request.str()},
-                       {"pool", state.order.pool.name()},
-                       {"waiting", command.waiting},
-                       {"used", broker.used_slots()},
-                       {"slots", broker.total_slots()},
-                       {"retry_after_ms",
-                        to_milliseconds(command.retry_after)}});
+            log_event(
+                log_level::info, "slot_refused",
+                {{"request", state.order.request.str()},
+                 {"pool", state.order.pool.name()},
+                 {"waiting", command.waiting},
+                 {"used", broker.used_slots()},
+                 {"slots", broker.total_slots()},
+                 {"retry_after_ms", to_milliseconds(command.retry_after)}});
             break;
         case slots::slot_verdict::reclaimed:
             answer.what = slot_answer::verdict::reclaimed;
--- a/src/relay/stop_schedule.cpp
+++ b/src/relay/stop_schedule.cpp
@@ -7,10 +7,10 @@
 
 stop_schedule::stop_schedule(time_point begin, duration address_validity,
                              duration limit)
-    : last_request(begin + std::max(duration::zero(),
-                                    std::min(address_validity *
-                                                 kept_answer_factor,
-                                             limit - margin - reserve))),
+    : last_request(begin +
+                   std::max(duration::zero(),
+                            std::min(address_validity * kept_answer_factor,
+                                     limit - margin - reserve))),
       end(begin + std::max(duration::zero(), limit - margin))
 {
 }
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -76,8 +76,8 @@
 
 void storage_node::report_empty()
 {
-    const std::string key = this->dialect.keys().retirement_state_prefix +
-                            this->settings.id.str();
+    const std::string key =
+        this->dialect.keys().retirement_state_prefix + this->settings.id.str();
     key_value::record_transaction transaction;
     transaction.puts = {{key, this->dialect.write_retirement_state(true)}};
     this->store.commit(
--- a/src/routing/replica_book.cpp
+++ b/src/routing/replica_book.cpp
@@ -3,8 +3,9 @@
 namespace parsleytrack::routing
 {
 
-void replica_book::replace_all(const std::map<replica_id, replica_entry>& listed,
-                               bool after_outage, time_point now)
+void replica_book::replace_all(
+    const std::map<replica_id, replica_entry>& listed, bool after_outage,
+    time_point now)
 {
     this->store_reachable = true;
     if (after_outage)
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -53,9 +53,9 @@
     settings.region = region_name(reader.required_text("region"));
     settings.availability_zone =
         availability_zone_name(reader.required_text("availability_zone"));
-    settings.capacity = static_cast<int>(
-        reader.number("cores", 1.0, least_cores, most_cores) *
-        thousandths_per_core);
+    settings.capacity =
+        static_cast<int>(reader.number("cores", 1.0, least_cores, most_cores) *
+                         thousandths_per_core);
 }
 
 void read_listen(object_reader& reader, relay_settings& settings)
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -67,7 +67,9 @@
     if (found == this->held.end())
     {
         const auto is_ticket = [ticket](const auto& entry)
-        { return entry.second.ticket == ticket; };
+        {
+            return entry.second.ticket == ticket;
+        };
         std::erase_if(this->online, is_ticket);
         std::erase_if(this->batch, is_ticket);
         return;
@@ -212,7 +214,11 @@
         this->held.at(ticket).reclaimed = true;
         ++this->reclaims_under_way;
         this->commands.push_back(
-            slot_command{ticket, slot_verdict::reclaimed, {}, {}, 0,
+            slot_command{ticket,
+                         slot_verdict::reclaimed,
+                         {},
+                         {},
+                         0,
                          static_cast<int>(this->online.size())});
     }
 }
@@ -273,7 +279,10 @@
     this->hold(waiting.ticket,
                held_slot{chosen.replica.id, waiting.request, now, false});
     this->commands.push_back(slot_command{
-        waiting.ticket, slot_verdict::granted, chosen.replica.id, {},
+        waiting.ticket,
+        slot_verdict::granted,
+        chosen.replica.id,
+        {},
         this->free_slots(now),
         static_cast<int>(this->online.size() + this->batch.size())});
 }
@@ -281,10 +290,13 @@
 void slot_broker::refuse(const waiting_request& waiting, duration wait)
 {
     this->commands.push_back(
-        slot_command{waiting.ticket, slot_verdict::refused, {},
+        slot_command{waiting.ticket,
+                     slot_verdict::refused,
+                     {},
                      std::clamp(wait, this->options.shortest_retry_after,
                                 this->options.longest_retry_after),
-                     0, static_cast<int>(this->online.size())});
+                     0,
+                     static_cast<int>(this->online.size())});
 }
 
 slot_broker::replica_state* slot_broker::choose(const slot_request& wanted,
@@ -339,8 +351,8 @@
     {
         return this->options.longest_retry_after;
     }
-    const auto beyond_reclaim = static_cast<std::int64_t>(ahead) + 1 -
-                                this->batch_held;
+    const auto beyond_reclaim =
+        static_cast<std::int64_t>(ahead) + 1 - this->batch_held;
     if (beyond_reclaim <= 0)
     {
         return this->options.reclaim_time;
--- a/src/units/numbers.hpp
+++ b/src/units/numbers.hpp
@@ -8,8 +8,7 @@
 using byte_count = strong_number<struct byte_count_tag>;
 using token_count = strong_number<struct token_count_tag>;
 /// Version of the configuration in force; grows in uneven steps.
-using configuration_version =
-    strong_number<struct configuration_version_tag>;
+using configuration_version = strong_number<struct configuration_version_tag>;
 /// Version of the release in force; grows by one with each accepted note.
 using release_version = strong_number<struct release_version_tag>;
 /// Grows with each new holder of a lease or a gate.
--- a/tests/fuzz/membership_fuzz_test.cpp
+++ b/tests/fuzz/membership_fuzz_test.cpp
@@ -1,8 +1,8 @@
-#include "peering/membership_conversion.hpp"
 #include "daemon/region_conversion.hpp"
 #include "daemon/seed_conversion.hpp"
 #include "decisions/membership.hpp"
 #include "fuzz/mutation.hpp"
+#include "peering/membership_conversion.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/jobs/owned_job_test.cpp
+++ b/tests/jobs/owned_job_test.cpp
@@ -227,9 +227,7 @@
     }
 }
 
-TEST_GROUP(job_codec)
-{
-};
+TEST_GROUP(job_codec){};
 
 TEST(job_codec, records_are_read_as_they_were_written)
 {
--- a/tests/logging/bounded_sink_test.cpp
+++ b/tests/logging/bounded_sink_test.cpp
@@ -24,8 +24,8 @@
     void setup() override
     {
         CHECK(::pipe(this->pipe_ends.data()) == 0);
-        this->sink = std::make_shared<bounded_sink>(
-            this->pipe_ends[1], [this] { return this->now; });
+        this->sink = std::make_shared<bounded_sink>(this->pipe_ends[1], [this]
+                                                    { return this->now; });
         this->logger = std::make_shared<spdlog::logger>("test", this->sink);
         this->logger->set_pattern("%v");
     }
--- a/tests/platform/configuration_decoder_test.cpp
+++ b/tests/platform/configuration_decoder_test.cpp
@@ -24,9 +24,7 @@
 
 } // namespace
 
-TEST_GROUP(configuration_decoder)
-{
-};
+TEST_GROUP(configuration_decoder){};
 
 TEST(configuration_decoder, reads_all_fields)
 {
@@ -63,11 +61,12 @@
 
 TEST(configuration_decoder, refuses_what_it_cannot_use)
 {
-    for (const char* text :
-         {"", "[]", "{", "{}", R"({"version":"7","routes":[]})",
-          R"({"version":7,"routes":{}})",
-          R"({"version":7,"routes":[{"host":"h","prefix":"/"}]})",
-          R"({"version":7,"routes":[{"host":"h","prefix":"/","kind":"safe"}]})"})
+    for (
+        const char* text :
+        {"", "[]", "{", "{}", R"({"version":"7","routes":[]})",
+         R"({"version":7,"routes":{}})",
+         R"({"version":7,"routes":[{"host":"h","prefix":"/"}]})",
+         R"({"version":7,"routes":[{"host":"h","prefix":"/","kind":"safe"}]})"})
     {
         CHECK(decode_configuration(text).has_error());
     }
--- a/tests/platform/job_translation_test.cpp
+++ b/tests/platform/job_translation_test.cpp
@@ -16,16 +16,15 @@
 
 } // namespace
 
-TEST_GROUP(job_translation)
-{
-    static net::http_request_head head(const char* method, const char* path)
-    {
+TEST_GROUP(job_translation){
+    static net::http_request_head head(const char* method, const char* path){
         net::http_request_head made;
-        made.method = method;
-        made.path = path;
-        return made;
-    }
-};
+made.method = method;
+made.path = path;
+return made;
+}
+}
+;
 
 TEST(job_translation, reads_a_submission)
 {
--- a/tests/platform/kv_dialect_test.cpp
+++ b/tests/platform/kv_dialect_test.cpp
@@ -51,8 +51,8 @@
 TEST(kv_dialect, reads_changes_and_lost_history)
 {
     CHECK(this->kv.read_watch(answer(410, "")).value().history_lost);
-    const auto read = this->kv.read_watch(answer(
-        200, R"({"events":[{"key":"a","value":"","revision":3},
+    const auto read = this->kv.read_watch(
+        answer(200, R"({"events":[{"key":"a","value":"","revision":3},
                  {"key":"b","revision":4,"deleted":true}],"currentRev":4})"));
     CHECK_EQUAL(2, read.value().changes.size());
     CHECK(read.value().changes[1].deleted);
@@ -64,7 +64,8 @@
     key_value::record_transaction change;
     change.conditions = {{"a", store_revision(1)}, {"b", store_revision()}};
     const auto read = this->kv.read_commit(
-        change, answer(412, R"({"items":[{"key":"a","value":"","revision":2}]})"));
+        change,
+        answer(412, R"({"items":[{"key":"a","value":"","revision":2}]})"));
     CHECK_FALSE(read.value().applied);
     CHECK_EQUAL(2, read.value().current.size());
     CHECK_EQUAL(2, read.value().current[0].revision.count());
--- a/tests/platform/replica_decoder_test.cpp
+++ b/tests/platform/replica_decoder_test.cpp
@@ -16,27 +16,24 @@
 
 } // namespace
 
-TEST_GROUP(replica_decoder)
-{
-    static bool reads(const std::string& text)
-    {
-        return decode_replica(replica_id("i"), text).has_value();
-    }
+TEST_GROUP(replica_decoder){static bool reads(const std::string& text){
+    return decode_replica(replica_id("i"), text).has_value();
+}
 
-    /// \returns The good entry with one text replaced.
-    static std::string with(const std::string& from, const std::string& to)
-    {
-        std::string text = good;
-        return text.replace(text.find(from), from.size(), to);
-    }
-};
+/// \returns The good entry with one text replaced.
+static std::string with(const std::string& from, const std::string& to)
+{
+    std::string text = good;
+    return text.replace(text.find(from), from.size(), to);
+}
+}
+;
 
 TEST(replica_decoder, reads_an_entry)
 {
     const auto read = decode_replica(replica_id("i"), good);
     CHECK(read.has_value());
-    STRCMP_EQUAL("10.128.0.9:8080",
-                 to_string(read.value().address).c_str());
+    STRCMP_EQUAL("10.128.0.9:8080", to_string(read.value().address).c_str());
     CHECK_EQUAL(8, read.value().slots);
     CHECK_FALSE(read.value().draining);
     CHECK(read.value().started_at_ms == 1'700'000'000'123);
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -47,7 +47,6 @@
 
 TEST(event_splitter, notices_an_endless_event)
 {
-    this->splitter.feed(
-        std::string(event_splitter::max_event_bytes + 1, 'x'));
+    this->splitter.feed(std::string(event_splitter::max_event_bytes + 1, 'x'));
     CHECK(this->splitter.is_too_long());
 }
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -72,8 +72,8 @@
     const std::uint16_t peer_port = free_address(this->loop).port;
     for (std::size_t number = 0; number < this->nodes.size(); ++number)
     {
-        this->nodes[number].peer = endpoint{
-            "127.0.0." + std::to_string(number + 2), peer_port};
+        this->nodes[number].peer =
+            endpoint{"127.0.0." + std::to_string(number + 2), peer_port};
     }
     for (int number = 0; number < node_count; ++number)
     {
@@ -89,12 +89,10 @@
         [this, node_count]
         {
             const answer directory =
-                this->call(-1, "GET",
-                           "/v1/resolve?name=h&region=r&zone=z");
+                this->call(-1, "GET", "/v1/resolve?name=h&region=r&zone=z");
             const json body = json::parse(directory.body, nullptr, false);
-            return body.is_object() &&
-                   body["addresses"].size() ==
-                       static_cast<std::size_t>(node_count);
+            return body.is_object() && body["addresses"].size() ==
+                                           static_cast<std::size_t>(node_count);
         });
 }
 
@@ -108,20 +106,19 @@
     {
         seeds.push_back(to_string(other.peer));
     }
-    const json document{
-        {"node",
-         {{"id", "n" + std::to_string(number)},
-          {"region", "r"},
-          {"availability_zone", "z"}}},
-        {"listen",
-         {{"front", to_string(entry.front)},
-          {"ready", to_string(entry.ready)},
-          {"directory", to_string(entry.directory)},
-          {"peer", to_string(entry.peer)}}},
-        {"seeds", seeds},
-        {"store", {{"address", to_string(entry.store)}}},
-        {"addresses", {{"validity_s", 0.5}}},
-        {"stop", {{"limit_s", 8}}}};
+    const json document{{"node",
+                         {{"id", "n" + std::to_string(number)},
+                          {"region", "r"},
+                          {"availability_zone", "z"}}},
+                        {"listen",
+                         {{"front", to_string(entry.front)},
+                          {"ready", to_string(entry.ready)},
+                          {"directory", to_string(entry.directory)},
+                          {"peer", to_string(entry.peer)}}},
+                        {"seeds", seeds},
+                        {"store", {{"address", to_string(entry.store)}}},
+                        {"addresses", {{"validity_s", 0.5}}},
+                        {"stop", {{"limit_s", 8}}}};
     std::ofstream(entry.settings) << document.dump();
 }
 
@@ -150,8 +147,7 @@
                  [&ended, into](const result<net::http_response>& end)
                  {
                      ended = true;
-                     into->status =
-                         end.has_value() ? end.value().status : 0;
+                     into->status = end.has_value() ? end.value().status : 0;
                  }});
             while (!ended)
             {
@@ -187,19 +183,20 @@
         number < 0 ? this->nodes.front().directory
                    : this->nodes.at(static_cast<std::size_t>(number)).front;
     into->status = -1;
-    this->calls[this->next_call++] = this->client.send(
-        target, request,
-        {{},
-         {},
-         [into](const result<net::http_response>& end)
-         {
-             into->status = end.has_value() ? end.value().status : 0;
-             if (end.has_value())
-             {
-                 into->headers = end.value().headers;
-                 into->body = end.value().body;
-             }
-         }});
+    this->calls[this->next_call++] =
+        this->client.send(target, request,
+                          {{},
+                           {},
+                           [into](const result<net::http_response>& end)
+                           {
+                               into->status =
+                                   end.has_value() ? end.value().status : 0;
+                               if (end.has_value())
+                               {
+                                   into->headers = end.value().headers;
+                                   into->body = end.value().body;
+                               }
+                           }});
 }
 
 relay_fleet::answer relay_fleet::call(int number, const std::string& method,
@@ -237,10 +234,9 @@
     this->wait(
         [this, number, &job, &all]
         {
-            const answer page =
-                this->call(number, "GET",
-                           "/v1/lots/" + job +
-                               "?after=" + std::to_string(all.size()));
+            const answer page = this->call(
+                number, "GET",
+                "/v1/lots/" + job + "?after=" + std::to_string(all.size()));
             if (page.status != 200)
             {
                 return false;
--- a/tests/relay_process/replica_stand_in.cpp
+++ b/tests/relay_process/replica_stand_in.cpp
@@ -23,8 +23,7 @@
     this->server.set_handler(
         [this](const std::shared_ptr<net::http_exchange>& exchange)
         {
-            exchange->on_body(1024 * 1024,
-                              [this, exchange](const std::string&)
+            exchange->on_body(1024 * 1024, [this, exchange](const std::string&)
                               { this->take(exchange); });
         });
 }
@@ -32,14 +31,11 @@
 std::string replica_stand_in::entry(const std::string& service,
                                     const std::string& state) const
 {
-    return nlohmann::json{{"service", service},
-                          {"address", to_string(this->address)},
-                          {"zone", "z"},
-                          {"version", "v1"},
-                          {"slots", 4},
-                          {"state", state},
-                          {"seq", 1},
-                          {"born", 1}}
+    return nlohmann::json{
+        {"service", service}, {"address", to_string(this->address)},
+        {"zone", "z"},        {"version", "v1"},
+        {"slots", 4},         {"state", state},
+        {"seq", 1},           {"born", 1}}
         .dump();
 }
 
@@ -93,16 +89,15 @@
     net::http_header_list fields = headers;
     fields.emplace_back("Content-Type", "text/event-stream");
     exchange->start_stream(200, fields);
-    entry.pace = this->loop.call_every(
-        event_interval, [this, number] { this->step(number); });
+    entry.pace = this->loop.call_every(event_interval,
+                                       [this, number] { this->step(number); });
 }
 
 void replica_stand_in::step(std::uint64_t number)
 {
     stream& entry = this->streams.at(number);
     const auto exchange = entry.exchange;
-    const bool is_cut =
-        this->behaviour == fault::cut && entry.next > cut_after;
+    const bool is_cut = this->behaviour == fault::cut && entry.next > cut_after;
     if (entry.next > stream_events || is_cut || !exchange->is_open())
     {
         if (is_cut)
@@ -118,8 +113,8 @@
         this->streams.erase(number);
         return;
     }
-    exchange->write_chunk("id: " + std::to_string(entry.next) +
-                          "\ndata: t" + std::to_string(entry.next) + "\n\n");
+    exchange->write_chunk("id: " + std::to_string(entry.next) + "\ndata: t" +
+                          std::to_string(entry.next) + "\n\n");
     ++entry.next;
 }
 
--- a/tests/relay_process/store_stand_in.cpp
+++ b/tests/relay_process/store_stand_in.cpp
@@ -51,8 +51,7 @@
     this->tell_watches();
 }
 
-std::vector<std::string>
-store_stand_in::values(const std::string& prefix) const
+std::vector<std::string> store_stand_in::values(const std::string& prefix) const
 {
     std::vector<std::string> found;
     for (const auto& [key, entry] : this->keys)
@@ -148,8 +147,7 @@
                                    .dump());
 }
 
-json store_stand_in::events(const std::string& prefix,
-                            std::int64_t after) const
+json store_stand_in::events(const std::string& prefix, std::int64_t after) const
 {
     json found = json::array();
     for (const auto& [key, entry] : this->keys)
@@ -240,10 +238,10 @@
         ++this->revision;
         for (const json& put : change["puts"])
         {
-            this->write(put["key"],
-                        *key_value::decode_base64(
-                            put["value"].get<std::string>()),
-                        false);
+            this->write(
+                put["key"],
+                *key_value::decode_base64(put["value"].get<std::string>()),
+                false);
         }
     }
     if (this->lost_answers > 0)
--- a/tests/relay_process/whole_path_test.cpp
+++ b/tests/relay_process/whole_path_test.cpp
@@ -59,9 +59,7 @@
 
 } // namespace
 
-TEST_GROUP(relay_calm)
-{
-};
+TEST_GROUP(relay_calm){};
 
 TEST(relay_calm, serves_plain_streamed_and_batch_requests)
 {
@@ -69,9 +67,9 @@
     const auto page = fleet.call(0, "POST", "/plain/a?b=c", "id1", "body");
     CHECK_EQUAL(200, page.status);
     STRCMP_EQUAL("page of id1", page.body.c_str());
-    STRCMP_EQUAL("seal-id1",
-                 net::find_header(page.headers, "Parsleytrack-Response-Seal")
-                     ->c_str());
+    STRCMP_EQUAL(
+        "seal-id1",
+        net::find_header(page.headers, "Parsleytrack-Response-Seal")->c_str());
     const auto stream = fleet.call(1, "POST", "/stream/a", "id2", "body");
     STRCMP_EQUAL(whole_stream().c_str(), stream.body.c_str());
     CHECK_EQUAL(1, runs_of(fleet, "id2"));
@@ -132,9 +130,7 @@
     CHECK_EQUAL(0, runs_of(fleet, "job-0"));
 }
 
-TEST_GROUP(relay_replica_faults)
-{
-};
+TEST_GROUP(relay_replica_faults){};
 
 TEST(relay_replica_faults, a_cut_stream_goes_on_at_another_replica)
 {
@@ -185,8 +181,9 @@
     fleet.wait([until] { return net::event_loop::now() > until; });
     for (int count = 0; count < 10; ++count)
     {
-        CHECK_EQUAL(200, fleet.call(count % 2, "POST", "/stream/a",
-                                    "id" + std::to_string(count))
+        CHECK_EQUAL(200, fleet
+                             .call(count % 2, "POST", "/stream/a",
+                                   "id" + std::to_string(count))
                              .status);
     }
     CHECK(fleet.engines[0]->runs.empty());
@@ -203,14 +200,11 @@
     CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
     const auto results = fleet.results(0, "job");
     CHECK_EQUAL(2, results.size());
-    STRCMP_EQUAL("dead_letter",
-                 results[0]["state"].get<std::string>().c_str());
+    STRCMP_EQUAL("dead_letter", results[0]["state"].get<std::string>().c_str());
     CHECK_EQUAL(2, runs_of(fleet, "job-0"));
 }
 
-TEST_GROUP(relay_store_faults)
-{
-};
+TEST_GROUP(relay_store_faults){};
 
 TEST(relay_store_faults, a_lost_answer_does_not_accept_a_job_twice)
 {
@@ -262,9 +256,7 @@
     check_results(fleet.results(1, "job"), 4);
 }
 
-TEST_GROUP(relay_planned_stop)
-{
-};
+TEST_GROUP(relay_planned_stop){};
 
 TEST(relay_planned_stop, no_request_is_cut)
 {
@@ -303,9 +295,7 @@
     check_results(fleet.results(1, "job"), 6);
 }
 
-TEST_GROUP(relay_owner_killed)
-{
-};
+TEST_GROUP(relay_owner_killed){};
 
 TEST(relay_owner_killed, another_node_goes_on_with_its_jobs)
 {
--- a/tests/routing/replica_book_test.cpp
+++ b/tests/routing/replica_book_test.cpp
@@ -21,8 +21,8 @@
         return made;
     }
 
-    static std::map<replica_id, replica_entry>
-    listing(const std::vector<replica_entry>& entries)
+    static std::map<replica_id, replica_entry> listing(
+        const std::vector<replica_entry>& entries)
     {
         std::map<replica_id, replica_entry> listed;
         for (const replica_entry& made : entries)
@@ -32,7 +32,10 @@
         return listed;
     }
 
-    std::size_t usable() const { return this->book.usable(service).size(); }
+    std::size_t usable() const
+    {
+        return this->book.usable(service).size();
+    }
 };
 
 TEST(replica_book, a_draining_or_removed_replica_is_not_used)
--- a/tests/slots/slot_broker_test.cpp
+++ b/tests/slots/slot_broker_test.cpp
@@ -19,9 +19,9 @@
         std::vector<slot_replica> usable;
         for (int number = 0; number < count; ++number)
         {
-            usable.push_back(slot_replica{
-                replica_id("r" + std::to_string(number)),
-                availability_zone_name(zone), slots});
+            usable.push_back(
+                slot_replica{replica_id("r" + std::to_string(number)),
+                             availability_zone_name(zone), slots});
         }
         this->broker.set_replicas(usable, this->now);
     }
@@ -39,7 +39,10 @@
         return ticket;
     }
 
-    slot_ticket online() { return this->ask(work_class::online, useful); }
+    slot_ticket online()
+    {
+        return this->ask(work_class::online, useful);
+    }
     slot_ticket batch()
     {
         return this->ask(work_class::batch, std::chrono::seconds(18), true);
