Collect changes of replicas and probe waiting connections, to spare calls

Mend: half a second of changes is collected; a watch waits 25 s on a connection that the kernel probes, also between nodes, so silence shows within 3 s where it took 6.

--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -13,9 +13,9 @@
 
 /// Above the slowest answers that the store gives while it still works.
 constexpr duration call_timeout = std::chrono::milliseconds(1200);
-/// How long the store may hold a call for changes; its own limit is 30 s.
-/// Shorter, so that a silent connection is noticed.
-constexpr duration watch_wait = std::chrono::seconds(5);
+/// How long the store may hold a call for changes; its own limit is 30 s. The
+/// connection is probed meanwhile.
+constexpr duration watch_wait = std::chrono::seconds(25);
 constexpr duration watch_timeout = watch_wait + call_timeout;
 constexpr duration first_repeat_delay = std::chrono::milliseconds(40);
 constexpr duration longest_repeat_delay = std::chrono::milliseconds(400);
@@ -145,7 +145,9 @@
 void record_client::watch(const std::string& prefix, store_revision after,
                           watch_callback callback)
 {
-    this->send(this->dialect.watch(prefix, after, watch_wait), watch_timeout,
+    net::http_request request = this->dialect.watch(prefix, after, watch_wait);
+    request.probe_connection = true;
+    this->send(request, watch_timeout,
                [this, callback = std::move(callback)](
                    result<net::http_response> response)
                {
--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -20,10 +20,12 @@
 record_follower::record_follower(net::event_loop& event_loop,
                                  record_client& client,
                                  random_source& random_numbers,
-                                 std::string key_prefix, callbacks listener)
+                                 std::string key_prefix,
+                                 duration pause_after_changes,
+                                 callbacks listener)
     : loop(event_loop), store(client), random(random_numbers),
       prefix(std::move(key_prefix)), hooks(std::move(listener)),
-      pauses(first_pause, longest_pause)
+      collecting(pause_after_changes), pauses(first_pause, longest_pause)
 {
 }
 
@@ -54,31 +56,32 @@
 
 void record_follower::wait_for_changes()
 {
-    this->store.watch(this->prefix, this->position,
-                      [this](result<record_changes> answer)
-                      {
-                          if (answer.has_error())
-                          {
-                              this->fail(answer.error());
-                              return;
-                          }
-                          if (answer.value().history_lost)
-                          {
-                              log_event(log_level::info, "store_history_lost",
-                                        {{"prefix", this->prefix},
-                                         {"after", this->position.count()}});
-                              this->read_all();
-                              return;
-                          }
-                          this->confirmed = net::event_loop::now();
-                          this->position = answer.value().read_at;
-                          for (const record_change& change :
-                               answer.value().changes)
-                          {
-                              this->hooks.on_change(change);
-                          }
-                          this->wait_for_changes();
-                      });
+    this->store.watch(
+        this->prefix, this->position,
+        [this](result<record_changes> answer)
+        {
+            if (answer.has_error())
+            {
+                this->fail(answer.error());
+                return;
+            }
+            if (answer.value().history_lost)
+            {
+                log_event(log_level::info, "store_history_lost",
+                          {{"prefix", this->prefix},
+                           {"after", this->position.count()}});
+                this->read_all();
+                return;
+            }
+            this->confirmed = net::event_loop::now();
+            this->position = answer.value().read_at;
+            for (const record_change& change : answer.value().changes)
+            {
+                this->hooks.on_change(change);
+            }
+            this->next_timer = this->loop.call_after(
+                this->collecting, [this] { this->wait_for_changes(); });
+        });
 }
 
 void record_follower::fail(const error& reason)
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -28,9 +28,11 @@
         std::function<void(const error&)> on_failure;
     };
 
+    /// \param pause_after_changes How long changes are collected before the
+    /// next ones are asked for, to spare calls.
     record_follower(net::event_loop& event_loop, record_client& client,
                     random_source& random_numbers, std::string key_prefix,
-                    callbacks listener);
+                    duration pause_after_changes, callbacks listener);
 
     void start();
 
@@ -47,10 +49,12 @@
     random_source& random;
     std::string prefix;
     callbacks hooks;
+    duration collecting;
     backoff pauses;
     store_revision position;
     time_point confirmed;
     bool failing = false;
+    net::timer next_timer;
     net::timer retry_timer;
 };
 
--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -26,6 +26,9 @@
     duration head_timeout = duration::zero();
     /// Longest time between two pieces of the answer; zero means "no limit".
     duration idle_timeout = duration::zero();
+    /// Whether the connection is probed while nothing comes, so that one that
+    /// has gone silent is noticed; for requests that wait long.
+    bool probe_connection = false;
     /// Whether an idle connection may carry it. A call that must not run twice
     /// takes a new connection, since then a failed connect is a proof that it
     /// was not sent.
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -1,5 +1,7 @@
 #include "net/http_transfer.hpp"
 
+#include "net/connection_probe.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -88,6 +90,7 @@
         };
     };
     event_loop& loop = this->client.loop();
+    this->probes_connection = request.probe_connection;
     this->watch_output();
     if (request.total_timeout > duration::zero())
     {
@@ -130,11 +133,24 @@
         [](evbuffer*, const evbuffer_cb_info* change, void* argument)
         {
             auto* transfer = static_cast<http_transfer*>(argument);
-            transfer->sent = transfer->sent || change->n_added > 0;
+            if (change->n_added > 0 && !transfer->sent)
+            {
+                transfer->handle_first_byte();
+            }
         },
         this);
 }
 
+void http_transfer::handle_first_byte()
+{
+    this->sent = true;
+    if (this->probes_connection)
+    {
+        probe_connection(bufferevent_getfd(
+            evhttp_connection_get_bufferevent(this->connection->handle())));
+    }
+}
+
 void http_transfer::unwatch_output()
 {
     if (this->output_watch != nullptr)
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -39,6 +39,7 @@
     void release_connection(bool reusable);
     void restart_idle_timer();
     void watch_output();
+    void handle_first_byte();
     void check_sent();
     ran_state ran_so_far() const;
 
@@ -57,6 +58,7 @@
     /// Whether any byte of the request was handed to the connection. The
     /// library does so only once the connection is open.
     bool sent = false;
+    bool probes_connection = false;
     bool head_seen = false;
     bool failed = false;
     bool ended = false;
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -12,23 +12,24 @@
                                                random_source& random_numbers,
                                                const relay_dialect& translator)
     : dialect(translator),
-      follower(
-          event_loop, client, random_numbers, translator.keys().configuration,
-          {[this](const key_value::record_listing& listing, bool)
-           {
-               for (const key_value::stored_record& record : listing.records)
-               {
-                   this->take(record);
-               }
-           },
-           [this](const key_value::record_change& change)
-           {
-               if (!change.deleted)
-               {
-                   this->take(change.record);
-               }
-           },
-           {}})
+      follower(event_loop, client, random_numbers,
+               translator.keys().configuration, duration::zero(),
+               {[this](const key_value::record_listing& listing, bool)
+                {
+                    for (const key_value::stored_record& record :
+                         listing.records)
+                    {
+                        this->take(record);
+                    }
+                },
+                [this](const key_value::record_change& change)
+                {
+                    if (!change.deleted)
+                    {
+                        this->take(change.record);
+                    }
+                },
+                {}})
 {
 }
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// Replicas change together in a release; a leaving one may get requests for
+/// two seconds after its word, four times this.
+constexpr duration collecting_time = std::chrono::milliseconds(500);
 constexpr duration expiry_interval = std::chrono::milliseconds(250);
 
 } // namespace
@@ -20,7 +23,7 @@
                                    const relay_dialect& translator)
     : loop(event_loop), dialect(translator),
       follower(event_loop, client, random_numbers,
-               translator.keys().replica_prefix,
+               translator.keys().replica_prefix, collecting_time,
                {[this](const key_value::record_listing& listing, bool failed)
                 { this->take_listing(listing, failed); },
                 [this](const key_value::record_change& change)
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -25,6 +25,7 @@
             this->random),
       follower(this->loop, this->store, this->random,
                translator.keys().retirement_prefix + this->settings.id.str(),
+               duration::zero(),
                {[this](const key_value::record_listing& listing, bool)
                 {
                     for (const auto& record : listing.records)
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "wire/peer_connection.hpp"
 
+#include "net/connection_probe.hpp"
 #include "wire/codec.hpp"
 #include "wire/failure_conversion.hpp"
 #include "wire/generated/frame_types.h"
@@ -58,6 +59,7 @@
     if (descriptor >= 0)
     {
         set_no_delay(descriptor);
+        net::probe_connection(descriptor);
     }
 }
 
@@ -165,6 +167,7 @@
     {
         this->connected = true;
         set_no_delay(bufferevent_getfd(this->link.get()));
+        net::probe_connection(bufferevent_getfd(this->link.get()));
         return;
     }
     this->close("the connection was lost");
