Erase jobs whose results need not be kept; check relay settings by command

Cause: records of finished jobs were never erased, so the store would fill. Tests: relay_calm/results_are_erased (failed first while the stand-in ignored deletions: the fault was the stand-in's), settings/relay_settings.

--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -12,6 +12,7 @@
 DEFINE_int64(expected_version, -1,
              "release apply: version that the note is meant to follow; "
              "-1 takes the version in force");
+DEFINE_bool(relay, false, "settings check: the file is one of a relay node");
 DEFINE_string(service, "", "addresses: the service to be called");
 DEFINE_bool(wait, false,
             "job submit, release apply: wait until complete, with progress");
--- a/src/cli/settings_commands.cpp
+++ b/src/cli/settings_commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/command.hpp"
 #include "cli/flags.hpp"
 #include "cli/table.hpp"
+#include "settings/relay_settings_loader.hpp"
 #include "settings/settings_loader.hpp"
 
 #include <nlohmann/json.hpp>
@@ -16,30 +17,40 @@
 
 using json = nlohmann::json;
 
+/// \returns All that is wrong with a settings file; empty when it is valid.
+findings find_problems(const std::string& path)
+{
+    const auto problems_of = [](const auto& outcome)
+    {
+        const auto* problems = std::get_if<findings>(&outcome);
+        return problems == nullptr ? findings() : *problems;
+    };
+    return FLAGS_relay ? problems_of(settings::load_relay_settings(path))
+                       : problems_of(settings::load_settings(path));
+}
+
 exit_code check_settings(node_client&,
                          const std::vector<std::string>& arguments)
 {
-    const auto outcome = settings::load_settings(arguments.at(0));
-    const auto* problems = std::get_if<findings>(&outcome);
+    const findings problems = find_problems(arguments.at(0));
     if (FLAGS_json)
     {
         json list = json::array();
-        for (const finding& problem :
-             problems == nullptr ? findings{} : *problems)
+        for (const finding& problem : problems)
         {
             list.push_back(
                 {{"place", problem.place}, {"message", problem.message}});
         }
         std::cout << json{{"findings", list}}.dump() << '\n';
-        return problems == nullptr ? exit_code::done : exit_code::refused;
+        return problems.empty() ? exit_code::done : exit_code::refused;
     }
-    if (problems == nullptr)
+    if (problems.empty())
     {
         std::cout << arguments.at(0) << ": no findings\n";
         return exit_code::done;
     }
     table rows({"PLACE", "FINDING"});
-    for (const finding& problem : *problems)
+    for (const finding& problem : problems)
     {
         rows.add({problem.place, problem.message});
     }
@@ -51,10 +62,11 @@
 
 std::vector<command> settings_commands()
 {
-    return {{{"settings", "check"},
-             {"FILE"},
-             "Checks a settings file without a node.",
-             check_settings}};
+    return {
+        {{"settings", "check"},
+         {"FILE"},
+         "Checks a settings file without a node; --relay for a relay node's.",
+         check_settings}};
 }
 
 } // namespace parsleytrack::cli
--- /dev/null
+++ b/src/relay/job_cleaner.cpp
@@ -0,0 +1,113 @@
+#include "relay/job_cleaner.hpp"
+
+#include "logging/log.hpp"
+#include "relay/job_keys.hpp"
+#include "relay/job_placement.hpp"
+#include "relay/wall_clock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// The store takes 32 entries a transaction.
+constexpr std::size_t max_erased = 32;
+/// Jobs that are erased at the same time, so that it never crowds the store.
+constexpr std::size_t max_under_way = 2;
+constexpr duration commit_limit = std::chrono::seconds(5);
+
+} // namespace
+
+job_cleaner::job_cleaner(const relay_context& node) : context(node) {}
+
+void job_cleaner::examine(const jobs::job_state& state, store_revision revision)
+{
+    const std::int64_t age_ms = wall_clock_ms() - state.submitted_at_ms;
+    const bool is_old =
+        age_ms > to_milliseconds(this->context.settings.keep_results);
+    if (!is_old || this->under_way.size() >= max_under_way ||
+        preferred_owner(this->context.group, state.id).id !=
+            this->context.group.own().id ||
+        !this->under_way.insert(state.id).second)
+    {
+        return;
+    }
+    this->context.store.list(
+        job_output_prefix(state.id), key_value::read_freshness::latest,
+        [this, job = state.id,
+         revision](const result<key_value::record_listing>& outputs)
+        {
+            if (outputs.has_error())
+            {
+                this->under_way.erase(job);
+                return;
+            }
+            std::vector<std::string> keys;
+            for (const auto& record : outputs.value().records)
+            {
+                keys.push_back(record.key);
+            }
+            this->erase_outputs(job, revision, std::move(keys));
+        });
+}
+
+void job_cleaner::erase_outputs(const job_id& job, store_revision revision,
+                                std::vector<std::string> keys)
+{
+    if (keys.empty())
+    {
+        this->erase_records(job, revision);
+        return;
+    }
+    key_value::record_transaction transaction;
+    while (!keys.empty() && transaction.erased.size() < max_erased)
+    {
+        transaction.erased.push_back(std::move(keys.back()));
+        keys.pop_back();
+    }
+    this->commit(job, std::move(transaction),
+                 [this, job, revision, keys = std::move(keys)]
+                 { this->erase_outputs(job, revision, keys); });
+}
+
+void job_cleaner::erase_records(const job_id& job, store_revision revision)
+{
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(job), revision}};
+    transaction.erased = {job_state_key(job), job_input_key(job)};
+    this->commit(
+        job, std::move(transaction),
+        [this, job]
+        {
+            this->under_way.erase(job);
+            log_event(log_level::info, "job_erased", {{"job", job.str()}});
+        });
+}
+
+void job_cleaner::commit(const job_id& job,
+                         key_value::record_transaction transaction,
+                         std::function<void()> next)
+{
+    this->context.store.commit(
+        std::move(transaction), commit_limit,
+        [this, job, next = std::move(next)](
+            const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_value() && outcome.value().applied)
+            {
+                next();
+                return;
+            }
+            log_event(log_level::info, "job_erasure_put_off",
+                      {{"job", job.str()},
+                       {"reason", outcome.has_error() ? outcome.error().message
+                                                      : "it has changed"}});
+            this->under_way.erase(job);
+        });
+}
+
+} // namespace parsleytrack::relay
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -44,10 +44,12 @@
 
 job_service::job_service(const relay_context& node, slot_client& slot_source)
     : context(node), slots(slot_source), intake(node, this->usages),
-      reader(node), cancellation(node, this->usages),
+      reader(node), cancellation(node, this->usages), cleaner(node),
       takeover(node,
                {[this](const job_id& job) { return this->owned.contains(job); },
                 [this](jobs::owned_job job) { this->own(std::move(job)); },
+                [this](const jobs::job_state& state, store_revision revision)
+                { this->cleaner.examine(state, revision); },
                 [this](const key_value::stored_record& record)
                 {
                     const job_id job(
@@ -499,7 +501,9 @@
         owner->pump();
         if (owner->job().state().is_finished())
         {
-            this->dropped_at.emplace(id, now + kept_in_memory);
+            this->dropped_at.emplace(
+                id, now + std::min(kept_in_memory,
+                                   this->context.settings.keep_results));
         }
     }
     std::erase_if(this->dropped_at,
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -3,6 +3,7 @@
 #include "net/http_exchange.hpp"
 #include "relay/job_call.hpp"
 #include "relay/job_cancellation.hpp"
+#include "relay/job_cleaner.hpp"
 #include "relay/job_intake.hpp"
 #include "relay/job_owner.hpp"
 #include "relay/job_reader.hpp"
@@ -68,6 +69,7 @@
     job_intake intake;
     job_reader reader;
     job_cancellation cancellation;
+    job_cleaner cleaner;
     job_takeover takeover;
     std::map<job_id, std::unique_ptr<job_owner>> owned;
     /// When a finished job is dropped from memory; it stays in the store.
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -89,7 +89,12 @@
         this->hooks.on_own_record(record);
         return;
     }
-    if (state.value().is_finished() || this->under_way.contains(job))
+    if (state.value().is_finished())
+    {
+        this->hooks.on_finished(state.value(), record.revision);
+        return;
+    }
+    if (this->under_way.contains(job))
     {
         return;
     }
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -21,6 +21,8 @@
         std::function<bool(const job_id&)> is_owned;
         /// A job has been taken over.
         std::function<void(jobs::owned_job)> on_taken;
+        /// A job that no node runs any more.
+        std::function<void(const jobs::job_state&, store_revision)> on_finished;
         /// A record of a job that this node runs.
         std::function<void(const key_value::stored_record&)> on_own_record;
     };
--- a/src/settings/relay_settings.hpp
+++ b/src/settings/relay_settings.hpp
@@ -35,6 +35,8 @@
     endpoint store;
     /// How long callers may keep an address answer.
     duration address_validity = std::chrono::seconds(2);
+    /// How long after its submission a finished job's results stay readable.
+    duration keep_results = std::chrono::minutes(15);
     /// Longest time of a planned stop.
     duration stop_limit = std::chrono::seconds(8);
     log_level level = log_level::info;
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -96,6 +96,13 @@
                           part.seconds("validity_s", settings.address_validity,
                                        milliseconds(100), seconds(300));
                   });
+    reader.object("jobs",
+                  [&settings](object_reader& part)
+                  {
+                      settings.keep_results = part.seconds(
+                          "keep_results_s", settings.keep_results, seconds(1),
+                          std::chrono::hours(24 * 365));
+                  });
     reader.object("stop",
                   [&settings](object_reader& part)
                   {
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-relay_fleet::relay_fleet(int node_count)
+relay_fleet::relay_fleet(int node_count, int keep_seconds)
+    : keep_results_s(keep_seconds)
 {
     this->store.put("op/config", configuration);
     for (int number = 0; number < engine_count; ++number)
@@ -118,6 +119,7 @@
                         {"seeds", seeds},
                         {"store", {{"address", to_string(entry.store)}}},
                         {"addresses", {{"validity_s", 0.5}}},
+                        {"jobs", {{"keep_results_s", this->keep_results_s}}},
                         {"stop", {{"limit_s", 8}}}};
     std::ofstream(entry.settings) << document.dump();
 }
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_process/relay_fleet.hpp
@@ -21,7 +21,8 @@
 {
 public:
     /// \param node_count How many nodes.
-    explicit relay_fleet(int node_count);
+    /// \param keep_results_s How long results stay readable.
+    explicit relay_fleet(int node_count, int keep_results_s = 900);
 
     /// An answer, or status 0 when the connection ended without one.
     struct answer
@@ -85,6 +86,7 @@
 
     net::http_client client{this->loop};
     process_support::temporary_folder folder;
+    int keep_results_s;
     std::vector<node> nodes;
     std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
     std::uint64_t next_call = 1;
--- a/tests/relay_process/store_stand_in.cpp
+++ b/tests/relay_process/store_stand_in.cpp
@@ -243,6 +243,10 @@
                 *key_value::decode_base64(put["value"].get<std::string>()),
                 false);
         }
+        for (const json& key : change["deletes"])
+        {
+            this->write(key, "", true);
+        }
     }
     if (this->lost_answers > 0)
     {
--- a/tests/relay_process/whole_path_test.cpp
+++ b/tests/relay_process/whole_path_test.cpp
@@ -130,6 +130,20 @@
     CHECK_EQUAL(0, runs_of(fleet, "job-0"));
 }
 
+TEST(relay_calm, results_are_erased_once_they_need_not_be_kept)
+{
+    relay_fleet fleet(2, 1);
+    CHECK_EQUAL(202, fleet.submit(0, "job", 40).status);
+    check_results(fleet.results(1, "job"), 40);
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.store.values("parsleytrack/jobs/state/").empty(); }));
+    CHECK(fleet.store.values("parsleytrack/jobs/output/").empty());
+    CHECK(fleet.store.values("parsleytrack/jobs/input/").empty());
+    CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
+    check_results(fleet.results(0, "job"), 2);
+}
+
 TEST_GROUP(relay_replica_faults){};
 
 TEST(relay_replica_faults, a_cut_stream_goes_on_at_another_replica)
--- /dev/null
+++ b/tests/settings/relay_settings_test.cpp
@@ -0,0 +1,52 @@
+#include "settings/relay_settings_loader.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::settings;
+
+TEST_GROUP(relay_settings){
+    static std::size_t problems_in(const std::string& text){
+        const auto outcome = parse_relay_settings(text, "file");
+const auto* problems = std::get_if<findings>(&outcome);
+return problems == nullptr ? 0 : problems->size();
+}
+}
+;
+
+TEST(relay_settings, reads_a_node_that_takes_callers)
+{
+    const auto outcome = parse_relay_settings(
+        R"({// As the deploy template writes it.
+            "node":{"id":"n","region":"r","availability_zone":"z","cores":0.25},
+            "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81",
+                      "directory":"10.0.0.1:82","peer":"10.0.0.1:7000"},
+            "seeds":["10.0.0.2:9999"],"store":{"address":"10.0.0.3:1"},
+            "addresses":{"validity_s":2},"stop":{"limit_s":8}})",
+        "file");
+    const auto& read = std::get<relay_settings>(outcome);
+    CHECK_EQUAL(250, read.capacity);
+    CHECK_EQUAL(80, read.front->port);
+    // Seeds are reached at the port that all nodes use for one another.
+    CHECK_EQUAL(7000, read.seeds.at(0).port);
+    CHECK(read.stop_limit == std::chrono::seconds(8));
+}
+
+TEST(relay_settings, a_storage_node_listens_nowhere_for_callers)
+{
+    const auto outcome = parse_relay_settings(
+        R"({"node":{"id":"n","region":"r","availability_zone":"z"},
+            "listen":{"front":"","peer":"10.0.0.1:7000"},"seeds":[],
+            "store":{"address":"10.0.0.3:1"}})",
+        "file");
+    CHECK_FALSE(std::get<relay_settings>(outcome).front.has_value());
+}
+
+TEST(relay_settings, reports_all_findings_together)
+{
+    CHECK_EQUAL(1, problems_in("{"));
+    CHECK_EQUAL(5, problems_in(
+                       R"({"node":{"region":"r","availability_zone":"z"},
+                           "listen":{"front":"10.0.0.1:80","peer":"x"},
+                           "seeds":[],"store":{"address":""},"other":1})"));
+}
