Give the nodes of the relay process tests addresses of their own

Cause (one failed run: cannot listen on 127.0.0.1:42509): a port that was found free was taken by an outgoing connection of the test before the node started. Mend: each test process uses its own part of 127.0.0.0/8 for its nodes.

--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <fstream>
 #include <set>
 #include <stdexcept>
@@ -18,11 +20,20 @@
 constexpr duration patience = std::chrono::seconds(20);
 constexpr int engine_count = 3;
 
+/// \returns A loopback address of this process's own, so that no connection
+/// or other test takes the port between its choice and its use.
+std::string own_host(std::size_t number)
+{
+    const auto pid = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + (pid >> 8U) % 200) + "." +
+           std::to_string(pid % 256) + "." + std::to_string(number + 2);
+}
+
 /// \returns A port that was free a moment ago.
-endpoint free_address(net::event_loop& loop)
+endpoint free_address(net::event_loop& loop, const std::string& host)
 {
     net::http_server probe(loop);
-    endpoint address{"127.0.0.1", 0};
+    endpoint address{host, 0};
     address.port = probe.listen(address).value();
     probe.stop_accepting();
     return address;
@@ -62,19 +73,17 @@
     this->store.put("servers/i-web", this->web->entry("web"));
     this->store.put("servers/i-broken", "{\"service\":1}");
     this->nodes.resize(static_cast<std::size_t>(node_count));
-    for (node& entry : this->nodes)
-    {
-        entry.front = free_address(this->loop);
-        entry.ready = free_address(this->loop);
-        entry.directory = free_address(this->loop);
-        entry.store = this->store.add_address();
-    }
     // All nodes use one port for one another, each at its own address.
-    const std::uint16_t peer_port = free_address(this->loop).port;
+    const std::uint16_t peer_port = free_address(this->loop, own_host(0)).port;
     for (std::size_t number = 0; number < this->nodes.size(); ++number)
     {
-        this->nodes[number].peer =
-            endpoint{"127.0.0." + std::to_string(number + 2), peer_port};
+        node& entry = this->nodes[number];
+        const std::string host = own_host(number);
+        entry.front = free_address(this->loop, host);
+        entry.ready = free_address(this->loop, host);
+        entry.directory = free_address(this->loop, host);
+        entry.peer = endpoint{host, peer_port};
+        entry.store = this->store.add_address();
     }
     for (int number = 0; number < node_count; ++number)
     {
