Hold callers to the configuration's limits; end events without an end

Cause: event_splitter::is_too_long had no caller, so an event without an end was held until the request's time was over, and an item's for ever. The header limit was a constant of 64 KB; the time for a head and the idle time of the configuration were read and not applied.

Now the front server takes limits (431, 408, idle connections closed), a stream whose event has no end is given up and goes on elsewhere, a caller that leaves 256 KB unread is let go, and collected answers are bounded. server_connection leaves http_server as a class of its own.

--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_header_list.hpp"
+#include "units/numbers.hpp"
 #include "units/time.hpp"
 
 #include <string>
@@ -26,6 +27,9 @@
     duration head_timeout = duration::zero();
     /// Longest time between two pieces of the answer; zero means "no limit".
     duration idle_timeout = duration::zero();
+    /// Longest body that is collected; an answer with more is broken off. Twice
+    /// what the store returns at most.
+    byte_count max_collected{2 * 1024 * 1024};
     /// Whether the connection is probed while nothing comes, so that one that
     /// has gone silent is noticed; for requests that wait long.
     bool probe_connection = false;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/connection_limits.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_exchange.hpp"
 #include "units/endpoint.hpp"
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
 
 struct evhtp;
 
@@ -20,6 +22,7 @@
 {
     void operator()(evhtp* server) const;
 };
+class server_connection;
 } // namespace detail
 
 /// An HTTP/1.1 server on the event loop.
@@ -45,6 +48,12 @@
     /// Closes the listening socket; open connections go on.
     void stop_accepting();
 
+    /// Sets what connections may send and how long they may take, also those
+    /// that are open.
+    void set_limits(const connection_limits& limits);
+
+    const connection_limits& limits() const { return this->current_limits; }
+
     /// Answers that are not begun yet close their connection, so that callers
     /// do not send more on it.
     void close_after_answers() { *this->closing = true; }
@@ -55,15 +64,22 @@
     /// \param callback Gets every request.
     void set_handler(handler callback);
 
-    /// Called by the library's hooks only.
+    /// Called by connections only.
     void dispatch(const std::shared_ptr<http_exchange>& exchange);
     void request_ended() { --this->open_request_count; }
     std::shared_ptr<const bool> closing_flag() const { return this->closing; }
+    void add_connection(detail::server_connection& connection);
+    void remove_connection(detail::server_connection& connection);
 
 private:
+    void check_connections();
+
     event_loop& loop;
     std::unique_ptr<evhtp, detail::evhtp_deleter> server;
     handler request_handler;
+    connection_limits current_limits;
+    std::set<detail::server_connection*> connections;
+    timer check_timer;
     bool accepting = false;
     std::shared_ptr<bool> closing = std::make_shared<bool>(false);
     std::size_t open_request_count = 0;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -108,6 +108,8 @@
             loop.call_after(request.head_timeout, expire("the answer's head"));
     }
     this->idle_timeout = request.idle_timeout;
+    this->max_collected =
+        static_cast<std::size_t>(request.max_collected.count());
     const int outcome =
         evhttp_make_request(this->connection->handle(), this->active,
                             to_command(request.method), request.target.c_str());
@@ -249,6 +251,11 @@
         return;
     }
     this->response.body += piece;
+    if (this->response.body.size() > this->max_collected)
+    {
+        this->fail(error_code::connection_lost, ran_state::unknown,
+                   "the answer of " + to_string(this->target) + " is too long");
+    }
 }
 
 void http_transfer::on_error(evhttp_request_error, void* argument)
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -49,6 +49,7 @@
     http_client::callbacks hooks;
     http_response response;
     duration idle_timeout = duration::zero();
+    std::size_t max_collected = 0;
     timer total_timer;
     timer connect_timer;
     timer head_timer;
--- /dev/null
+++ b/src/net/server_connection.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "net/http_exchange.hpp"
+#include "units/time.hpp"
+
+#include <event2/bufferevent.h>
+#include <evhtp.h>
+
+#include <memory>
+
+namespace parsleytrack::net
+{
+
+class http_server;
+
+namespace detail
+{
+
+/// One connection of a server: hands its requests out and holds its caller to
+/// the server's limits. It frees itself with the library's connection.
+class server_connection
+{
+public:
+    /// Takes a connection that was just accepted.
+    static void attach(http_server& owner, evhtp_connection_t* connection);
+
+    ~server_connection();
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+
+    /// Ends the connection if its caller has taken too long.
+    void check_time(time_point now);
+
+    /// Called by the library's hooks only.
+    void handle_readable();
+    void handle_written();
+    void handle_event(short events);
+    evhtp_res handle_head(evhtp_request_t* request);
+    void handle_body(evbuffer* buffer);
+    void handle_request_complete();
+    void handle_request_fini();
+    void handle_connection_fini();
+
+private:
+    server_connection(http_server& server, evhtp_connection_t* handle);
+
+    bool may_read();
+    void refuse(std::string_view answer);
+    void end_exchange();
+    void close();
+
+    http_server& owner;
+    evhtp_connection_t* connection;
+    bufferevent* link;
+    bufferevent_data_cb read_callback = nullptr;
+    bufferevent_data_cb write_callback = nullptr;
+    bufferevent_event_cb event_callback = nullptr;
+    void* callback_argument = nullptr;
+    /// The exchange that has not ended yet.
+    std::shared_ptr<http_exchange> current;
+    bool has_request = false;
+    bool body_complete = false;
+    bool refused = false;
+    bool closed = false;
+    /// Bytes of a head that is not complete have come.
+    bool has_partial_head = false;
+    /// Begin of what is waited for: the next request, the rest of a head, or
+    /// the next piece of a body.
+    time_point waiting_since;
+};
+
+} // namespace detail
+
+} // namespace parsleytrack::net
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -116,6 +116,10 @@
         this->progress.output += event.data;
         this->progress.last_event = *event.number;
     }
+    if (this->splitter.is_too_long())
+    {
+        this->attempt->give_up("an event has no end");
+    }
 }
 
 void item_run::take_end(replica_verdict verdict,
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -27,6 +27,11 @@
 /// Most replicas that are tried for one request, the ones that did not run it
 /// included.
 constexpr int max_sends = 5;
+/// Most of a stream that waits for a slow caller. A caller that keeps up has
+/// a few events waiting; a node has memory for dozens of such callers.
+constexpr std::size_t max_unread_bytes = 256 * 1024;
+/// Longest body of a failure that is passed on.
+constexpr std::size_t max_failure_bytes = 1024 * 1024;
 constexpr duration retry_after_refused = std::chrono::milliseconds(300);
 constexpr int first_error_status = 500;
 constexpr int first_non_success_status = 300;
@@ -195,6 +200,10 @@
     if (!is_success(this->collected_status))
     {
         this->collected_body += piece;
+        if (this->collected_body.size() > max_failure_bytes)
+        {
+            this->attempt->give_up("the text of the failure is too long");
+        }
         return;
     }
     std::string ready;
@@ -210,6 +219,11 @@
         }
         ready += event.raw;
     }
+    if (this->splitter.is_too_long())
+    {
+        this->attempt->give_up("an event has no end");
+        return;
+    }
     if (ready.empty())
     {
         return;
@@ -223,6 +237,13 @@
             end_to_end_headers(this->attempt->head_fields()));
     }
     this->exchange->write_chunk(ready);
+    if (this->exchange->pending_output_bytes() > max_unread_bytes)
+    {
+        this->fail(error{error_code::deadline_exceeded,
+                         "the caller does not read the answer",
+                         ran_state::unknown,
+                         {}});
+    }
 }
 
 void online_call::take_end(replica_verdict verdict, net::http_response response,
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -110,6 +110,7 @@
     std::optional<stop_schedule> stop;
 
     result<bool> listen();
+    void apply_limits();
     void take(const std::shared_ptr<net::http_exchange>& exchange);
     void take_ready(const std::shared_ptr<net::http_exchange>& exchange);
     void take_directory(const std::shared_ptr<net::http_exchange>& exchange);
@@ -158,6 +159,14 @@
     return true;
 }
 
+void relay_node::state::apply_limits()
+{
+    const routing::caller_limits& limits =
+        this->configuration.current()->contents().limits;
+    this->front.set_limits(net::connection_limits{
+        limits.header, limits.header_timeout, limits.idle_timeout});
+}
+
 void relay_node::state::take(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
@@ -327,6 +336,7 @@
     {
         return listening;
     }
+    self.configuration.on_change([&self] { self.apply_limits(); });
     self.configuration.start();
     self.replicas.start();
     log_event(log_level::info, "started",
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -73,6 +73,13 @@
     }
 }
 
+void replica_exchange::give_up(const std::string& reason)
+{
+    this->call.reset();
+    const auto callback = this->hooks.on_end;
+    callback(replica_verdict::may_have_run, this->head, reason);
+}
+
 replica_exchange::answer_kind
 replica_exchange::classify(const net::http_response& response) const
 {
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -63,6 +63,10 @@
                      const routing::replica_entry& replica,
                      net::http_request request, request_id id, callbacks hooks);
 
+    /// Ends the exchange because the answer is of no use; the replica may have
+    /// run the request. Calls on_end, which may destroy this object.
+    void give_up(const std::string& reason);
+
     /// \returns Whether the head of the answer has come.
     bool has_head() const { return this->head_seen; }
 
--- /dev/null
+++ b/tests/relay_process/protocol_test.cpp
@@ -0,0 +1,178 @@
+#include "relay_process/raw_replica.hpp"
+#include "relay_process/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_process;
+
+namespace
+{
+
+constexpr duration patience = std::chrono::seconds(10);
+
+/// A caller's connection on which any bytes can be sent.
+class raw_caller
+{
+public:
+    raw_caller(net::event_loop& event_loop, const endpoint& node)
+        : loop(event_loop), descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        ::inet_pton(AF_INET, node.host.c_str(), &target.sin_addr);
+        target.sin_port = htons(node.port);
+        CHECK(::connect(this->descriptor, reinterpret_cast<sockaddr*>(&target),
+                        sizeof(target)) == 0);
+    }
+    ~raw_caller() { ::close(this->descriptor); }
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    void send(const std::string& text) const
+    {
+        ::send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+    /// Reads until the node closes the connection.
+    std::string read_to_end() const
+    {
+        std::string text;
+        const time_point limit = net::event_loop::now() + patience;
+        while (net::event_loop::now() < limit)
+        {
+            char buffer[4096];
+            const ssize_t length =
+                ::recv(this->descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+            if (length == 0)
+            {
+                return text;
+            }
+            if (length > 0)
+            {
+                text.append(buffer, static_cast<std::size_t>(length));
+            }
+            this->loop.run_for(std::chrono::milliseconds(5));
+        }
+        FAIL("the connection was not closed");
+        return text;
+    }
+
+private:
+    net::event_loop& loop;
+    int descriptor;
+};
+
+const std::string head_fields = "Host: h\r\nParsleytrack-Deadline-Ms: 5000\r\n";
+
+} // namespace
+
+TEST_GROUP(relay_replica_protocol){};
+
+TEST(relay_replica_protocol, an_extra_answer_reaches_no_caller)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "i-extra", raw_replica::fault::extra_answer);
+    fleet.store.put("servers/" + faulty.name(), faulty.entry("web"));
+    CHECK(fleet.wait(
+        [&fleet, &faulty]
+        {
+            fleet.call(0, "POST", "/plain/a", "warm");
+            return !faulty.runs.empty();
+        }));
+    for (int count = 0; count < 40; ++count)
+    {
+        const std::string id = "id" + std::to_string(count);
+        const auto answer = fleet.call(0, "POST", "/plain/a", id, "body");
+        CHECK_EQUAL(200, answer.status);
+        STRCMP_EQUAL(("page of " + id).c_str(), answer.body.c_str());
+    }
+}
+
+TEST(relay_replica_protocol, an_event_without_an_end_is_not_waited_for)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "i-endless",
+                       raw_replica::fault::endless_event);
+    fleet.store.put("servers/" + faulty.name(), faulty.entry("llm"));
+    CHECK_EQUAL(202, fleet.submit(0, "job", 8).status);
+    int asked = 0;
+    CHECK(fleet.wait(
+        [&]
+        {
+            const auto answer = fleet.call(0, "POST", "/stream/a",
+                                           "id" + std::to_string(asked++));
+            CHECK_EQUAL(200, answer.status);
+            return !faulty.runs.empty() && asked > 10;
+        }));
+    CHECK_EQUAL(8, fleet.results(0, "job").size());
+}
+
+TEST(relay_replica_protocol, a_reset_after_sending_is_not_a_refusal)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "i-reset", raw_replica::fault::reset);
+    fleet.store.put("servers/" + faulty.name(), faulty.entry("llm"));
+    for (const auto& engine : fleet.engines)
+    {
+        fleet.store.erase("servers/" + engine->name());
+    }
+    CHECK(fleet.wait(
+        [&fleet, &faulty]
+        {
+            const auto answer = fleet.call(0, "POST", "/once/a", "id1");
+            return !faulty.runs.empty() && answer.status == 502;
+        }));
+    CHECK_EQUAL(1, faulty.runs["id1"]);
+}
+
+TEST_GROUP(relay_caller_limits){};
+
+TEST(relay_caller_limits, a_head_over_the_limit_is_refused)
+{
+    // The configuration of the fleet allows 16 KB.
+    relay_fleet fleet(1);
+    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
+                "Parsleytrack-Request-Id: id1\r\nFiller: " +
+                std::string(20'000, 'x') + "\r\n\r\n");
+    STRCMP_CONTAINS("HTTP/1.1 431 ", caller.read_to_end().c_str());
+    CHECK(fleet.web->runs.empty());
+}
+
+TEST(relay_caller_limits, a_head_that_does_not_end_in_time_is_refused)
+{
+    relay_fleet fleet(1);
+    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    caller.send("POST /plain/a HTTP/1.1\r\nHost: h\r\n");
+    STRCMP_CONTAINS("HTTP/1.1 408 ", caller.read_to_end().c_str());
+}
+
+TEST(relay_caller_limits, a_body_that_does_not_end_in_time_is_refused)
+{
+    relay_fleet fleet(1);
+    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    caller.send(
+        "POST /plain/a HTTP/1.1\r\n" + head_fields +
+        "Parsleytrack-Request-Id: id1\r\nContent-Length: 10\r\n\r\nabc");
+    STRCMP_CONTAINS("HTTP/1.1 408 ", caller.read_to_end().c_str());
+    CHECK(fleet.web->runs.empty());
+}
+
+TEST(relay_caller_limits, an_idle_connection_is_closed_after_its_limit)
+{
+    relay_fleet fleet(1);
+    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    const time_point begin = net::event_loop::now();
+    caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
+                "Parsleytrack-Request-Id: id1\r\nContent-Length: 0\r\n\r\n");
+    const std::string answer = caller.read_to_end();
+    STRCMP_CONTAINS("page of id1", answer.c_str());
+    // Callers use a connection again for up to four fifths of the limit.
+    CHECK(net::event_loop::now() - begin >= relay_fleet::idle_timeout);
+}
--- /dev/null
+++ b/tests/relay_process/raw_replica.cpp
@@ -0,0 +1,167 @@
+#include "relay_process/raw_replica.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace parsleytrack::relay_process
+{
+
+namespace
+{
+
+constexpr std::size_t piece_bytes = 64 * 1024;
+
+std::string head(const std::string& request, const std::string& length)
+{
+    return "HTTP/1.1 200 OK\r\nParsleytrack-Request-Id: " + request +
+           "\r\nParsleytrack-Response-Seal: seal-" + request + "\r\n" + length +
+           "\r\n\r\n";
+}
+
+std::string page(const std::string& request)
+{
+    const std::string body = "page of " + request;
+    return head(request, "Content-Length: " + std::to_string(body.size())) +
+           body;
+}
+
+/// \returns The value of a field in the text of a request, or nothing.
+std::string field(const std::string& text, const std::string& name)
+{
+    const std::size_t begin = text.find(name + ": ");
+    if (begin == std::string::npos)
+    {
+        return {};
+    }
+    const std::size_t value = begin + name.size() + 2;
+    return text.substr(value, text.find('\r', value) - value);
+}
+
+raw_replica* to_replica(void* argument)
+{
+    return static_cast<raw_replica*>(argument);
+}
+
+} // namespace
+
+raw_replica::raw_replica(net::event_loop& event_loop, std::string replica_name,
+                         fault how)
+    : loop(event_loop), id(std::move(replica_name)), behaviour(how)
+{
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    this->listener = evconnlistener_new_bind(
+        this->loop.base(),
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+           void* argument) { to_replica(argument)->accept(descriptor); },
+        this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&local),
+        sizeof(local));
+    socklen_t length = sizeof(local);
+    ::getsockname(evconnlistener_get_fd(this->listener),
+                  reinterpret_cast<sockaddr*>(&local), &length);
+    this->address.port = ntohs(local.sin_port);
+}
+
+raw_replica::~raw_replica()
+{
+    evconnlistener_free(this->listener);
+    for (const auto& [link, text] : this->links)
+    {
+        bufferevent_free(link);
+    }
+}
+
+std::string raw_replica::entry(const std::string& service) const
+{
+    return nlohmann::json{
+        {"service", service}, {"address", to_string(this->address)},
+        {"zone", "z"},        {"version", "v1"},
+        {"slots", 4},         {"state", "ready"},
+        {"seq", 1},           {"born", 1}}
+        .dump();
+}
+
+void raw_replica::accept(int descriptor)
+{
+    bufferevent* link = bufferevent_socket_new(this->loop.base(), descriptor,
+                                               BEV_OPT_CLOSE_ON_FREE);
+    this->links[link];
+    bufferevent_setcb(
+        link,
+        [](bufferevent* from, void* argument)
+        { to_replica(argument)->read(from); },
+        [](bufferevent* to, void* argument)
+        { to_replica(argument)->write_more(to); },
+        [](bufferevent* from, short, void* argument)
+        { to_replica(argument)->close(from); },
+        this);
+    bufferevent_enable(link, EV_READ | EV_WRITE);
+}
+
+void raw_replica::read(bufferevent* link)
+{
+    std::string& text = this->links.at(link);
+    evbuffer* input = bufferevent_get_input(link);
+    const std::size_t length = evbuffer_get_length(input);
+    text.append(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)),
+                length);
+    evbuffer_drain(input, length);
+    const std::size_t end = text.find("\r\n\r\n");
+    const std::string body_length = field(text, "Content-Length");
+    const std::size_t whole =
+        end + 4 + (body_length.empty() ? 0 : std::stoul(body_length));
+    if (end == std::string::npos || text.size() < whole)
+    {
+        return;
+    }
+    const std::string request = field(text, "Parsleytrack-Request-Id");
+    text.erase(0, whole);
+    ++this->runs[request];
+    this->answer(link, request);
+}
+
+void raw_replica::answer(bufferevent* link, const std::string& request)
+{
+    std::string bytes;
+    switch (this->behaviour)
+    {
+    case fault::extra_answer:
+        bytes = page(request) + page(this->previous);
+        this->previous = request;
+        break;
+    case fault::endless_event:
+        bytes = head(request, "Connection: close") + "id: 1\ndata: ";
+        break;
+    case fault::reset:
+        const linger abortive{1, 0};
+        ::setsockopt(bufferevent_getfd(link), SOL_SOCKET, SO_LINGER, &abortive,
+                     sizeof(abortive));
+        this->close(link);
+        return;
+    }
+    bufferevent_write(link, bytes.data(), bytes.size());
+}
+
+void raw_replica::write_more(bufferevent* link)
+{
+    if (this->behaviour == fault::endless_event && !this->runs.empty())
+    {
+        const std::string piece(piece_bytes, 'x');
+        bufferevent_write(link, piece.data(), piece.size());
+    }
+}
+
+void raw_replica::close(bufferevent* link)
+{
+    this->links.erase(link);
+    bufferevent_free(link);
+}
+
+} // namespace parsleytrack::relay_process
--- /dev/null
+++ b/tests/relay_process/raw_replica.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "units/endpoint.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace parsleytrack::relay_process
+{
+
+/// A replica that does not keep to the protocol. It writes its answers as
+/// bytes, so that it can send what a server would not.
+class raw_replica
+{
+public:
+    enum class fault
+    {
+        /// Sends one more answer, of the request before, after each answer.
+        extra_answer,
+        /// Begins an event and goes on with it for ever.
+        endless_event,
+        /// Reads the request and resets the connection.
+        reset
+    };
+
+    raw_replica(net::event_loop& event_loop, std::string replica_name,
+                fault how);
+    ~raw_replica();
+    raw_replica(const raw_replica&) = delete;
+    raw_replica& operator=(const raw_replica&) = delete;
+
+    /// \returns What it writes of itself to the store.
+    std::string entry(const std::string& service) const;
+
+    const std::string& name() const { return this->id; }
+
+    /// How often each request was run.
+    std::map<std::string, int> runs;
+
+    /// Called by the library's callbacks only.
+    void accept(int descriptor);
+    void read(bufferevent* link);
+    void close(bufferevent* link);
+    void write_more(bufferevent* link);
+
+private:
+    void answer(bufferevent* link, const std::string& request);
+
+    net::event_loop& loop;
+    std::string id;
+    fault behaviour;
+    endpoint address{"127.0.0.1", 0};
+    evconnlistener* listener = nullptr;
+    std::map<bufferevent*, std::string> links;
+    std::string previous = "0";
+};
+
+} // namespace parsleytrack::relay_process
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -54,7 +54,7 @@
  "services":[{"name":"llm","healthPath":"/health","maxConns":100},
   {"name":"web","healthPath":"/health","maxConns":100}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,
-  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+  "headerTimeoutMs":1000,"idleTimeoutMs":2000}})";
 
 } // namespace
 
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_process/relay_fleet.hpp
@@ -65,6 +65,14 @@
         return this->nodes.at(static_cast<std::size_t>(node)).store;
     }
 
+    const endpoint& front_address(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).front;
+    }
+
+    /// How long callers' connections may be idle, by the configuration.
+    static constexpr duration idle_timeout = std::chrono::milliseconds(2000);
+
     net::event_loop loop;
     store_stand_in store{this->loop};
     std::vector<std::unique_ptr<replica_stand_in>> engines;
