Join the views of nodes that start together within two seconds

After a restart of all nodes each seed gathered a group of its own; groups met at one exchange in three, each 5 s. Each group had its own brokers, which granted all slots again; requests were late for seconds and jobs were taken from living owners.

Ruled out: queues at the brokers (requests were sent at once), batch work (the jobs were taken over before), the store (regained at 5 s).

Now a node tries its seeds until it knows them, for 10 s, and asks a dead node each 400 ms, so that a healed cut is noticed. Views are logged as they change.

--- a/src/daemon/nodes_body.cpp
+++ b/src/daemon/nodes_body.cpp
@@ -5,22 +5,6 @@
 namespace parsleytrack
 {
 
-std::string_view to_string(node_state state)
-{
-    switch (state)
-    {
-    case node_state::alive:
-        return "alive";
-    case node_state::suspect:
-        return "suspect";
-    case node_state::leaving:
-        return "leaving";
-    case node_state::dead:
-        break;
-    }
-    return "dead";
-}
-
 std::string nodes_body(const node_id& own, const fleet_view& fleet,
                        const region_table& regions, time_point now)
 {
--- a/src/daemon/nodes_body.hpp
+++ b/src/daemon/nodes_body.hpp
@@ -1,20 +1,14 @@
 #pragma once
 
 #include "decisions/fleet_view.hpp"
-#include "decisions/node_state.hpp"
 #include "decisions/region_table.hpp"
 #include "units/time.hpp"
 
 #include <string>
-#include <string_view>
 
 namespace parsleytrack
 {
 
-/// \param state What is believed of a node.
-/// \returns The state as answers and metrics name it.
-std::string_view to_string(node_state state);
-
 /// \param own The node that answers.
 /// \param fleet Its view.
 /// \param regions What it knows of the regions.
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -38,6 +38,10 @@
     {
         return;
     }
+    if (!this->join_end)
+    {
+        this->join_end = now + this->options.join_period;
+    }
     this->check_probes(now);
     this->expire(now);
     if (now >= this->next_probe)
@@ -49,6 +53,7 @@
     {
         this->next_confirmation = now + this->options.confirm_interval;
         this->question_suspects();
+        this->question_one_dead();
     }
     if (now >= this->next_gossip)
     {
@@ -157,13 +162,36 @@
     // the suspicion and answers with its newer incarnation.
     for (const node_id& id : this->table.suspects())
     {
-        membership_packet packet =
-            this->make_packet(membership_packet_kind::probe);
-        packet.sequence = this->next_sequence++;
-        packet.subject = id;
-        this->send(this->table.find(id)->record.node.peer, std::move(packet),
-                   id);
+        this->send_question(id);
+    }
+}
+
+void membership::question_one_dead()
+{
+    // After a cut both sides hold each other dead; the one that is asked finds
+    // a stranger and asks for its view.
+    std::vector<node_id> dead;
+    for (const auto& [id, known] : this->table.all())
+    {
+        if (known.record.node.state == node_state::dead)
+        {
+            dead.push_back(id);
+        }
+    }
+    if (dead.empty())
+    {
+        return;
     }
+    std::uniform_int_distribution<std::size_t> choice(0, dead.size() - 1);
+    this->send_question(dead[choice(this->random)]);
+}
+
+void membership::send_question(const node_id& id)
+{
+    membership_packet packet = this->make_packet(membership_packet_kind::probe);
+    packet.sequence = this->next_sequence++;
+    packet.subject = id;
+    this->send(this->table.find(id)->record.node.peer, std::move(packet), id);
 }
 
 std::optional<node_id> membership::next_probe_target()
--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -94,12 +94,15 @@
     void check_probes(time_point now);
     void send_probe(time_point now);
     void question_suspects();
+    void question_one_dead();
+    void send_question(const node_id& id);
     void ask_others(const outstanding_probe& probe, std::int64_t sequence);
     void expire(time_point now);
     void spread_news();
     void spread_board();
     void send_gossip(const node_id& target);
     void seek_exchange(time_point now);
+    std::vector<endpoint> unknown_seeds() const;
     std::optional<endpoint> repair_target();
     std::optional<node_id> next_probe_target();
     std::vector<node_id> pick(std::size_t count, const node_id& except);
@@ -134,6 +137,7 @@
     std::vector<node_id> probe_order;
     std::int64_t next_sequence = 1;
     std::optional<time_point> last_tick;
+    std::optional<time_point> join_end;
     time_point next_probe;
     time_point next_confirmation;
     time_point next_gossip;
--- a/src/decisions/membership_options.hpp
+++ b/src/decisions/membership_options.hpp
@@ -18,7 +18,7 @@
     int indirect_probes = 3;
     /// A suspect that does not refute for this long is dead.
     duration suspicion = std::chrono::seconds(4);
-    /// How often each node asks a suspect itself.
+    /// How often each node asks all suspects, and one node that is held dead.
     duration confirm_interval = std::chrono::seconds(1);
     duration gossip_interval = std::chrono::milliseconds(200);
     int gossip_fanout = 2;
@@ -32,8 +32,13 @@
     duration exchange_interval = std::chrono::seconds(10);
     /// One exchange in so many goes to a node that is held dead, or to a seed.
     int exchanges_per_repair = 3;
-    /// How often a node that knows no other tries its seeds.
+    /// How often a node that knows no other, or has just started, tries a seed
+    /// that it does not know yet.
     duration join_interval = std::chrono::seconds(1);
+    /// How long after its start a node goes on trying its seeds. Nodes that
+    /// start together find one seed each and would stay apart; processes that
+    /// are restarted together are back within seconds of each other.
+    duration join_period = std::chrono::seconds(10);
     /// Dead nodes are remembered for this long.
     duration dead_retention = std::chrono::hours(1);
     /// A later tick than this shows that the process itself stood still.
--- a/src/decisions/membership_send.cpp
+++ b/src/decisions/membership_send.cpp
@@ -92,12 +92,22 @@
         interval = interval * static_cast<std::int64_t>(present) /
                    static_cast<std::int64_t>(exchange_scale_nodes);
     }
-    if (present == 0)
+    const std::vector<endpoint> unknown =
+        now < this->join_end ? this->unknown_seeds() : std::vector<endpoint>();
+    if (present == 0 || !unknown.empty())
     {
         interval = this->options.join_interval;
     }
     this->next_exchange = now + jittered(interval, this->random);
     ++this->exchange_count;
+    if (!unknown.empty())
+    {
+        std::uniform_int_distribution<std::size_t> choice(0,
+                                                          unknown.size() - 1);
+        this->commands.emplace_back(
+            exchange_views_command{unknown[choice(this->random)]});
+        return;
+    }
     const bool repair =
         present == 0 ||
         this->exchange_count % this->options.exchanges_per_repair == 0;
@@ -116,23 +126,29 @@
     }
 }
 
-std::optional<endpoint> membership::repair_target()
+std::vector<endpoint> membership::unknown_seeds() const
 {
-    // Addresses of nodes that are not in the view heal a cut after which both
-    // sides hold each other dead.
-    std::vector<endpoint> candidates = this->seeds;
+    std::vector<endpoint> unknown = this->seeds;
     for (const auto& [id, known] : this->table.all())
     {
-        if (known.record.node.state == node_state::dead)
+        if (known.record.node.state != node_state::dead)
         {
-            candidates.push_back(known.record.node.peer);
+            std::erase(unknown, known.record.node.peer);
         }
     }
+    return unknown;
+}
+
+std::optional<endpoint> membership::repair_target()
+{
+    // Addresses of nodes that are not in the view heal a cut after which both
+    // sides hold each other dead.
+    std::vector<endpoint> candidates = this->unknown_seeds();
     for (const auto& [id, known] : this->table.all())
     {
-        if (known.record.node.state != node_state::dead)
+        if (known.record.node.state == node_state::dead)
         {
-            std::erase(candidates, known.record.node.peer);
+            candidates.push_back(known.record.node.peer);
         }
     }
     if (candidates.empty())
--- a/src/peering/peer_group.cpp
+++ b/src/peering/peer_group.cpp
@@ -1,9 +1,11 @@
 #include "peering/peer_group.hpp"
 
 #include "logging/log.hpp"
+#include "peering/group_options.hpp"
 #include "peering/membership_conversion.hpp"
 
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace parsleytrack::peering
@@ -16,21 +18,6 @@
 constexpr duration exchange_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_exchanges = 4;
 
-/// Times for small groups whose nodes are killed often: a dead node is to be
-/// left out of address answers within about two seconds.
-membership_options group_options()
-{
-    membership_options options;
-    options.probe_interval = std::chrono::milliseconds(300);
-    options.indirect_after = std::chrono::milliseconds(200);
-    options.suspect_after = std::chrono::milliseconds(700);
-    options.suspicion = std::chrono::milliseconds(1500);
-    options.confirm_interval = std::chrono::milliseconds(400);
-    options.join_interval = std::chrono::milliseconds(300);
-    options.exchange_interval = std::chrono::seconds(5);
-    return options;
-}
-
 } // namespace
 
 peer_group::peer_group(net::event_loop& event_loop, wire::peer_network& network,
@@ -54,6 +41,11 @@
 
 void peer_group::update_living()
 {
+    std::set<node_id> before;
+    for (const node_info& node : this->alive)
+    {
+        before.insert(node.id);
+    }
     this->alive.clear();
     for (node_info& node : this->members.nodes())
     {
@@ -62,6 +54,30 @@
             this->alive.push_back(std::move(node));
         }
     }
+    for (const node_info& node : this->alive)
+    {
+        if (before.erase(node.id) == 0)
+        {
+            this->log_change("node_alive", node);
+        }
+    }
+    for (const node_info& node : this->members.nodes())
+    {
+        if (before.contains(node.id))
+        {
+            this->log_change("node_not_alive", node);
+        }
+    }
+}
+
+void peer_group::log_change(const char* event, const node_info& node) const
+{
+    log_event(log_level::info, event,
+              {{"peer_node", node.id.str()},
+               {"address", to_string(node.peer)},
+               {"state", std::string(to_string(node.state))},
+               {"incarnation", node.incarnation.count()},
+               {"living", this->alive.size()}});
 }
 
 std::optional<node_info> peer_group::find(const node_id& id) const
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -45,6 +45,7 @@
 
 private:
     void update_living();
+    void log_change(const char* event, const node_info& node) const;
     void tick();
     void receive(const endpoint& from, std::string_view bytes);
     void answer_exchange(const std::shared_ptr<wire::peer_exchange>& exchange);
