--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -14,6 +14,9 @@
 
 /// How late a waiting request may learn that it will not be served in time.
 constexpr duration tick_interval = std::chrono::milliseconds(20);
+/// How often the state of the slots is logged: on-call engineers read it by the
+/// second, and a line a second costs next to nothing.
+constexpr duration show_interval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -30,6 +33,8 @@
         { this->take_peer_report(exchange); });
     this->tick_timer =
         this->context.loop.call_every(tick_interval, [this] { this->tick(); });
+    this->show_timer = this->context.loop.call_every(show_interval, [this]
+                                                     { this->show_state(); });
 }
 
 slots::slot_ticket slot_desk::open(const slot_order& order,
@@ -197,6 +202,44 @@
     }
 }
 
+void slot_desk::show_state()
+{
+    const time_point now = net::event_loop::now();
+    for (const auto& [pool, broker] : this->brokers)
+    {
+        const auto gauge = [this, &pool](const char* use, int value)
+        {
+            this->context.metrics.set_gauge(
+                "parsleytrack_slots", {{"pool", pool.name()}, {"use", use}},
+                value);
+        };
+        const int waiting_online = static_cast<int>(broker.waiting_online());
+        const int waiting_batch = static_cast<int>(broker.waiting_batch());
+        const int online = broker.used_slots() - broker.used_by_batch();
+        gauge("all", broker.total_slots());
+        gauge("free", broker.free_slots(now));
+        gauge("online", online);
+        gauge("batch", broker.used_by_batch());
+        gauge("waiting_online", waiting_online);
+        gauge("waiting_batch", waiting_batch);
+        if (broker.used_slots() + waiting_online + waiting_batch == 0)
+        {
+            continue;
+        }
+        log_event(log_level::info, "slots",
+                  {{"pool", pool.name()},
+                   {"slots", broker.total_slots()},
+                   {"free", broker.free_slots(now)},
+                   {"online", online},
+                   {"batch", broker.used_by_batch()},
+                   {"waiting_online", waiting_online},
+                   {"waiting_batch", waiting_batch},
+                   {"mean_hold_ms", to_milliseconds(broker.mean_online_hold())},
+                   {"replicas_age_ms",
+                    to_milliseconds(this->context.replicas.age())}});
+    }
+}
+
 void slot_desk::carry_out(slots::slot_broker& broker)
 {
     for (const slots::slot_command& command : broker.take_commands())
--- a/src/relay/slot_desk.hpp
+++ b/src/relay/slot_desk.hpp
@@ -52,6 +52,7 @@
     void take_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
     void update_replicas();
     void tick();
+    void show_state();
     void carry_out(slots::slot_broker& broker);
 
     const relay_context& context;
@@ -60,6 +61,7 @@
     std::map<request_id, slots::slot_ticket> tickets;
     std::int64_t next_ticket = 1;
     net::timer tick_timer;
+    net::timer show_timer;
 };
 
 } // namespace parsleytrack::relay
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -49,6 +49,14 @@
 
     int total_slots() const;
     int used_slots() const { return static_cast<int>(this->held.size()); }
+    int used_by_batch() const { return this->batch_held; }
+
+    /// \returns Slots of usable replicas that nothing holds.
+    int free_slots(time_point now) const;
+
+    /// \returns How long online requests hold a slot on average.
+    duration mean_online_hold() const { return this->mean_hold; }
+
     std::size_t waiting_online() const { return this->online.size(); }
     std::size_t waiting_batch() const { return this->batch.size(); }
 
@@ -99,7 +107,6 @@
                time_point now);
     void refuse(const waiting_request& waiting, duration wait);
     replica_state* choose(const slot_request& wanted, time_point now);
-    int free_slots(time_point now) const;
     duration predicted_wait(std::size_t ahead) const;
 
     slot_broker_options options;
