--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -202,42 +202,47 @@
     }
 }
 
-void slot_desk::show_state()
+void slot_desk::show_state() const
 {
-    const time_point now = net::event_loop::now();
     for (const auto& [pool, broker] : this->brokers)
     {
-        const auto gauge = [this, &pool](const char* use, int value)
-        {
-            this->context.metrics.set_gauge(
-                "parsleytrack_slots", {{"pool", pool.name()}, {"use", use}},
-                value);
-        };
-        const int waiting_online = static_cast<int>(broker.waiting_online());
-        const int waiting_batch = static_cast<int>(broker.waiting_batch());
-        const int online = broker.used_slots() - broker.used_by_batch();
-        gauge("all", broker.total_slots());
-        gauge("free", broker.free_slots(now));
-        gauge("online", online);
-        gauge("batch", broker.used_by_batch());
-        gauge("waiting_online", waiting_online);
-        gauge("waiting_batch", waiting_batch);
-        if (broker.used_slots() + waiting_online + waiting_batch == 0)
-        {
-            continue;
-        }
-        log_event(log_level::info, "slots",
-                  {{"pool", pool.name()},
-                   {"slots", broker.total_slots()},
-                   {"free", broker.free_slots(now)},
-                   {"online", online},
-                   {"batch", broker.used_by_batch()},
-                   {"waiting_online", waiting_online},
-                   {"waiting_batch", waiting_batch},
-                   {"mean_hold_ms", to_milliseconds(broker.mean_online_hold())},
-                   {"replicas_age_ms",
-                    to_milliseconds(this->context.replicas.age())}});
+        this->show_pool(pool.name(), broker);
+    }
+}
+
+void slot_desk::show_pool(const std::string& pool,
+                          const slots::slot_broker& broker) const
+{
+    const int free = broker.free_slots(net::event_loop::now());
+    const int online = broker.used_slots() - broker.used_by_batch();
+    const int waiting_online = static_cast<int>(broker.waiting_online());
+    const int waiting_batch = static_cast<int>(broker.waiting_batch());
+    const auto gauge = [this, &pool](const char* use, int value)
+    {
+        this->context.metrics.set_gauge("parsleytrack_slots",
+                                        {{"pool", pool}, {"use", use}}, value);
+    };
+    gauge("all", broker.total_slots());
+    gauge("free", free);
+    gauge("online", online);
+    gauge("batch", broker.used_by_batch());
+    gauge("waiting_online", waiting_online);
+    gauge("waiting_batch", waiting_batch);
+    if (broker.used_slots() + waiting_online + waiting_batch == 0)
+    {
+        return;
     }
+    log_event(
+        log_level::info, "slots",
+        {{"pool", pool},
+         {"slots", broker.total_slots()},
+         {"free", free},
+         {"online", online},
+         {"batch", broker.used_by_batch()},
+         {"waiting_online", waiting_online},
+         {"waiting_batch", waiting_batch},
+         {"mean_hold_ms", to_milliseconds(broker.mean_online_hold())},
+         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
 }
 
 void slot_desk::carry_out(slots::slot_broker& broker)
--- a/src/relay/slot_desk.hpp
+++ b/src/relay/slot_desk.hpp
@@ -52,7 +52,9 @@
     void take_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
     void update_replicas();
     void tick();
-    void show_state();
+    void show_state() const;
+    void show_pool(const std::string& pool,
+                   const slots::slot_broker& broker) const;
     void carry_out(slots::slot_broker& broker);
 
     const relay_context& context;
