--- /dev/null
+++ b/tests/relay_process/recovery_test.cpp
@@ -0,0 +1,128 @@
+#include "relay_process/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_process;
+
+namespace
+{
+
+/// What a caller has read of a job.
+nlohmann::json read_page(relay_fleet& fleet, int node, const std::string& job)
+{
+    const auto answer = fleet.call(node, "GET", "/v1/lots/" + job + "?after=0");
+    return answer.status == 200 ? nlohmann::json::parse(answer.body)
+                                : nlohmann::json::object();
+}
+
+void restart_all(relay_fleet& fleet, int nodes)
+{
+    for (int node = 0; node < nodes; ++node)
+    {
+        fleet.process(node).kill();
+    }
+    for (int node = 0; node < nodes; ++node)
+    {
+        fleet.start(node);
+    }
+    for (int node = 0; node < nodes; ++node)
+    {
+        fleet.wait_ready(node);
+    }
+}
+
+void run_for(relay_fleet& fleet, duration span)
+{
+    const time_point until = net::event_loop::now() + span;
+    fleet.wait([until] { return net::event_loop::now() > until; });
+}
+
+} // namespace
+
+TEST_GROUP(relay_recovery){};
+
+TEST(relay_recovery, results_that_were_read_keep_their_places)
+{
+    relay_fleet fleet(3);
+    CHECK_EQUAL(202, fleet.submit(0, "job", 40).status);
+    nlohmann::json before;
+    CHECK(fleet.wait(
+        [&]
+        {
+            before = read_page(fleet, 1, "job");
+            return before.contains("results") && before["results"].size() > 3;
+        }));
+    restart_all(fleet, 3);
+    const nlohmann::json all = fleet.results(2, "job");
+    CHECK_EQUAL(40, all.size());
+    for (std::size_t index = 0; index < before["results"].size(); ++index)
+    {
+        CHECK(before["results"][index] == all[index]);
+    }
+}
+
+TEST(relay_recovery, an_ended_job_stays_ended)
+{
+    relay_fleet fleet(2);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 5).status);
+    CHECK_EQUAL(200, fleet.call(1, "DELETE", "/v1/lots/job").status);
+    restart_all(fleet, 2);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+    }
+    // Longer than it takes to find jobs without an owner.
+    run_for(fleet, std::chrono::seconds(4));
+    for (const auto& engine : fleet.engines)
+    {
+        CHECK(engine->runs.empty());
+    }
+    CHECK_EQUAL(202, fleet.submit(1, "job", 5).status);
+    run_for(fleet, std::chrono::seconds(1));
+    CHECK(fleet.engines[0]->runs.empty());
+}
+
+TEST(relay_recovery, the_newest_configuration_is_in_force_again)
+{
+    relay_fleet fleet(2);
+    fleet.store.put("op/config", relay_fleet::configuration(9, "/moved/"));
+    restart_all(fleet, 2);
+    for (int node = 0; node < 2; ++node)
+    {
+        CHECK_EQUAL(200, fleet.call(node, "POST", "/moved/a", "id1").status);
+        CHECK_EQUAL(404, fleet.call(node, "POST", "/plain/a", "id2").status);
+    }
+}
+
+TEST_GROUP(relay_configuration){};
+
+TEST(relay_configuration, an_older_version_is_not_taken)
+{
+    relay_fleet fleet(1);
+    fleet.store.put("op/config", relay_fleet::configuration(9, "/moved/"));
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.call(0, "POST", "/moved/a", "id1").status == 200; }));
+    fleet.store.put("op/config", relay_fleet::configuration(8, "/older/"));
+    run_for(fleet, std::chrono::milliseconds(500));
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/moved/a", "id2").status);
+    CHECK_EQUAL(404, fleet.call(0, "POST", "/older/a", "id3").status);
+}
+
+TEST(relay_configuration, a_damaged_version_leaves_the_one_in_force)
+{
+    relay_fleet fleet(1);
+    fleet.store.put("op/config", R"({"version":10,"routes":7})");
+    fleet.store.put("op/config", "not a document");
+    run_for(fleet, std::chrono::milliseconds(500));
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/plain/a", "id1").status);
+    fleet.store.put("op/config", relay_fleet::configuration(11, "/moved/"));
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.call(0, "POST", "/moved/a", "id2").status == 200; }));
+}
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -39,7 +39,7 @@
     return address;
 }
 
-const char* const configuration = R"({"version":3,"routes":[
+const char* const configuration_text = R"({"version":3,"routes":[
  {"name":"plain","host":"h","prefix":"/plain/","kind":"safe","timeoutMs":2000,
   "targetLatencyMs":500,"service":"web","maxAttempts":2,"priority":2},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"streaming",
@@ -58,10 +58,19 @@
 
 } // namespace
 
+std::string relay_fleet::configuration(int version,
+                                       const std::string& plain_prefix)
+{
+    json document = json::parse(configuration_text);
+    document["version"] = version;
+    document["routes"][0]["prefix"] = plain_prefix;
+    return document.dump();
+}
+
 relay_fleet::relay_fleet(int node_count, int keep_seconds)
     : keep_results_s(keep_seconds)
 {
-    this->store.put("op/config", configuration);
+    this->store.put("op/config", configuration(3, "/plain/"));
     for (int number = 0; number < engine_count; ++number)
     {
         auto engine = std::make_unique<replica_stand_in>(
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_process/relay_fleet.hpp
@@ -24,6 +24,12 @@
     /// \param keep_results_s How long results stay readable.
     explicit relay_fleet(int node_count, int keep_results_s = 900);
 
+    /// \param version The version.
+    /// \param plain_prefix Prefix of the route of plain requests.
+    /// \returns What operators write.
+    static std::string configuration(int version,
+                                     const std::string& plain_prefix);
+
     /// An answer, or status 0 when the connection ended without one.
     struct answer
     {
