--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -67,9 +67,10 @@
                         get_callback callback)
 {
     const net::http_request request = this->dialect.get(key, freshness);
+    this->count_read(freshness);
     this->send(
         request, call_timeout,
-        [this, key, request,
+        [this, key, request, freshness,
          callback = std::move(callback)](result<net::http_response> first)
         {
             if (first.has_value())
@@ -77,6 +78,7 @@
                 callback(this->dialect.read_get(key, first.value()));
                 return;
             }
+            this->count_read(freshness);
             this->send(request, call_timeout,
                        [this, key, callback](result<net::http_response> second)
                        {
@@ -106,6 +108,7 @@
     const std::string after = state->collected.records.empty()
                                   ? std::string()
                                   : state->collected.records.back().key;
+    this->count_read(state->freshness);
     this->send(this->dialect.list(state->prefix, after, state->freshness),
                call_timeout,
                [this, state](result<net::http_response> response)
@@ -147,6 +150,7 @@
 {
     net::http_request request = this->dialect.watch(prefix, after, watch_wait);
     request.probe_connection = true;
+    ++this->counts.watches;
     this->send(request, watch_timeout,
                [this, callback = std::move(callback)](
                    result<net::http_response> response)
@@ -173,6 +177,7 @@
 
 void record_client::send_commit(const std::shared_ptr<commit_state>& state)
 {
+    ++this->counts.commits;
     this->send(state->request, call_timeout,
                [this, state](result<net::http_response> response)
                {
@@ -228,7 +233,6 @@
     net::http_request copy = request;
     copy.total_timeout = timeout;
     const std::uint64_t number = this->next_number++;
-    ++this->call_count;
     this->calls[number] = this->http.send(
         this->address, copy,
         {{},
@@ -274,6 +278,12 @@
                               });
 }
 
+void record_client::count_read(read_freshness freshness)
+{
+    ++(freshness == read_freshness::latest ? this->counts.reads
+                                           : this->counts.stale_reads);
+}
+
 void record_client::note_answer()
 {
     if (this->outage.call_answered())
@@ -289,6 +299,7 @@
 
 void record_client::note_failure(const error& reason)
 {
+    ++this->counts.failures;
     if (this->outage.call_failed(net::event_loop::now(), this->random))
     {
         log_event(log_level::warning, "store_lost",
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "key_value/outage_detector.hpp"
+#include "key_value/call_counts.hpp"
 #include "key_value/record_dialect.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -60,7 +61,7 @@
     void on_reach_change(reach_callback callback);
 
     bool is_reachable() const { return this->outage.is_reachable(); }
-    std::uint64_t calls_made() const { return this->call_count; }
+    const call_counts& calls_made() const { return this->counts; }
 
 private:
     using response_callback = std::function<void(result<net::http_response>)>;
@@ -74,6 +75,7 @@
     void repeat_commit(const std::shared_ptr<commit_state>& state,
                        const error& reason);
     void after(duration delay, std::function<void()> callback);
+    void count_read(read_freshness freshness);
     void note_answer();
     void note_failure(const error& reason);
 
@@ -87,7 +89,7 @@
     std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
     std::map<std::uint64_t, net::timer> timers;
     std::uint64_t next_number = 1;
-    std::uint64_t call_count = 0;
+    call_counts counts;
 };
 
 } // namespace parsleytrack::key_value
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -31,6 +31,9 @@
 constexpr duration retry_after_start = std::chrono::milliseconds(300);
 /// Another node can be asked at once.
 constexpr duration retry_after_stop = std::chrono::milliseconds(10);
+/// The store's limits are per second over all nodes; ten seconds show a trend
+/// at little cost.
+constexpr duration store_calls_interval = std::chrono::seconds(10);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
 
 node_info own_info(const settings::relay_settings& settings)
@@ -107,6 +110,7 @@
     address_service addresses{this->context};
     std::vector<net::timer> signals;
     net::timer stop_timer;
+    net::timer calls_timer;
     std::optional<stop_schedule> stop;
 
     result<bool> listen();
@@ -115,6 +119,7 @@
     void take_ready(const std::shared_ptr<net::http_exchange>& exchange);
     void take_directory(const std::shared_ptr<net::http_exchange>& exchange);
     void take_metrics(const std::shared_ptr<net::http_exchange>& exchange);
+    void log_store_calls() const;
     void reload();
     void begin_stop();
     void finish_stop();
@@ -243,8 +248,17 @@
     const std::shared_ptr<net::http_exchange>& exchange)
 {
     const auto table = this->configuration.current();
-    this->metrics.set_gauge("parsleytrack_store_calls", {},
-                            static_cast<double>(this->store.calls_made()));
+    const key_value::call_counts& calls = this->store.calls_made();
+    const auto show_calls = [this](const char* kind, std::uint64_t count)
+    {
+        this->metrics.set_gauge("parsleytrack_store_calls", {{"kind", kind}},
+                                static_cast<double>(count));
+    };
+    show_calls("read", calls.reads);
+    show_calls("stale_read", calls.stale_reads);
+    show_calls("watch", calls.watches);
+    show_calls("commit", calls.commits);
+    show_calls("failed", calls.failures);
     this->metrics.set_gauge("parsleytrack_store_reachable", {},
                             this->store.is_reachable() ? 1.0 : 0.0);
     this->metrics.set_gauge(
@@ -260,6 +274,21 @@
                       this->metrics.prometheus_text());
 }
 
+void relay_node::state::log_store_calls() const
+{
+    const key_value::call_counts& calls = this->store.calls_made();
+    log_event(
+        log_level::info, "store_calls",
+        {{"reads", calls.reads},
+         {"stale_reads", calls.stale_reads},
+         {"watches", calls.watches},
+         {"commits", calls.commits},
+         {"failures", calls.failures},
+         {"reachable", this->store.is_reachable() ? "yes" : "no"},
+         {"configuration_age_ms", to_milliseconds(this->configuration.age())},
+         {"replicas_age_ms", to_milliseconds(this->replicas.age())}});
+}
+
 void relay_node::state::reload()
 {
     const auto outcome = settings::load_relay_settings(this->settings_path);
@@ -339,6 +368,8 @@
     self.configuration.on_change([&self] { self.apply_limits(); });
     self.configuration.start();
     self.replicas.start();
+    self.calls_timer = self.loop.call_every(store_calls_interval, [&self]
+                                            { self.log_store_calls(); });
     log_event(log_level::info, "started",
               {{"peer", to_string(self.settings.peer)},
                {"zone", self.settings.availability_zone.str()},
