Follow the list of replicas through a few nodes in large groups

Now one node in each availability zone follows the list, the others follow two of these and ask the store as soon as neither is well (silence of 1.6 s). Groups of up to 16 are as before. Followers pause up to a second in an outage and try again as soon as any call is answered.

--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -10,10 +10,11 @@
 namespace
 {
 
-/// Short, since operators' changes are due within two seconds of their
-/// acknowledgement as soon as the store can be reached.
 constexpr duration first_pause = std::chrono::milliseconds(100);
-constexpr duration longest_pause = std::chrono::milliseconds(500);
+/// Half of the two seconds in which operators' changes are due once the store
+/// can be reached. Refused calls count against the store's rates as well, and
+/// all nodes make them during an outage.
+constexpr duration longest_pause = std::chrono::seconds(1);
 
 } // namespace
 
@@ -27,63 +28,101 @@
       prefix(std::move(key_prefix)), hooks(std::move(listener)),
       collecting(pause_after_changes), pauses(first_pause, longest_pause)
 {
+    this->store.on_reach_change(
+        [this](bool reachable)
+        {
+            if (reachable && this->running && this->pausing)
+            {
+                this->retry();
+            }
+        });
 }
 
 void record_follower::start()
 {
+    if (std::exchange(this->running, true))
+    {
+        return;
+    }
+    ++this->run;
     this->read_all();
 }
 
+void record_follower::stop()
+{
+    this->running = false;
+    this->failing = false;
+    ++this->run;
+    this->pausing = false;
+    this->next_timer.cancel();
+    this->retry_timer.cancel();
+}
+
 void record_follower::read_all()
 {
-    this->store.list(this->prefix, read_freshness::latest,
-                     [this](result<record_listing> listing)
-                     {
-                         if (listing.has_error())
-                         {
-                             this->fail(listing.error());
-                             return;
-                         }
-                         this->position = listing.value().read_at;
-                         this->confirmed = net::event_loop::now();
-                         this->pauses.reset();
-                         this->hooks.on_all(
-                             listing.value(),
-                             std::exchange(this->failing, false));
-                         this->wait_for_changes();
-                     });
+    this->store.list(
+        this->prefix, read_freshness::latest,
+        [this, started_in = this->run](const result<record_listing>& listing)
+        {
+            if (started_in == this->run)
+            {
+                this->take_all(listing);
+            }
+        });
+}
+
+void record_follower::take_all(const result<record_listing>& listing)
+{
+    if (listing.has_error())
+    {
+        this->fail(listing.error());
+        return;
+    }
+    this->position = listing.value().read_at;
+    this->confirmed = net::event_loop::now();
+    this->pauses.reset();
+    this->hooks.on_all(listing.value(), std::exchange(this->failing, false));
+    this->wait_for_changes();
 }
 
 void record_follower::wait_for_changes()
 {
     this->store.watch(
         this->prefix, this->position,
-        [this](result<record_changes> answer)
+        [this, started_in = this->run](const result<record_changes>& answer)
         {
-            if (answer.has_error())
+            if (started_in == this->run)
             {
-                this->fail(answer.error());
-                return;
+                this->take_changes(answer);
             }
-            if (answer.value().history_lost)
-            {
-                log_event(log_level::info, "store_history_lost",
-                          {{"prefix", this->prefix},
-                           {"after", this->position.count()}});
-                this->read_all();
-                return;
-            }
-            this->confirmed = net::event_loop::now();
-            this->position = answer.value().read_at;
-            for (const record_change& change : answer.value().changes)
-            {
-                this->hooks.on_change(change);
-            }
-            this->next_timer = this->loop.call_after(
-                this->collecting, [this] { this->wait_for_changes(); });
         });
 }
 
+void record_follower::take_changes(const result<record_changes>& answer)
+{
+    if (answer.has_error())
+    {
+        this->fail(answer.error());
+        return;
+    }
+    if (answer.value().history_lost)
+    {
+        log_event(
+            log_level::info, "store_history_lost",
+            {{"prefix", this->prefix}, {"after", this->position.count()}});
+        this->read_all();
+        return;
+    }
+    this->confirmed = net::event_loop::now();
+    this->position = answer.value().read_at;
+    if (!answer.value().changes.empty())
+    {
+        this->hooks.on_changes(answer.value().changes);
+    }
+    this->next_timer = this->loop.call_after(this->collecting, [this]
+                                             { this->wait_for_changes(); });
+}
+
 void record_follower::fail(const error& reason)
 {
     if (!std::exchange(this->failing, true))
@@ -98,8 +137,16 @@
             this->hooks.on_failure(reason);
         }
     }
+    this->pausing = true;
     this->retry_timer = this->loop.call_after(this->pauses.next(this->random),
-                                              [this] { this->read_all(); });
+                                              [this] { this->retry(); });
+}
+
+void record_follower::retry()
+{
+    this->pausing = false;
+    this->retry_timer.cancel();
+    this->read_all();
 }
 
 } // namespace parsleytrack::key_value
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::key_value
 {
@@ -22,8 +23,8 @@
         ///
         /// \param after_failure Whether calls had failed before.
         std::function<void(const record_listing&, bool after_failure)> on_all;
-        /// One change after the last listing.
-        std::function<void(const record_change&)> on_change;
+        /// Changes after the last listing, in their order; never none.
+        std::function<void(const std::vector<record_change>&)> on_changes;
         /// Calls have begun to fail. Optional.
         std::function<void(const error&)> on_failure;
     };
@@ -34,15 +35,27 @@
                     random_source& random_numbers, std::string key_prefix,
                     duration pause_after_changes, callbacks listener);
 
+    /// Begins, or begins anew after stop().
     void start();
 
+    /// Follows no longer; nothing is told until start() is called.
+    void stop();
+
+    bool is_running() const { return this->running; }
+
+    /// \returns Whether the last call has failed.
+    bool is_failing() const { return this->failing; }
+
     /// \returns When the store last confirmed what is known.
     time_point confirmed_at() const { return this->confirmed; }
 
 private:
     void read_all();
+    void take_all(const result<record_listing>& listing);
     void wait_for_changes();
+    void take_changes(const result<record_changes>& answer);
     void fail(const error& reason);
+    void retry();
 
     net::event_loop& loop;
     record_client& store;
@@ -53,7 +66,12 @@
     backoff pauses;
     store_revision position;
     time_point confirmed;
+    bool running = false;
+    /// A retry is planned and no call is under way.
+    bool pausing = false;
     bool failing = false;
+    /// Tells answers to calls from before a stop() apart.
+    std::uint64_t run = 0;
     net::timer next_timer;
     net::timer retry_timer;
 };
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -22,11 +22,14 @@
                         this->take(record);
                     }
                 },
-                [this](const key_value::record_change& change)
+                [this](const std::vector<key_value::record_change>& changes)
                 {
-                    if (!change.deleted)
+                    for (const key_value::record_change& change : changes)
                     {
-                        this->take(change.record);
+                        if (!change.deleted)
+                        {
+                            this->take(change.record);
+                        }
                     }
                 },
                 {}})
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -78,7 +78,9 @@
           group(this->loop, this->peers, this->random, own_info(this->settings),
                 this->settings.seeds),
           configuration(this->loop, this->store, this->random, translator),
-          replicas(this->loop, this->store, this->random, translator)
+          replicas(this->loop, this->store, this->peers, this->group,
+                   this->random, translator,
+                   static_cast<std::size_t>(this->settings.most_alone))
     {
     }
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -19,15 +19,24 @@
 
 replica_follower::replica_follower(net::event_loop& event_loop,
                                    key_value::record_client& client,
+                                   wire::peer_network& network,
+                                   peering::peer_group& nodes,
                                    random_source& random_numbers,
-                                   const relay_dialect& translator)
+                                   const relay_dialect& translator,
+                                   std::size_t most_alone)
     : loop(event_loop), dialect(translator),
-      follower(event_loop, client, random_numbers,
-               translator.keys().replica_prefix, collecting_time,
+      follower(event_loop, client, network, nodes, random_numbers,
+               translator.keys().replica_prefix, collecting_time, most_alone,
                {[this](const key_value::record_listing& listing, bool failed)
                 { this->take_listing(listing, failed); },
-                [this](const key_value::record_change& change)
-                { this->take_change(change); },
+                [this](const std::vector<key_value::record_change>& changes)
+                {
+                    for (const key_value::record_change& change : changes)
+                    {
+                        this->take_change(change);
+                    }
+                    this->tell();
+                },
                 [this](const error&)
                 {
                     this->replicas.store_lost();
@@ -94,7 +103,6 @@
                   {{"replica", id.str()},
                    {"revision", change.record.revision.count()}});
         this->replicas.remove(id, net::event_loop::now());
-        this->tell();
         return;
     }
     auto entry = this->dialect.read_replica(key, change.record.value);
@@ -114,7 +122,6 @@
                    {"revision", change.record.revision.count()}});
         this->replicas.update(entry.value());
     }
-    this->tell();
 }
 
 void replica_follower::expire()
--- a/src/relay/replica_follower.hpp
+++ b/src/relay/replica_follower.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "key_value/record_follower.hpp"
+#include "feeds/record_feed.hpp"
 #include "net/event_loop.hpp"
 #include "relay/relay_dialect.hpp"
 #include "routing/replica_book.hpp"
@@ -18,8 +18,9 @@
 public:
     replica_follower(net::event_loop& event_loop,
                      key_value::record_client& client,
+                     wire::peer_network& network, peering::peer_group& nodes,
                      random_source& random_numbers,
-                     const relay_dialect& translator);
+                     const relay_dialect& translator, std::size_t most_alone);
 
     void start() { this->follower.start(); }
 
@@ -45,7 +46,7 @@
 
     net::event_loop& loop;
     const relay_dialect& dialect;
-    key_value::record_follower follower;
+    feeds::record_feed follower;
     routing::replica_book replicas;
     std::vector<std::function<void()>> change_callbacks;
     net::timer expiry_timer;
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -33,11 +33,14 @@
                         this->take(record);
                     }
                 },
-                [this](const key_value::record_change& change)
+                [this](const std::vector<key_value::record_change>& changes)
                 {
-                    if (!change.deleted)
+                    for (const key_value::record_change& change : changes)
                     {
-                        this->take(change.record);
+                        if (!change.deleted)
+                        {
+                            this->take(change.record);
+                        }
                     }
                 },
                 {}})
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -43,7 +43,9 @@
     /// Relay: any node to the owner of a batch job.
     node_job_read = 90,
     node_job_news = 91,
-    node_job_handover = 92
+    node_job_handover = 92,
+    /// Relay: a node that follows the store through another one.
+    record_feed = 95
 };
 
 } // namespace parsleytrack::wire
--- /dev/null
+++ b/tests/feeds/merged_records_test.cpp
@@ -0,0 +1,108 @@
+#include "feeds/merged_records.hpp"
+
+#include "units/random_source.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <map>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::feeds;
+using key_value::record_change;
+using key_value::record_listing;
+using key_value::stored_record;
+
+namespace
+{
+
+record_change change(const char* key, std::int64_t revision,
+                     bool deleted = false)
+{
+    return {
+        stored_record{key, std::to_string(revision), store_revision(revision)},
+        deleted};
+}
+
+record_listing listing(const std::vector<record_change>& entries,
+                       std::int64_t read_at)
+{
+    record_listing made;
+    made.read_at = store_revision(read_at);
+    for (const record_change& entry : entries)
+    {
+        made.records.push_back(entry.record);
+    }
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(merged_records)
+{
+    merged_records merged;
+};
+
+TEST(merged_records, an_older_listing_undoes_nothing)
+{
+    CHECK(this->merged.take_all(listing({change("a", 3), change("b", 5)}, 9)));
+    CHECK_FALSE(this->merged.take_all(listing({change("a", 3)}, 4)));
+    CHECK_EQUAL(2, this->merged.all().records.size());
+    CHECK_EQUAL(9, this->merged.position().count());
+}
+
+TEST(merged_records, a_change_that_is_known_is_no_news)
+{
+    this->merged.take_all(listing({change("a", 3)}, 9));
+    const auto news = this->merged.take_changes(
+        {change("a", 8), change("b", 10), change("a", 11, true)});
+    CHECK_EQUAL(2, news.size());
+    CHECK_EQUAL(1, this->merged.all().records.size());
+    STRCMP_EQUAL("b", this->merged.all().records[0].key.c_str());
+    CHECK_EQUAL(0, this->merged.take_changes({change("b", 10)}).size());
+}
+
+TEST(merged_records, two_sources_in_any_order_end_in_what_the_store_has)
+{
+    constexpr int rounds = 500;
+    constexpr int revisions = 60;
+    random_source random(7);
+    for (int round = 0; round < rounds; ++round)
+    {
+        merged_records joined;
+        std::vector<record_change> history;
+        std::map<std::string, std::int64_t> store;
+        std::array<std::size_t, 2> told{};
+        for (std::int64_t revision = 1; revision <= revisions; ++revision)
+        {
+            const std::string key(1, static_cast<char>('a' + random() % 5));
+            const bool deleted = random() % 3 == 0;
+            history.push_back(change(key.c_str(), revision, deleted));
+            deleted ? store.erase(key) : (store[key] = revision, 0);
+            // Each source tells its part of the history in order, and is
+            // behind by a different measure.
+            for (std::size_t& position : told)
+            {
+                const std::size_t until =
+                    position + random() % (history.size() - position + 1);
+                joined.take_changes(std::vector<record_change>(
+                    history.begin() + static_cast<std::ptrdiff_t>(position),
+                    history.begin() + static_cast<std::ptrdiff_t>(until)));
+                position = until;
+            }
+        }
+        for (const std::size_t position : told)
+        {
+            joined.take_changes(std::vector<record_change>(
+                history.begin() + static_cast<std::ptrdiff_t>(position),
+                history.end()));
+        }
+        const auto all = joined.all();
+        CHECK_EQUAL(store.size(), all.records.size());
+        for (const stored_record& record : all.records)
+        {
+            CHECK_EQUAL(store.at(record.key), record.revision.count());
+        }
+    }
+}
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -67,8 +67,8 @@
     return document.dump();
 }
 
-relay_fleet::relay_fleet(int node_count, int keep_seconds)
-    : keep_results_s(keep_seconds)
+relay_fleet::relay_fleet(int node_count, int keep_seconds, int most_nodes_alone)
+    : keep_results_s(keep_seconds), most_alone(most_nodes_alone)
 {
     this->store.put("op/config", configuration(3, "/plain/"));
     for (int number = 0; number < engine_count; ++number)
@@ -135,7 +135,9 @@
                           {"directory", to_string(entry.directory)},
                           {"peer", to_string(entry.peer)}}},
                         {"seeds", seeds},
-                        {"store", {{"address", to_string(entry.store)}}},
+                        {"store",
+                         {{"address", to_string(entry.store)},
+                          {"most_nodes_alone", this->most_alone}}},
                         {"addresses", {{"validity_s", 0.5}}},
                         {"jobs", {{"keep_results_s", this->keep_results_s}}},
                         {"stop", {{"limit_s", 8}}}};
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_process/relay_fleet.hpp
@@ -22,7 +22,9 @@
 public:
     /// \param node_count How many nodes.
     /// \param keep_results_s How long results stay readable.
-    explicit relay_fleet(int node_count, int keep_results_s = 900);
+    /// \param most_alone Up to so many nodes all follow the store.
+    explicit relay_fleet(int node_count, int keep_results_s = 900,
+                         int most_alone = 16);
 
     /// \param version The version.
     /// \param plain_prefix Prefix of the route of plain requests.
@@ -101,6 +103,7 @@
     net::http_client client{this->loop};
     process_support::temporary_folder folder;
     int keep_results_s;
+    int most_alone;
     std::vector<node> nodes;
     std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
     std::uint64_t next_call = 1;
--- a/tests/relay_process/store_stand_in.cpp
+++ b/tests/relay_process/store_stand_in.cpp
@@ -75,11 +75,25 @@
     }
 }
 
+std::set<endpoint> store_stand_in::watchers(const std::string& prefix) const
+{
+    std::set<endpoint> found;
+    for (const waiting_watch& watch : this->watches)
+    {
+        if (watch.prefix == prefix && watch.exchange->is_open())
+        {
+            found.insert(watch.address);
+        }
+    }
+    return found;
+}
+
 void store_stand_in::take(const door& entry,
                           const std::shared_ptr<net::http_exchange>& exchange)
 {
     if (entry.away)
     {
+        ++this->refused_count;
         exchange->respond(503, {}, "");
         return;
     }
@@ -94,7 +108,7 @@
     }
     else if (path == "/v1/kv-watch")
     {
-        this->watch(exchange);
+        this->watch(entry, exchange);
     }
     else if (path == "/v1/kv-txn")
     {
@@ -167,11 +181,13 @@
     return found;
 }
 
-void store_stand_in::watch(const std::shared_ptr<net::http_exchange>& exchange)
+void store_stand_in::watch(const door& entry_door,
+                           const std::shared_ptr<net::http_exchange>& exchange)
 {
     waiting_watch& entry = this->watches.emplace_back();
     entry.prefix = query(*exchange, "prefix");
     entry.after = std::stoll("0" + query(*exchange, "after"));
+    entry.address = entry_door.address;
     entry.exchange = exchange;
     entry.expiry = this->loop.call_after(
         std::chrono::milliseconds(std::stoll("0" + query(*exchange, "waitMs"))),
--- a/tests/relay_process/store_stand_in.hpp
+++ b/tests/relay_process/store_stand_in.hpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,12 @@
     /// Refuses all calls at an address with 503, or no longer.
     void turn_away(const endpoint& address, bool away);
 
+    /// \returns Calls that were refused because of turn_away().
+    int refused_calls() const { return this->refused_count; }
+
+    /// \returns Addresses through which changes of a prefix are waited for.
+    std::set<endpoint> watchers(const std::string& prefix) const;
+
     /// The next transactions are carried out and not answered.
     int lost_answers = 0;
 
@@ -54,6 +61,7 @@
     {
         std::string prefix;
         std::int64_t after = 0;
+        endpoint address;
         std::shared_ptr<net::http_exchange> exchange;
         net::timer expiry;
     };
@@ -69,7 +77,8 @@
               const std::shared_ptr<net::http_exchange>& exchange);
     void get(net::http_exchange& exchange);
     void list(net::http_exchange& exchange);
-    void watch(const std::shared_ptr<net::http_exchange>& exchange);
+    void watch(const door& entry,
+               const std::shared_ptr<net::http_exchange>& exchange);
     void commit(net::http_exchange& exchange, const std::string& body);
     nlohmann::json item(const std::string& key, const stored& entry) const;
     nlohmann::json events(const std::string& prefix, std::int64_t after) const;
@@ -82,6 +91,7 @@
     std::list<waiting_watch> watches;
     std::int64_t revision = 1;
     int transaction_count = 0;
+    int refused_count = 0;
 };
 
 } // namespace parsleytrack::relay_process
