Keep the progress of running items, so that kills and stops do not undo it

A planned stop lost what its node's items had received, and outcomes that were not written yet.

Ruled out: idle slots (the pools' lines show them full), late takeover (2.5 s after the start).

Now the owner writes what running items have received, with each commit and every 2.5 s between; a stop writes the outcomes and the progress; a takeover reads it and goes on after the last event.

relay_progress (kill of all, planned stop) failed before (no item was gone on with).

--- /dev/null
+++ b/src/jobs/item_progress.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace parsleytrack::jobs
+{
+
+/// What has been received of an item's answer so far.
+struct item_progress
+{
+    /// Number of the last event; 0 before the first.
+    std::int64_t last_event = 0;
+    /// The data of all events, separated by line feeds.
+    std::string output;
+
+    bool operator==(const item_progress&) const = default;
+};
+
+/// Progress of a job's items, by their position in the job.
+using job_progress = std::map<std::size_t, item_progress>;
+
+} // namespace parsleytrack::jobs
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -173,4 +173,37 @@
     return page;
 }
 
+std::string encode(const job_progress& progress)
+{
+    wire::node_job_progress message;
+    for (const auto& [item, known] : progress)
+    {
+        wire::node_job_partial& entry = message.items.emplace_back();
+        entry.item = static_cast<std::int32_t>(item);
+        entry.last_event = known.last_event;
+        entry.output = known.output;
+    }
+    return wire::encode(message);
+}
+
+result<job_progress> decode_progress(std::string_view bytes)
+{
+    auto message = wire::decode<wire::node_job_progress>(bytes);
+    if (message.has_error())
+    {
+        return message.error();
+    }
+    job_progress progress;
+    for (wire::node_job_partial& entry : message.value().items)
+    {
+        if (entry.item < 0 || entry.last_event < 0)
+        {
+            return damaged("progress of an item has a negative number");
+        }
+        progress[static_cast<std::size_t>(entry.item)] =
+            item_progress{entry.last_event, std::move(entry.output)};
+    }
+    return progress;
+}
+
 } // namespace parsleytrack::jobs
--- a/src/jobs/job_codec.hpp
+++ b/src/jobs/job_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/item_progress.hpp"
 #include "jobs/job_input.hpp"
 #include "jobs/job_page.hpp"
 #include "jobs/job_state.hpp"
@@ -25,4 +26,7 @@
 std::string encode(const job_page& page);
 result<job_page> decode_page(std::string_view bytes);
 
+std::string encode(const job_progress& progress);
+result<job_progress> decode_progress(std::string_view bytes);
+
 } // namespace parsleytrack::jobs
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -69,6 +69,9 @@
     /// another commit is under way.
     std::optional<job_commit> begin_commit(bool release);
 
+    /// \returns Whether a commit is under way.
+    bool is_committing() const { return this->committing; }
+
     /// The commit was applied.
     void commit_applied(const job_commit& commit, store_revision revision);
 
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -22,7 +22,7 @@
 
 item_run::item_run(const relay_context& node, slot_client& slot_source,
                    const jobs::job_item& run_item, std::string run_host,
-                   item_progress& known_progress, end_callback on_end)
+                   jobs::item_progress& known_progress, end_callback on_end)
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), progress(known_progress),
       ended_callback(std::move(on_end))
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/item_progress.hpp"
 #include "jobs/job_item.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/relay_context.hpp"
@@ -15,15 +16,6 @@
 namespace parsleytrack::relay
 {
 
-/// What has been received of an item's answer so far.
-struct item_progress
-{
-    /// Number of the last event; 0 before the first.
-    std::int64_t last_event = 0;
-    /// The data of all events, separated by line feeds.
-    std::string output;
-};
-
 /// How one run of an item has ended.
 enum class item_end
 {
@@ -54,7 +46,7 @@
     /// object.
     item_run(const relay_context& node, slot_client& slot_source,
              const jobs::job_item& run_item, std::string host,
-             item_progress& progress, end_callback on_end);
+             jobs::item_progress& progress, end_callback on_end);
 
     /// \param service Where the item may run.
     /// \param priority Rank among all work of the service.
@@ -72,7 +64,7 @@
     slot_client& slots;
     const jobs::job_item& item;
     std::string host;
-    item_progress& progress;
+    jobs::item_progress& progress;
     end_callback ended_callback;
     service_name service;
     replica_id replica;
--- a/src/relay/job_cleaner.cpp
+++ b/src/relay/job_cleaner.cpp
@@ -78,7 +78,8 @@
 {
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(job), revision}};
-    transaction.erased = {job_state_key(job), job_input_key(job)};
+    transaction.erased = {job_state_key(job), job_input_key(job),
+                          job_progress_key(job)};
     this->commit(
         job, std::move(transaction),
         [this, job]
--- a/src/relay/job_keys.cpp
+++ b/src/relay/job_keys.cpp
@@ -35,6 +35,11 @@
     return job_output_prefix(job) + digits;
 }
 
+std::string job_progress_key(const job_id& job)
+{
+    return "parsleytrack/jobs/progress/" + job.str();
+}
+
 std::string job_usage_key(const std::string& route_name)
 {
     return "parsleytrack/jobs/usage/" + route_name;
--- a/src/relay/job_keys.hpp
+++ b/src/relay/job_keys.hpp
@@ -23,6 +23,9 @@
 /// \returns Key of the output at a position.
 std::string job_output_key(const job_id& job, std::size_t position);
 
+/// \returns Key of what has been received of items without an outcome.
+std::string job_progress_key(const job_id& job);
+
 /// \returns Key of the tokens that wait on a route.
 std::string job_usage_key(const std::string& route_name);
 
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -3,6 +3,7 @@
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
+#include "relay/job_transaction.hpp"
 #include "relay/wall_clock.hpp"
 
 #include <algorithm>
@@ -28,6 +29,14 @@
 /// Lost answers of a commit are followed up for so long before the outcomes
 /// are written by a new transaction.
 constexpr duration commit_limit = std::chrono::seconds(10);
+/// What has been received of running items is written so often, beside the
+/// writes of outcomes: an item runs for some five seconds, and what a node that
+/// dies has not written is run again.
+constexpr duration progress_interval = std::chrono::milliseconds(2500);
+/// Progress that cannot be written soon is out of date.
+constexpr duration progress_limit = std::chrono::seconds(1);
+/// A quarter of the store's largest value.
+constexpr std::size_t max_progress_bytes = 256 * 1024;
 /// Keeps an item that finds no usable replica from asking without a break.
 constexpr duration interruption_pause = std::chrono::milliseconds(30);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
@@ -36,10 +45,17 @@
 
 job_owner::job_owner(const relay_context& node, slot_client& slot_source,
                      usage_book& usages_of_routes, jobs::owned_job owned_job,
-                     std::function<void()> on_lost)
+                     jobs::job_progress known, std::function<void()> on_lost)
     : context(node), slots(slot_source), usages(usages_of_routes),
-      owned(std::move(owned_job)), lost_callback(std::move(on_lost))
+      owned(std::move(owned_job)), lost_callback(std::move(on_lost)),
+      progress(std::move(known))
 {
+    for (const jobs::item_outcome& outcome : this->owned.state().outcomes)
+    {
+        this->progress.erase(outcome.item);
+    }
+    this->saved_events = this->events_received();
+    this->next_save = net::event_loop::now() + progress_interval;
 }
 
 job_owner::~job_owner()
@@ -78,6 +94,10 @@
         this->commit();
         return;
     }
+    if (net::event_loop::now() >= this->next_save)
+    {
+        this->save_progress();
+    }
     while (this->runs.size() < max_runs)
     {
         const auto item = this->owned.take_item();
@@ -117,7 +137,7 @@
                  std::move(run->second))] { old->reset(); });
         this->runs.erase(run);
     }
-    const item_progress& known = this->progress[item];
+    const jobs::item_progress& known = this->progress[item];
     const std::string& id = this->owned.input().items[item].id;
     const char* outcome = "completed";
     switch (end)
@@ -129,10 +149,15 @@
     case item_end::impossible:
         outcome = "impossible";
         this->owned.give_up_item(item);
+        this->progress.erase(item);
         break;
     case item_end::failed:
-        outcome =
-            this->owned.fail_item(item, most_failures) ? "given_up" : "failed";
+        outcome = "failed";
+        if (this->owned.fail_item(item, most_failures))
+        {
+            outcome = "given_up";
+            this->progress.erase(item);
+        }
         break;
     case item_end::interrupted:
         outcome = "interrupted";
@@ -154,6 +179,19 @@
 }
 
 void job_owner::stop()
+{
+    this->end_runs();
+    if (this->owned.has_uncommitted())
+    {
+        this->commit();
+    }
+    else
+    {
+        this->save_progress();
+    }
+}
+
+void job_owner::end_runs()
 {
     this->stopped = true;
     for (const auto& [item, run] : std::exchange(this->runs, {}))
@@ -200,7 +238,8 @@
     const token_count left =
         std::max(token_count(0), usage.waiting - commit->released_tokens);
     auto transaction =
-        this->transaction_of(*commit, usage_book::usage{left, usage.revision});
+        transaction_of(*commit, usage_book::usage{left, usage.revision});
+    this->add_progress(transaction);
     this->context.store.commit(
         std::move(transaction), commit_limit,
         [this, observed = this->alive, commit = std::move(*commit),
@@ -213,6 +252,68 @@
         });
 }
 
+void job_owner::save_progress()
+{
+    // A commit under way carries it, and changes the revision.
+    if (this->owned.is_committing() || this->owned.state().is_finished() ||
+        this->events_received() == this->saved_events)
+    {
+        return;
+    }
+    const job_id& job = this->owned.input().id;
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(job), this->owned.revision()}};
+    this->add_progress(transaction);
+    this->context.store.commit(
+        std::move(transaction), progress_limit,
+        [job](const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_error() || !outcome.value().applied)
+            {
+                log_event(log_level::info, "job_progress_not_saved",
+                          {{"job", job.str()},
+                           {"reason", outcome.has_error()
+                                          ? outcome.error().message
+                                          : "the record has changed"}});
+            }
+        });
+}
+
+void job_owner::add_progress(key_value::record_transaction& transaction)
+{
+    jobs::job_progress kept;
+    std::size_t bytes = 0;
+    for (const auto& [item, known] : this->progress)
+    {
+        bytes += known.output.size();
+        if (known.last_event > 0 && bytes <= max_progress_bytes)
+        {
+            kept.emplace(item, known);
+        }
+    }
+    const std::string key = job_progress_key(this->owned.input().id);
+    if (!kept.empty())
+    {
+        transaction.puts.push_back({key, jobs::encode(kept)});
+    }
+    else if (this->saved_events > 0)
+    {
+        transaction.erased.push_back(key);
+    }
+    this->saved_events = this->events_received();
+    this->next_save = net::event_loop::now() + progress_interval;
+}
+
+std::int64_t job_owner::events_received() const
+{
+    std::int64_t events = 0;
+    for (const auto& [item, known] : this->progress)
+    {
+        events += known.last_event;
+    }
+    return events;
+}
+
 bool job_owner::must_release(token_count waiting) const
 {
     const auto table = this->context.configuration.current();
@@ -232,33 +333,6 @@
                                      this->owned.input().submitted_at_ms);
 }
 
-key_value::record_transaction
-job_owner::transaction_of(const jobs::job_commit& commit,
-                          usage_book::usage usage) const
-{
-    const job_id& job = this->owned.input().id;
-    const std::string usage_key = job_usage_key(this->owned.input().route_name);
-    key_value::record_transaction transaction;
-    transaction.conditions = {{job_state_key(job), commit.expected}};
-    transaction.puts = {{job_state_key(job), jobs::encode(commit.state)}};
-    if (commit.released_tokens > token_count(0))
-    {
-        transaction.conditions.push_back({usage_key, usage.revision});
-        transaction.puts.push_back(
-            {usage_key, jobs::encode_usage(usage.waiting)});
-    }
-    for (std::size_t index = 0; index < commit.results.size(); ++index)
-    {
-        jobs::job_page page;
-        page.total = commit.state.item_count;
-        page.results = {commit.results[index]};
-        transaction.puts.push_back(key_value::record_put{
-            job_output_key(job, commit.first_position + index),
-            jobs::encode(page)});
-    }
-    return transaction;
-}
-
 void job_owner::take_commit(
     const jobs::job_commit& commit, token_count usage,
     const result<key_value::transaction_outcome>& outcome)
@@ -354,14 +428,14 @@
                   {{"job", now.id.str()},
                    {"owner", now.owner.str()},
                    {"revision", record.revision.count()}});
-        this->stop();
+        this->end_runs();
         this->lost_callback();
         return;
     }
     this->owned.set_agreed(now, record.revision);
     if (now.cancelled)
     {
-        this->stop();
+        this->end_runs();
         return;
     }
     this->commit();
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -24,11 +24,12 @@
     /// \param slot_source Outlives this object.
     /// \param usages Outlives this object.
     /// \param owned The job.
+    /// \param known What an earlier owner has received of its items.
     /// \param on_lost Called when another node has taken the job over; may
     /// destroy this object after the callback has returned.
     job_owner(const relay_context& node, slot_client& slot_source,
               usage_book& usages, jobs::owned_job owned,
-              std::function<void()> on_lost);
+              jobs::job_progress known, std::function<void()> on_lost);
     ~job_owner();
     job_owner(const job_owner&) = delete;
     job_owner& operator=(const job_owner&) = delete;
@@ -36,7 +37,8 @@
     /// Starts items for which nothing runs yet; to be called now and then.
     void pump();
 
-    /// Ends all runs, for a planned stop.
+    /// Ends all runs, for a planned stop. What they have received is kept for
+    /// the next owner.
     void stop();
 
     /// Takes in the job's record as another node has written it.
@@ -58,6 +60,7 @@
         net::timer expiry;
     };
 
+    void end_runs();
     void start_item(std::size_t item, const routing::route& route);
     void take_item_end(std::size_t item, item_end end,
                        const std::string& reason, int most_failures);
@@ -65,8 +68,9 @@
     void commit();
     bool must_release(token_count waiting) const;
     duration due_in() const;
-    key_value::record_transaction transaction_of(const jobs::job_commit& commit,
-                                                 usage_book::usage usage) const;
+    void save_progress();
+    void add_progress(key_value::record_transaction& transaction);
+    std::int64_t events_received() const;
     void take_commit(const jobs::job_commit& commit, token_count usage,
                      const result<key_value::transaction_outcome>& outcome);
     void resolve_conflict(const jobs::job_commit& commit,
@@ -79,7 +83,10 @@
     usage_book& usages;
     jobs::owned_job owned;
     std::function<void()> lost_callback;
-    std::map<std::size_t, item_progress> progress;
+    jobs::job_progress progress;
+    /// Events of all items that the store knows of.
+    std::int64_t saved_events = 0;
+    time_point next_save;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
     std::list<parked_reader> readers;
     /// How long after its submission the job is due, by the newest route.
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -47,7 +47,8 @@
       reader(node), cancellation(node, this->usages), cleaner(node),
       takeover(node,
                {[this](const job_id& job) { return this->owned.contains(job); },
-                [this](jobs::owned_job job) { this->own(std::move(job)); },
+                [this](jobs::owned_job job, jobs::job_progress progress)
+                { this->own(std::move(job), std::move(progress)); },
                 [this](const jobs::job_state& state, store_revision revision)
                 { this->cleaner.examine(state, revision); },
                 [this](const key_value::stored_record& record)
@@ -181,8 +182,8 @@
     const node_info& own = this->context.group.own();
     if (state.owner == own.id && state.owner_life == own.started_as)
     {
-        this->own(
-            jobs::owned_job(*input, state, accepted.value().revision, {}));
+        this->own(jobs::owned_job(*input, state, accepted.value().revision, {}),
+                  {});
     }
     else if (!accepted.value().was_known)
     {
@@ -247,7 +248,8 @@
     }
     this->own(jobs::owned_job(std::move(input.value()),
                               std::move(state.value()),
-                              store_revision(message.value().revision), {}));
+                              store_revision(message.value().revision), {}),
+              {});
     exchange->finish({});
 }
 
@@ -477,7 +479,7 @@
     }
 }
 
-void job_service::own(jobs::owned_job job)
+void job_service::own(jobs::owned_job job, jobs::job_progress progress)
 {
     const job_id id = job.input().id;
     if (this->stopped || this->owned.contains(id))
@@ -486,6 +488,7 @@
     }
     auto owner = std::make_unique<job_owner>(
         this->context, this->slots, this->usages, std::move(job),
+        std::move(progress),
         [this, id]
         { this->context.loop.post([this, id] { this->owned.erase(id); }); });
     job_owner& started = *owner;
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -60,7 +60,7 @@
     void take_peer_news(const std::shared_ptr<wire::peer_exchange>& exchange);
     void tell_owner(const jobs::job_state& state);
     void refresh(const job_id& job);
-    void own(jobs::owned_job job);
+    void own(jobs::owned_job job, jobs::job_progress progress);
     void pump();
 
     const relay_context& context;
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -215,9 +215,37 @@
                 this->abandon(state.id, "read_outputs", "one is missing");
                 return;
             }
-            this->under_way.erase(state.id);
-            this->hooks.on_taken(
-                jobs::owned_job(input, state, revision, std::move(outputs)));
+            this->load_progress(std::make_shared<jobs::owned_job>(
+                input, state, revision, std::move(outputs)));
+        });
+}
+
+void job_takeover::load_progress(const std::shared_ptr<jobs::owned_job>& job)
+{
+    const job_id& id = job->input().id;
+    this->context.store.get(
+        job_progress_key(id), key_value::read_freshness::latest,
+        [this, job, id](const result<key_value::stored_record>& record)
+        {
+            // Without it the items run from their start.
+            result<jobs::job_progress> progress = jobs::job_progress();
+            if (record.has_error())
+            {
+                progress = record.error();
+            }
+            else if (record.value().exists())
+            {
+                progress = jobs::decode_progress(record.value().value);
+            }
+            if (progress.has_error())
+            {
+                log_event(
+                    log_level::warning, "job_progress_lost",
+                    {{"job", id.str()}, {"reason", progress.error().message}});
+                progress = jobs::job_progress();
+            }
+            this->under_way.erase(id);
+            this->hooks.on_taken(std::move(*job), std::move(progress.value()));
         });
 }
 
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/item_progress.hpp"
 #include "jobs/owned_job.hpp"
 #include "relay/relay_context.hpp"
 #include "units/ids.hpp"
@@ -20,7 +21,7 @@
         /// \returns Whether this node runs the job already.
         std::function<bool(const job_id&)> is_owned;
         /// A job has been taken over.
-        std::function<void(jobs::owned_job)> on_taken;
+        std::function<void(jobs::owned_job, jobs::job_progress)> on_taken;
         /// A job that no node runs any more.
         std::function<void(const jobs::job_state&, store_revision)> on_finished;
         /// A record of a job that this node runs.
@@ -42,6 +43,7 @@
     void load(const jobs::job_state& state, store_revision revision);
     void load_outputs(const jobs::job_state& state, store_revision revision,
                       const jobs::job_input& input);
+    void load_progress(const std::shared_ptr<jobs::owned_job>& job);
     void abandon(const job_id& job, const char* step, const std::string& why);
 
     const relay_context& context;
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -52,6 +52,17 @@
   1: i64 waiting_tokens;
 }
 
+// What has been received of an item that has no outcome.
+struct node_job_partial {
+  1: i32 item;
+  2: i64 last_event;
+  3: binary output;
+}
+
+struct node_job_progress {
+  1: list<node_job_partial> items;
+}
+
 // Call of type node_job_read, to the owner.
 struct node_job_read {
   1: string job;
@@ -81,5 +92,4 @@
 // Call of type node_job_news: the job's record was changed by another node.
 struct node_job_news {
   1: string job;
-  2: string owner;
 }
--- a/src/wire/node_jobs_codec.cpp
+++ b/src/wire/node_jobs_codec.cpp
@@ -10,6 +10,7 @@
 PARSLEYTRACK_DEFINE_CODEC(node_job_read)
 PARSLEYTRACK_DEFINE_CODEC(node_job_page)
 PARSLEYTRACK_DEFINE_CODEC(node_job_news)
+PARSLEYTRACK_DEFINE_CODEC(node_job_progress)
 PARSLEYTRACK_DEFINE_CODEC(node_job_handover)
 
 } // namespace parsleytrack::wire
--- a/tests/fuzz/platform_fuzz_test.cpp
+++ b/tests/fuzz/platform_fuzz_test.cpp
@@ -107,6 +107,7 @@
         (void)jobs::decode_state(bytes);
         (void)jobs::decode_usage(bytes);
         (void)jobs::decode_page(bytes);
+        (void)jobs::decode_progress(bytes);
         const std::string call = damaged(message, this->random);
         (void)relay::decode_slot_order(call);
         (void)relay::decode_slot_answer(call);
--- /dev/null
+++ b/tests/relay_process/progress_test.cpp
@@ -0,0 +1,104 @@
+#include "relay_process/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_process;
+
+namespace
+{
+
+constexpr int items = 2;
+
+/// So that an item runs for longer than it takes to write its progress.
+constexpr duration event_interval = std::chrono::milliseconds(500);
+constexpr duration part_of_a_run = std::chrono::milliseconds(4000);
+
+void start_items(relay_fleet& fleet)
+{
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = event_interval;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", items).status);
+    const time_point until = net::event_loop::now() + part_of_a_run;
+    fleet.wait([until] { return net::event_loop::now() > until; });
+}
+
+/// Checks that the items ended whole, and were gone on with.
+void check_resumed(relay_fleet& fleet, int node)
+{
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(5);
+    }
+    const nlohmann::json results = fleet.results(node, "job");
+    CHECK_EQUAL(items, results.size());
+    std::string whole;
+    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    {
+        whole += (number > 1 ? "\nt" : "t") + std::to_string(number);
+    }
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL(whole.c_str(), entry["output"].get<std::string>().c_str());
+    }
+    int resumed = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& [request, starts] : engine->resumed_after)
+        {
+            for (const int after : starts)
+            {
+                resumed += after > 0 ? 1 : 0;
+            }
+        }
+    }
+    CHECK(resumed >= items);
+}
+
+} // namespace
+
+TEST_GROUP(relay_progress){};
+
+TEST(relay_progress, items_go_on_after_a_kill_of_all_nodes)
+{
+    relay_fleet fleet(2);
+    start_items(fleet);
+    fleet.process(0).kill();
+    fleet.process(1).kill();
+    fleet.start(0);
+    fleet.start(1);
+    fleet.wait_ready(0);
+    fleet.wait_ready(1);
+    check_resumed(fleet, 0);
+}
+
+TEST(relay_progress, items_go_on_at_another_node_after_a_planned_stop)
+{
+    relay_fleet fleet(2);
+    start_items(fleet);
+    fleet.process(0).signal(SIGTERM);
+    CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
+    fleet.start(0);
+    fleet.wait_ready(0);
+    fleet.process(1).signal(SIGTERM);
+    check_resumed(fleet, 0);
+}
+
+TEST(relay_progress, nothing_is_left_of_it_once_the_job_has_ended)
+{
+    relay_fleet fleet(1);
+    start_items(fleet);
+    CHECK_EQUAL(1, fleet.store.values("parsleytrack/jobs/progress/").size());
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(5);
+    }
+    CHECK_EQUAL(items, fleet.results(0, "job").size());
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.store.values("parsleytrack/jobs/progress/").empty(); }));
+}
--- a/tests/relay_process/replica_stand_in.cpp
+++ b/tests/relay_process/replica_stand_in.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr duration event_interval = std::chrono::milliseconds(5);
 constexpr int cut_after = 3;
 
 } // namespace
@@ -86,10 +85,13 @@
     stream& entry = this->streams[number];
     entry.exchange = exchange;
     entry.next = resumed == nullptr ? 1 : std::stoi(*resumed) + 1;
+    this->resumed_after[*net::find_header(exchange->head().headers,
+                                          "Parsleytrack-Request-Id")]
+        .push_back(entry.next - 1);
     net::http_header_list fields = headers;
     fields.emplace_back("Content-Type", "text/event-stream");
     exchange->start_stream(200, fields);
-    entry.pace = this->loop.call_every(event_interval,
+    entry.pace = this->loop.call_every(this->event_interval,
                                        [this, number] { this->step(number); });
 }
 
--- a/tests/relay_process/replica_stand_in.hpp
+++ b/tests/relay_process/replica_stand_in.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay_process
 {
@@ -40,6 +41,10 @@
     static constexpr int stream_events = 12;
 
     fault behaviour = fault::none;
+    /// Time between two events.
+    duration event_interval = std::chrono::milliseconds(5);
+    /// Events after which each request was gone on with; 0 from its start.
+    std::map<std::string, std::vector<int>> resumed_after;
     /// How often each request was run.
     std::map<std::string, int> runs;
 
