Ask a broker that was silent again after its pause

A broker that did not answer was left out for a second, but each older order to it put the end off by some milliseconds, past the one timer that looked again; the node then kept its substitute until the next change of the nodes.

Ruled out: different views (whole 1 s after the start, by node_alive).

--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -1,7 +1,5 @@
 #include "relay/slot_client.hpp"
 
-#include "decisions/rendezvous.hpp"
-#include "decisions/strong_nodes.hpp"
 #include "logging/log.hpp"
 #include "relay/slot_codec.hpp"
 #include "slots/replica_pools.hpp"
@@ -35,12 +33,12 @@
 }
 
 slot_client::slot_client(const relay_context& node, slot_desk& local_desk)
-    : context(node), desk(local_desk)
+    : context(node), desk(local_desk), brokers(silence_pause)
 {
     this->context.group.on_change(
         [this]
         {
-            this->forget_brokers();
+            this->brokers.forget();
             this->move_orders();
         });
     this->rebalance_timer = this->context.loop.call_every(
@@ -123,34 +121,9 @@
 
 const node_info& slot_client::broker_of(const slot_pool& pool)
 {
-    const auto known = this->brokers.find(pool);
-    if (known != this->brokers.end())
-    {
-        return known->second;
-    }
-    const time_point now = net::event_loop::now();
-    std::vector<node_info> nodes = this->context.group.living();
-    std::erase_if(nodes,
-                  [this, now](const node_info& node)
-                  {
-                      const auto silent = this->silent_until.find(node.id);
-                      return silent != this->silent_until.end() &&
-                             now < silent->second;
-                  });
-    const node_info* best = &this->context.group.own();
-    std::uint64_t best_score = 0;
-    const std::string name = pool.name();
-    nodes = strong_nodes(std::move(nodes));
-    for (const node_info& node : nodes)
-    {
-        const std::uint64_t score = rendezvous_score(node.id.str(), name);
-        if (score > best_score)
-        {
-            best = &node;
-            best_score = score;
-        }
-    }
-    return this->brokers.emplace(pool, *best).first->second;
+    return this->brokers.choose(pool.name(), this->context.group.own(),
+                                this->context.group.living(),
+                                net::event_loop::now());
 }
 
 void slot_client::open(std::uint64_t number)
@@ -238,14 +211,8 @@
         return;
     }
     order_state& state = found->second;
-    const time_point now = net::event_loop::now();
-    const bool was_known = this->silent_until[state.broker] > now;
-    this->silent_until[state.broker] = now + silence_pause;
-    if (!was_known)
+    if (this->brokers.note_silent(state.broker, net::event_loop::now()))
     {
-        this->forget_brokers();
-        this->silence_timer = this->context.loop.call_after(
-            silence_pause, [this] { this->forget_brokers(); });
         log_event(log_level::warning, "slot_broker_lost",
                   {{"broker", state.broker.str()},
                    {"pool", state.order.pool.name()},
@@ -325,6 +292,8 @@
 
 void slot_client::rebalance()
 {
+    // A broker that is no longer left out learns of the slots in use.
+    this->move_orders();
     std::vector<std::pair<std::uint64_t, int>> moved;
     const time_point now = net::event_loop::now();
     for (const auto& [number, state] : this->orders)
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -4,6 +4,7 @@
 #include "relay/replica_report.hpp"
 #include "relay/slot_desk.hpp"
 #include "relay/slot_order.hpp"
+#include "slots/broker_choice.hpp"
 #include "slots/pool_choice.hpp"
 
 #include <functional>
@@ -89,7 +90,6 @@
 
     service_pools& pools_of(const service_name& service);
     const node_info& broker_of(const slot_pool& pool);
-    void forget_brokers() { this->brokers.clear(); }
     void open(std::uint64_t number);
     void take_answer(std::uint64_t number, const slot_answer& answer);
     void lose_broker(std::uint64_t number, const char* reason);
@@ -102,12 +102,8 @@
     slot_desk& desk;
     std::map<std::uint64_t, order_state> orders;
     std::map<replica_id, int> in_flight;
-    std::map<node_id, time_point> silent_until;
-    /// Brokers of the pools, as far as they have been worked out since the
-    /// last change of the nodes.
-    std::map<slot_pool, node_info> brokers;
+    slots::broker_choice brokers;
     std::map<service_name, service_pools> pools;
-    net::timer silence_timer;
     net::timer rebalance_timer;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> reports;
     std::uint64_t next_number = 1;
--- /dev/null
+++ b/src/slots/broker_choice.cpp
@@ -0,0 +1,67 @@
+#include "slots/broker_choice.hpp"
+
+#include "decisions/rendezvous.hpp"
+#include "decisions/strong_nodes.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace parsleytrack::slots
+{
+
+broker_choice::broker_choice(duration silence_pause) : pause(silence_pause) {}
+
+bool broker_choice::note_silent(const node_id& node, time_point now)
+{
+    // Orders that were sent before it was found silent must not put off the
+    // next attempt.
+    const auto known = this->silent_until.find(node);
+    if (known != this->silent_until.end() && now < known->second)
+    {
+        return false;
+    }
+    this->silent_until[node] = now + this->pause;
+    this->choices.clear();
+    return true;
+}
+
+const node_info& broker_choice::choose(const std::string& pool,
+                                       const node_info& own,
+                                       const std::vector<node_info>& living,
+                                       time_point now)
+{
+    const auto known = this->choices.find(pool);
+    if (known != this->choices.end() && now < known->second.valid_until)
+    {
+        return known->second.broker;
+    }
+    time_point valid_until = time_point::max();
+    std::vector<node_info> candidates;
+    for (const node_info& node : living)
+    {
+        const auto silent = this->silent_until.find(node.id);
+        if (silent == this->silent_until.end() || now >= silent->second)
+        {
+            candidates.push_back(node);
+            continue;
+        }
+        valid_until = std::min(valid_until, silent->second);
+    }
+    const node_info* best = &own;
+    std::uint64_t best_score = 0;
+    candidates = strong_nodes(std::move(candidates));
+    for (const node_info& node : candidates)
+    {
+        const std::uint64_t score = rendezvous_score(node.id.str(), pool);
+        if (score > best_score)
+        {
+            best = &node;
+            best_score = score;
+        }
+    }
+    choice& chosen = this->choices[pool];
+    chosen = choice{*best, valid_until};
+    return chosen.broker;
+}
+
+} // namespace parsleytrack::slots
