Let callers back from an outage wait behind those that can be on time

caller_age tells from the time left when a caller asked first; the order is useful until its target counted from then, and what is of no use any more ranks as late. slot_broker/callers_back_from_an_outage failed before.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -86,8 +86,8 @@
     order.pool.service = this->service;
     order.priority = this->request.route->priority;
     order.useful_for = this->useful_time();
-    order.wait_when_late =
-        this->request.is_repeated || this->answer_started || this->sends > 0;
+    order.wait_when_late = this->request.asked_before > duration::zero() ||
+                           this->answer_started || this->sends > 0;
     order.excluded = this->excluded;
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.order(
@@ -104,8 +104,9 @@
 duration online_call::useful_time() const
 {
     const duration target = this->request.route->target_latency;
-    const time_point useful_until =
-        this->request.received + target - target / replica_share;
+    const time_point useful_until = this->request.received -
+                                    this->request.asked_before + target -
+                                    target / replica_share;
     return std::max(duration::zero(), useful_until - net::event_loop::now());
 }
 
--- a/src/relay/online_request.hpp
+++ b/src/relay/online_request.hpp
@@ -21,8 +21,9 @@
     time_point received;
     /// When the caller, or the route, allows no more time.
     time_point give_up_at;
-    /// Whether the caller has asked before, going by its time left.
-    bool is_repeated = false;
+    /// How long before this request the caller asked first; zero when this is
+    /// its first.
+    duration asked_before = duration::zero();
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -13,10 +13,6 @@
 namespace
 {
 
-/// Callers measure their time left to the millisecond; a caller whose time is
-/// shorter by more has asked another node before.
-constexpr duration repeat_margin = std::chrono::milliseconds(20);
-
 std::optional<duration> read_time_left(const net::http_request_head& head,
                                        const header_names& names)
 {
@@ -69,7 +65,8 @@
     {
         allowed = allowed > duration::zero() ? std::min(allowed, *time_left)
                                              : *time_left;
-        request.is_repeated = this->is_repeated(route, *time_left);
+        request.asked_before =
+            this->ages.note(route.name, *time_left, request.received);
     }
     request.give_up_at = request.received + allowed;
     const std::size_t limit =
@@ -99,12 +96,4 @@
     started.start();
 }
 
-bool online_service::is_repeated(const routing::route& route,
-                                 duration time_left)
-{
-    duration& longest = this->longest_time_left[route.name];
-    longest = std::max(longest, time_left);
-    return time_left + repeat_margin < longest;
-}
-
 } // namespace parsleytrack::relay
--- a/src/relay/online_service.hpp
+++ b/src/relay/online_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_exchange.hpp"
+#include "relay/caller_age.hpp"
 #include "relay/online_call.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
@@ -8,7 +9,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <string>
 
 namespace parsleytrack::relay
 {
@@ -34,13 +34,11 @@
 private:
     void start(const std::shared_ptr<net::http_exchange>& exchange,
                online_request request);
-    bool is_repeated(const routing::route& route, duration time_left);
 
     const relay_context& context;
     slot_client& slots;
     std::map<std::uint64_t, std::unique_ptr<online_call>> calls;
-    /// Longest time that callers of a route have given, by route.
-    std::map<std::string, duration> longest_time_left;
+    caller_age ages;
     std::uint64_t next_number = 1;
 };
 
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -46,7 +46,7 @@
     const waiting_request waiting{ticket, wanted};
     queue& line =
         wanted.kind == work_class::online ? this->online : this->batch;
-    line.emplace(rank_of(waiting, now > wanted.useful_until), waiting);
+    line.emplace(rank_of(waiting, now >= wanted.useful_until), waiting);
     this->serve(now);
 }
 
--- a/tests/slots/slot_broker_test.cpp
+++ b/tests/slots/slot_broker_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <map>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::slots;
@@ -184,6 +185,29 @@
     CHECK(this->last.at(late).retry_after <= std::chrono::seconds(2));
 }
 
+TEST(slot_broker, callers_back_from_an_outage_do_not_make_new_ones_late)
+{
+    // After an outage most callers have waited longer than is of use. In order
+    // of arrival they would take all slots, and each new caller would be late
+    // as well, until the herd has passed.
+    this->replicas(2, 4);
+    std::vector<slot_ticket> running;
+    for (int slot = 0; slot < 8; ++slot)
+    {
+        running.push_back(this->online());
+    }
+    std::vector<slot_ticket> herd;
+    for (int caller = 0; caller < 50; ++caller)
+    {
+        herd.push_back(this->ask(work_class::online, duration::zero(), true));
+    }
+    const slot_ticket fresh = this->ask(work_class::online, useful, true);
+    this->end(running[0]);
+    CHECK(this->is(fresh, slot_verdict::granted));
+    this->end(running[1]);
+    CHECK(this->is(herd[0], slot_verdict::granted));
+}
+
 TEST(slot_broker, a_request_that_has_become_late_is_refused)
 {
     this->replicas(1, 8);
