Show the state of all relay nodes on the command line

parsleytrack relay nodes, replicas, jobs and slots ask the metrics address of one node, and through it all others: configuration by node, who does not reach the store, replicas with state, jobs and their progress, slots and queues. relay_status tests them with real processes.

--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -31,5 +31,6 @@
 std::vector<command> job_commands();
 std::vector<command> fleet_commands();
 std::vector<command> settings_commands();
+std::vector<command> relay_commands();
 
 } // namespace parsleytrack::cli
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -70,8 +70,9 @@
 std::vector<command> all_commands()
 {
     std::vector<command> commands;
-    for (const auto& group : {release_commands(), job_commands(),
-                              fleet_commands(), settings_commands()})
+    for (const auto& group :
+         {release_commands(), job_commands(), fleet_commands(),
+          settings_commands(), relay_commands()})
     {
         commands.insert(commands.end(), group.begin(), group.end());
     }
--- a/src/cli/node_client.cpp
+++ b/src/cli/node_client.cpp
@@ -45,6 +45,20 @@
     return last;
 }
 
+result<reply> node_client::ask_host(const std::string& host,
+                                    const net::http_request& request)
+{
+    if (this->addresses.empty())
+    {
+        return error{error_code::peer_unreachable,
+                     "no node was named; use --nodes",
+                     ran_state::no,
+                     {}};
+    }
+    return this->ask_node(endpoint{host, this->addresses.front().port}, request,
+                          nullptr);
+}
+
 result<reply> node_client::download(const std::string& target,
                                     const piece_callback& on_piece)
 {
--- a/src/cli/node_client.hpp
+++ b/src/cli/node_client.hpp
@@ -29,6 +29,13 @@
     /// node only when it is a GET or carries an idempotency key.
     result<reply> ask(const net::http_request& request);
 
+    /// Asks a node at the port of the first address.
+    ///
+    /// \param host The node's IP address.
+    /// \returns The answer, or why there is none.
+    result<reply> ask_host(const std::string& host,
+                           const net::http_request& request);
+
     /// Sends a GET and passes on the pieces of a successful answer.
     ///
     /// \param target Path and query.
--- /dev/null
+++ b/src/cli/relay_commands.cpp
@@ -0,0 +1,204 @@
+#include "cli/command.hpp"
+#include "cli/flags.hpp"
+#include "cli/output.hpp"
+#include "cli/table.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <utility>
+
+namespace parsleytrack::cli
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+net::http_request status_request()
+{
+    net::http_request request;
+    request.target = "/status";
+    return request;
+}
+
+/// Asks one node, and then all that it knows, which serve their status at the
+/// same port. Nodes that do not answer are listed with what the first one
+/// believes of them.
+result<json> ask_all(node_client& nodes)
+{
+    const auto first = nodes.ask(status_request());
+    if (first.has_error())
+    {
+        return first.error();
+    }
+    const json own = json::parse(first.value().body, nullptr, false);
+    if (!first.value().ok() || !own.is_object())
+    {
+        return error{error_code::bad_request,
+                     "the address serves no status; name the metrics address "
+                     "of a relay node",
+                     ran_state::no,
+                     {}};
+    }
+    json all = json::array();
+    for (const json& node : own.value("nodes", json::array()))
+    {
+        const std::string id = node.value("id", "");
+        if (id == own.value("node", ""))
+        {
+            all.push_back(own);
+            continue;
+        }
+        const auto answer =
+            nodes.ask_host(node.value("host", ""), status_request());
+        const json status =
+            answer.has_value()
+                ? json::parse(answer.value().body, nullptr, false)
+                : json();
+        if (status.is_object())
+        {
+            all.push_back(status);
+            continue;
+        }
+        all.push_back(
+            {{"node", id},
+             {"silent", true},
+             {"state", node.value("state", "")},
+             {"availability_zone", node.value("availability_zone", "")}});
+    }
+    return all;
+}
+
+/// Prints the statuses of all nodes: as they are with --json, otherwise by a
+/// function.
+exit_code show_all(node_client& nodes,
+                   const std::function<void(const json&)>& print)
+{
+    const auto all = ask_all(nodes);
+    if (all.has_error())
+    {
+        return explain(all.error());
+    }
+    if (FLAGS_json)
+    {
+        std::cout << all.value().dump() << '\n';
+        return exit_code::done;
+    }
+    print(all.value());
+    return exit_code::done;
+}
+
+void print_nodes(const json& all)
+{
+    table rows({"NODE", "ZONE", "STATE", "CONFIGURATION", "CONFIRMED_MS",
+                "STORE", "REPLICAS", "REPLICAS_MS", "JOBS"});
+    for (const json& node : all)
+    {
+        if (node.value("silent", false))
+        {
+            rows.add({cell(node, "node"), cell(node, "availability_zone"),
+                      "silent, held " + cell(node, "state"), "-", "-", "-", "-",
+                      "-", "-"});
+            continue;
+        }
+        const json& configuration = node.at("configuration");
+        const bool reachable = node.at("store").value("reachable", false);
+        rows.add({cell(node, "node"), cell(node, "availability_zone"),
+                  node.value("stopping", false) ? "stopping" : "serving",
+                  cell(configuration, "version"), cell(configuration, "age_ms"),
+                  reachable ? "reached" : "out of reach",
+                  std::to_string(node.at("replicas").size()),
+                  cell(node, "replicas_age_ms"),
+                  std::to_string(node.at("jobs").size())});
+    }
+    rows.print(std::cout);
+}
+
+void print_replicas(const json& status)
+{
+    table rows({"REPLICA", "SERVICE", "STATE", "ADDRESS", "ZONE", "SLOTS"});
+    for (const json& entry : status.value("replicas", json::array()))
+    {
+        rows.add({cell(entry, "id"), cell(entry, "service"),
+                  cell(entry, "state"), cell(entry, "address"),
+                  cell(entry, "availability_zone"), cell(entry, "slots")});
+    }
+    rows.print(std::cout);
+    std::cout << "confirmed " << cell(status, "replicas_age_ms")
+              << " ms ago, as " << cell(status, "node") << " knows\n";
+}
+
+void print_jobs(const json& all)
+{
+    table rows(
+        {"JOB", "ROUTE", "OWNER", "ENDED", "ITEMS", "CANCELLED", "AGE_MS"});
+    for (const json& node : all)
+    {
+        for (const json& job : node.value("jobs", json::array()))
+        {
+            rows.add({cell(job, "id"), cell(job, "route"), cell(node, "node"),
+                      cell(job, "ended"), cell(job, "items"),
+                      cell(job, "cancelled"), cell(job, "age_ms")});
+        }
+    }
+    rows.print(std::cout);
+}
+
+void print_slots(const json& all)
+{
+    table rows({"POOL", "BROKER", "SLOTS", "FREE", "ONLINE", "BATCH",
+                "WAITING_ONLINE", "WAITING_BATCH", "MEAN_HOLD_MS"});
+    for (const json& node : all)
+    {
+        for (const json& pool : node.value("pools", json::array()))
+        {
+            rows.add({cell(pool, "pool"), cell(node, "node"),
+                      cell(pool, "slots"), cell(pool, "free"),
+                      cell(pool, "online"), cell(pool, "batch"),
+                      cell(pool, "waiting_online"), cell(pool, "waiting_batch"),
+                      cell(pool, "mean_hold_ms")});
+        }
+    }
+    rows.print(std::cout);
+}
+
+} // namespace
+
+std::vector<command> relay_commands()
+{
+    return {
+        {{"relay", "nodes"},
+         {},
+         "Shows each relay node with its configuration and its reach; --nodes "
+         "names metrics addresses.",
+         [](node_client& nodes, const std::vector<std::string>&)
+         {
+             return show_all(nodes, print_nodes);
+         }},
+        {{"relay", "replicas"},
+         {},
+         "Shows the replicas as one relay node knows them.",
+         [](node_client& nodes, const std::vector<std::string>&)
+         {
+             return show(nodes.ask(status_request()), print_replicas);
+         }},
+        {{"relay", "jobs"},
+         {},
+         "Shows the batch jobs that relay nodes run, and how far they are.",
+         [](node_client& nodes, const std::vector<std::string>&)
+         {
+             return show_all(nodes, print_jobs);
+         }},
+        {{"relay", "slots"},
+         {},
+         "Shows the slots of each pool of replicas, and what waits for them.",
+         [](node_client& nodes, const std::vector<std::string>&)
+         {
+             return show_all(nodes, print_slots);
+         }},
+    };
+}
+
+} // namespace parsleytrack::cli
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -32,6 +32,9 @@
     /// left out.
     const std::vector<node_info>& living() const { return this->alive; }
 
+    /// \returns All nodes that are remembered, the dead ones included.
+    std::vector<node_info> all() const { return this->members.nodes(); }
+
     /// \returns The node, if it is known and not dead.
     std::optional<node_info> find(const node_id& id) const;
 
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -496,6 +496,16 @@
     started.pump();
 }
 
+std::vector<const jobs::owned_job*> job_service::owned_jobs() const
+{
+    std::vector<const jobs::owned_job*> list;
+    for (const auto& [id, owner] : this->owned)
+    {
+        list.push_back(&owner->job());
+    }
+    return list;
+}
+
 void job_service::pump()
 {
     const time_point now = net::event_loop::now();
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -37,6 +38,9 @@
     void take(const std::shared_ptr<net::http_exchange>& exchange,
               const job_call& call);
 
+    /// \returns The jobs that this node runs, or ran a moment ago.
+    std::vector<const jobs::owned_job*> owned_jobs() const;
+
     /// Lets all jobs go, for a planned stop.
     void stop();
 
--- /dev/null
+++ b/src/relay/pool_state.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "units/time.hpp"
+
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// The slots of one pool as its broker sees them.
+struct pool_state
+{
+    std::string name;
+    /// All slots, and those of usable replicas that nothing holds.
+    int slots = 0;
+    int free = 0;
+    /// Slots that are held.
+    int online = 0;
+    int batch = 0;
+    /// Orders that wait.
+    int waiting_online = 0;
+    int waiting_batch = 0;
+    /// How long online requests hold a slot on average.
+    duration mean_hold = duration::zero();
+
+    /// \returns Whether the pool is in use.
+    bool is_busy() const
+    {
+        return this->online + this->batch + this->waiting_online +
+                   this->waiting_batch >
+               0;
+    }
+};
+
+} // namespace parsleytrack::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -10,6 +10,7 @@
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
 #include "relay/slot_desk.hpp"
+#include "relay/status_report.hpp"
 #include "relay/stop_schedule.hpp"
 #include "settings/relay_settings_loader.hpp"
 
@@ -110,6 +111,7 @@
     online_service online{this->context, this->slots};
     job_service jobs{this->context, this->slots};
     address_service addresses{this->context};
+    status_report status{this->context, this->desk, this->jobs};
     std::vector<net::timer> signals;
     net::timer stop_timer;
     net::timer calls_timer;
@@ -249,6 +251,12 @@
 void relay_node::state::take_metrics(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
+    if (exchange->head().path == "/status")
+    {
+        exchange->respond_json(status_ok,
+                               this->status.json(this->stop.has_value()));
+        return;
+    }
     const auto table = this->configuration.current();
     const key_value::call_counts& calls = this->store.calls_made();
     const auto show_calls = [this](const char* kind, std::uint64_t count)
--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -202,46 +202,60 @@
     }
 }
 
-void slot_desk::show_state() const
+std::vector<pool_state> slot_desk::pools() const
 {
+    const time_point now = net::event_loop::now();
+    std::vector<pool_state> list;
     for (const auto& [pool, broker] : this->brokers)
     {
-        this->show_pool(pool.name(), broker);
+        pool_state& state = list.emplace_back();
+        state.name = pool.name();
+        state.slots = broker.total_slots();
+        state.free = broker.free_slots(now);
+        state.online = broker.used_slots() - broker.used_by_batch();
+        state.batch = broker.used_by_batch();
+        state.waiting_online = static_cast<int>(broker.waiting_online());
+        state.waiting_batch = static_cast<int>(broker.waiting_batch());
+        state.mean_hold = broker.mean_online_hold();
+    }
+    return list;
+}
+
+void slot_desk::show_state() const
+{
+    for (const pool_state& pool : this->pools())
+    {
+        this->show_pool(pool);
     }
 }
 
-void slot_desk::show_pool(const std::string& pool,
-                          const slots::slot_broker& broker) const
+void slot_desk::show_pool(const pool_state& pool) const
 {
-    const int free = broker.free_slots(net::event_loop::now());
-    const int online = broker.used_slots() - broker.used_by_batch();
-    const int waiting_online = static_cast<int>(broker.waiting_online());
-    const int waiting_batch = static_cast<int>(broker.waiting_batch());
     const auto gauge = [this, &pool](const char* use, int value)
     {
-        this->context.metrics.set_gauge("parsleytrack_slots",
-                                        {{"pool", pool}, {"use", use}}, value);
+        this->context.metrics.set_gauge(
+            "parsleytrack_slots", {{"pool", pool.name}, {"use", use}}, value);
     };
-    gauge("all", broker.total_slots());
-    gauge("free", free);
-    gauge("online", online);
-    gauge("batch", broker.used_by_batch());
-    gauge("waiting_online", waiting_online);
-    gauge("waiting_batch", waiting_batch);
-    if (broker.used_slots() + waiting_online + waiting_batch == 0)
+    gauge("all", pool.slots);
+    gauge("free", pool.free);
+    gauge("online", pool.online);
+    gauge("batch", pool.batch);
+    gauge("waiting_online", pool.waiting_online);
+    gauge("waiting_batch", pool.waiting_batch);
+    if (!pool.is_busy())
     {
         return;
     }
     log_event(
         log_level::info, "slots",
-        {{"pool", pool},
-         {"slots", broker.total_slots()},
-         {"free", free},
-         {"online", online},
-         {"batch", broker.used_by_batch()},
-         {"waiting_online", waiting_online},
-         {"waiting_batch", waiting_batch},
-         {"mean_hold_ms", to_milliseconds(broker.mean_online_hold())},
+        {{"pool", pool.name},
+         {"slots", pool.slots},
+         {"free", pool.free},
+         {"online", pool.online},
+         {"batch", pool.batch},
+         {"waiting_online", pool.waiting_online},
+         {"waiting_batch", pool.waiting_batch},
+         {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
          {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
 }
 
--- a/src/relay/slot_desk.hpp
+++ b/src/relay/slot_desk.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/pool_state.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/replica_report.hpp"
 #include "relay/slot_answer.hpp"
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -37,6 +39,9 @@
     /// A request has failed at its replica.
     void take_report(const replica_report& report);
 
+    /// \returns The pools for which this node is asked, or was.
+    std::vector<pool_state> pools() const;
+
 private:
     struct order_state
     {
@@ -53,8 +58,7 @@
     void update_replicas();
     void tick();
     void show_state() const;
-    void show_pool(const std::string& pool,
-                   const slots::slot_broker& broker) const;
+    void show_pool(const pool_state& pool) const;
     void carry_out(slots::slot_broker& broker);
 
     const relay_context& context;
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_process/relay_fleet.cpp
@@ -84,6 +84,8 @@
     this->nodes.resize(static_cast<std::size_t>(node_count));
     // All nodes use one port for one another, each at its own address.
     const std::uint16_t peer_port = free_address(this->loop, own_host(0)).port;
+    const std::uint16_t metrics_port =
+        free_address(this->loop, own_host(0)).port;
     for (std::size_t number = 0; number < this->nodes.size(); ++number)
     {
         node& entry = this->nodes[number];
@@ -92,6 +94,7 @@
         entry.ready = free_address(this->loop, host);
         entry.directory = free_address(this->loop, host);
         entry.peer = endpoint{host, peer_port};
+        entry.metrics = endpoint{host, metrics_port};
         entry.store = this->store.add_address();
     }
     for (int number = 0; number < node_count; ++number)
@@ -133,7 +136,8 @@
                          {{"front", to_string(entry.front)},
                           {"ready", to_string(entry.ready)},
                           {"directory", to_string(entry.directory)},
-                          {"peer", to_string(entry.peer)}}},
+                          {"peer", to_string(entry.peer)},
+                          {"metrics", to_string(entry.metrics)}}},
                         {"seeds", seeds},
                         {"store",
                          {{"address", to_string(entry.store)},
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_process/relay_fleet.hpp
@@ -78,6 +78,11 @@
         return this->nodes.at(static_cast<std::size_t>(node)).front;
     }
 
+    const endpoint& metrics_address(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).metrics;
+    }
+
     /// How long callers' connections may be idle, by the configuration.
     static constexpr duration idle_timeout = std::chrono::milliseconds(2000);
 
@@ -93,6 +98,7 @@
         endpoint ready;
         endpoint directory;
         endpoint peer;
+        endpoint metrics;
         endpoint store;
         std::string settings;
         std::unique_ptr<process_support::child_process> process;
--- /dev/null
+++ b/tests/relay_process/status_test.cpp
@@ -0,0 +1,74 @@
+#include "relay_process/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_process;
+
+namespace
+{
+
+/// \returns What a command has printed with --json.
+nlohmann::json run_command(relay_fleet& fleet, const std::string& what)
+{
+    process_support::temporary_folder folder;
+    process_support::child_process command(
+        {CLI_PROGRAM, "relay", what, "--json",
+         "--nodes=" + to_string(fleet.metrics_address(0))},
+        folder.path("output"));
+    CHECK(fleet.wait([&command] { return command.has_ended(); }));
+    CHECK_EQUAL(0, command.exit_code());
+    return nlohmann::json::parse(command.output());
+}
+
+} // namespace
+
+TEST_GROUP(relay_status){};
+
+TEST(relay_status, the_command_line_shows_all_nodes)
+{
+    relay_fleet fleet(3);
+    for (auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 4).status);
+    fleet.store.turn_away(fleet.store_address(1), true);
+    fleet.store.put("op/config", relay_fleet::configuration(9, "/moved/"));
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.call(0, "POST", "/moved/a", "id1").status == 200; }));
+    nlohmann::json all;
+    CHECK(fleet.wait(
+        [&]
+        {
+            all = run_command(fleet, "nodes");
+            std::size_t jobs = 0;
+            int turned_away = 0;
+            for (const auto& node : all)
+            {
+                jobs += node["jobs"].size();
+                turned_away += node["store"]["reachable"] == false ? 1 : 0;
+            }
+            return all.size() == 3 && jobs == 1 && turned_away == 1;
+        }));
+    std::size_t pools = 0;
+    for (const auto& node : all)
+    {
+        CHECK_EQUAL(4, node["replicas"].size());
+        CHECK_EQUAL(9, node["configuration"]["version"].get<int>());
+        pools += node["pools"].size();
+    }
+    CHECK(pools > 0);
+}
+
+TEST(relay_status, a_node_that_does_not_answer_is_listed)
+{
+    relay_fleet fleet(2);
+    fleet.process(1).kill();
+    const nlohmann::json all = run_command(fleet, "nodes");
+    CHECK_EQUAL(2, all.size());
+    CHECK(all[0].value("silent", false) || all[1].value("silent", false));
+}
