Add a fault soak of real nodes

Nodes as processes, store and replicas as stand-ins behind proxies that delay, reset, silence or cut connections one way; nodes are killed, all or one, frozen, stopped, reloaded; the store loses answers, turns nodes away, goes down; replicas break off, fail, leave; configurations change. Checked: answers belong to their request and are whole, at most one run where that is asked, what is refused has not run, results keep their places, accepted jobs end, planned stops cut nothing, no process ends by itself, service is back within 12 s.

--- a/tests/relay_process/feed_test.cpp
+++ b/tests/relay_process/feed_test.cpp
@@ -1,4 +1,4 @@
-#include "relay_process/relay_fleet.hpp"
+#include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,13 +7,12 @@
 #include <string>
 
 using namespace parsleytrack;
-using namespace parsleytrack::relay_process;
+using namespace parsleytrack::relay_support;
 
 namespace
 {
 
 constexpr int node_count = 5;
-constexpr int keep_results_s = 900;
 /// So that two of the nodes follow the store and three follow these.
 constexpr int most_alone = 2;
 constexpr std::size_t sources = 2;
@@ -80,7 +79,8 @@
 
 TEST(relay_feeds, few_nodes_follow_the_store_and_all_learn_of_changes)
 {
-    relay_fleet fleet(node_count, keep_results_s, most_alone);
+    relay_fleet fleet(relay_fleet_options{.node_count = node_count,
+                                          .most_alone = most_alone});
     settle(fleet);
     // A leaving replica gets nothing new two seconds after its word.
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
@@ -94,7 +94,8 @@
 
 TEST(relay_feeds, nodes_that_the_store_turns_away_learn_of_changes)
 {
-    relay_fleet fleet(node_count, keep_results_s, most_alone);
+    relay_fleet fleet(relay_fleet_options{.node_count = node_count,
+                                          .most_alone = most_alone});
     const std::set<int> found = settle(fleet);
     for (int node = 0; node < node_count; ++node)
     {
@@ -110,7 +111,8 @@
 
 TEST(relay_feeds, sources_that_fall_silent_are_replaced)
 {
-    relay_fleet fleet(node_count, keep_results_s, most_alone);
+    relay_fleet fleet(relay_fleet_options{.node_count = node_count,
+                                          .most_alone = most_alone});
     const std::set<int> found = settle(fleet);
     for (const int node : found)
     {
@@ -131,7 +133,8 @@
 
 TEST(relay_feeds, an_outage_is_asked_about_sparingly)
 {
-    relay_fleet fleet(node_count, keep_results_s, most_alone);
+    relay_fleet fleet(relay_fleet_options{.node_count = node_count,
+                                          .most_alone = most_alone});
     settle(fleet);
     for (int node = 0; node < node_count; ++node)
     {
--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -1,5 +1,5 @@
-#include "relay_process/raw_replica.hpp"
-#include "relay_process/relay_fleet.hpp"
+#include "relay_support/raw_replica.hpp"
+#include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 using namespace parsleytrack;
-using namespace parsleytrack::relay_process;
+using namespace parsleytrack::relay_support;
 
 namespace
 {
--- a/tests/relay_process/recovery_test.cpp
+++ b/tests/relay_process/recovery_test.cpp
@@ -1,9 +1,9 @@
-#include "relay_process/relay_fleet.hpp"
+#include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleytrack;
-using namespace parsleytrack::relay_process;
+using namespace parsleytrack::relay_support;
 
 namespace
 {
--- a/tests/relay_process/whole_path_test.cpp
+++ b/tests/relay_process/whole_path_test.cpp
@@ -1,4 +1,4 @@
-#include "relay_process/relay_fleet.hpp"
+#include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -6,7 +6,7 @@
 #include <set>
 
 using namespace parsleytrack;
-using namespace parsleytrack::relay_process;
+using namespace parsleytrack::relay_support;
 
 namespace
 {
@@ -132,7 +132,8 @@
 
 TEST(relay_calm, results_are_erased_once_they_need_not_be_kept)
 {
-    relay_fleet fleet(2, 1);
+    relay_fleet fleet(
+        relay_fleet_options{.node_count = 2, .keep_results_s = 1});
     CHECK_EQUAL(202, fleet.submit(0, "job", 40).status);
     check_results(fleet.results(1, "job"), 40);
     CHECK(fleet.wait(
--- /dev/null
+++ b/tests/relay_support/fault_proxy.cpp
@@ -0,0 +1,198 @@
+#include "relay_support/fault_proxy.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace parsleytrack::relay_support
+{
+
+namespace
+{
+
+constexpr duration flush_interval = std::chrono::milliseconds(10);
+constexpr duration delay = std::chrono::milliseconds(120);
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    return address;
+}
+
+fault_proxy::side& to_side(void* argument)
+{
+    return *static_cast<fault_proxy::side*>(argument);
+}
+
+void watch(fault_proxy::side& side)
+{
+    bufferevent_setcb(
+        side.link,
+        [](bufferevent*, void* argument)
+        { to_side(argument).owner->read(to_side(argument)); },
+        nullptr,
+        [](bufferevent*, short events, void* argument)
+        {
+            if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+            {
+                to_side(argument).owner->end(to_side(argument));
+            }
+        },
+        &side);
+    bufferevent_enable(side.link, EV_READ | EV_WRITE);
+}
+
+} // namespace
+
+fault_proxy::fault_proxy(net::event_loop& event_loop, endpoint target_address)
+    : loop(event_loop), target(std::move(target_address))
+{
+    sockaddr_in local = loopback(0);
+    this->listener = evconnlistener_new_bind(
+        this->loop.base(),
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+           void* argument)
+        { static_cast<fault_proxy*>(argument)->accept(descriptor); },
+        this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&local),
+        sizeof(local));
+    socklen_t length = sizeof(local);
+    ::getsockname(evconnlistener_get_fd(this->listener),
+                  reinterpret_cast<sockaddr*>(&local), &length);
+    this->own.port = ntohs(local.sin_port);
+    this->flush_timer =
+        this->loop.call_every(flush_interval, [this] { this->flush(); });
+}
+
+fault_proxy::~fault_proxy()
+{
+    evconnlistener_free(this->listener);
+    for (const auto& connection : this->connections)
+    {
+        bufferevent_free(connection->client.link);
+        bufferevent_free(connection->server.link);
+    }
+}
+
+void fault_proxy::set(fault next)
+{
+    this->current = next;
+    if (next == fault::reset)
+    {
+        for (const auto& connection : std::exchange(this->connections, {}))
+        {
+            this->reset(*connection);
+        }
+    }
+}
+
+void fault_proxy::accept(int descriptor)
+{
+    auto connection = std::make_unique<pair>();
+    pair& made = *connection;
+    made.client.link = bufferevent_socket_new(this->loop.base(), descriptor,
+                                              BEV_OPT_CLOSE_ON_FREE);
+    made.server.link =
+        bufferevent_socket_new(this->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (this->current == fault::reset)
+    {
+        this->reset(made);
+        return;
+    }
+    made.client.owner = this;
+    made.client.other = &made.server;
+    made.client.to_server = true;
+    made.server.owner = this;
+    made.server.other = &made.client;
+    watch(made.client);
+    watch(made.server);
+    sockaddr_in address = loopback(this->target.port);
+    bufferevent_socket_connect(made.server.link,
+                               reinterpret_cast<sockaddr*>(&address),
+                               sizeof(address));
+    this->connections.push_back(std::move(connection));
+}
+
+void fault_proxy::read(side& from)
+{
+    evbuffer* input = bufferevent_get_input(from.link);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    const bool later = this->current == fault::delayed;
+    from.held.emplace_back(net::event_loop::now() +
+                               (later ? delay : duration::zero()),
+                           std::move(bytes));
+    this->flush(from);
+}
+
+void fault_proxy::end(side& from)
+{
+    from.ended = true;
+}
+
+bool fault_proxy::holds(const side& from) const
+{
+    return this->current == fault::silent ||
+           (this->current == fault::cut_to_server && from.to_server) ||
+           (this->current == fault::cut_to_client && !from.to_server);
+}
+
+void fault_proxy::flush()
+{
+    for (auto entry = this->connections.begin();
+         entry != this->connections.end();)
+    {
+        pair& connection = **entry;
+        this->flush(connection.client);
+        this->flush(connection.server);
+        const auto is_over = [this](const side& from)
+        {
+            return from.ended && from.held.empty() && !this->holds(from) &&
+                   evbuffer_get_length(
+                       bufferevent_get_output(from.other->link)) == 0;
+        };
+        if (is_over(connection.client) || is_over(connection.server))
+        {
+            bufferevent_free(connection.client.link);
+            bufferevent_free(connection.server.link);
+            entry = this->connections.erase(entry);
+            continue;
+        }
+        ++entry;
+    }
+}
+
+void fault_proxy::flush(side& from)
+{
+    const time_point now = net::event_loop::now();
+    while (!this->holds(from) && !from.held.empty() &&
+           from.held.front().first <= now)
+    {
+        const std::string& bytes = from.held.front().second;
+        bufferevent_write(from.other->link, bytes.data(), bytes.size());
+        from.held.pop_front();
+    }
+}
+
+void fault_proxy::reset(pair& connection)
+{
+    const linger abortive{1, 0};
+    for (const side* end : {&connection.client, &connection.server})
+    {
+        const int descriptor = bufferevent_getfd(end->link);
+        if (descriptor >= 0)
+        {
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abortive,
+                         sizeof(abortive));
+        }
+        bufferevent_free(end->link);
+    }
+}
+
+} // namespace parsleytrack::relay_support
--- /dev/null
+++ b/tests/relay_support/fault_proxy.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "units/endpoint.hpp"
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace parsleytrack::relay_support
+{
+
+/// Passes connections on to another address, and can harm them meanwhile.
+class fault_proxy
+{
+public:
+    enum class fault
+    {
+        none,
+        /// Bytes arrive later.
+        delayed,
+        /// Connections are reset, new ones as well.
+        reset,
+        /// Nothing arrives in either direction until the fault ends.
+        silent,
+        /// Nothing arrives in one direction.
+        cut_to_server,
+        cut_to_client
+    };
+
+    /// \param event_loop Outlives this object.
+    /// \param target Where connections are passed on to.
+    fault_proxy(net::event_loop& event_loop, endpoint target);
+    ~fault_proxy();
+    fault_proxy(const fault_proxy&) = delete;
+    fault_proxy& operator=(const fault_proxy&) = delete;
+
+    const endpoint& address() const { return this->own; }
+
+    void set(fault next);
+
+    /// Called by the library's callbacks only.
+    void accept(int descriptor);
+
+    /// One of the two connections of a caller.
+    struct side
+    {
+        fault_proxy* owner = nullptr;
+        bufferevent* link = nullptr;
+        side* other = nullptr;
+        bool to_server = false;
+        bool ended = false;
+        /// Bytes that were read here and go to the other side.
+        std::deque<std::pair<time_point, std::string>> held;
+    };
+    void read(side& from);
+    void end(side& from);
+
+private:
+    struct pair
+    {
+        side client;
+        side server;
+    };
+
+    bool holds(const side& from) const;
+    void flush();
+    void flush(side& from);
+    void reset(pair& connection);
+
+    net::event_loop& loop;
+    endpoint target;
+    endpoint own{"127.0.0.1", 0};
+    evconnlistener* listener = nullptr;
+    std::list<std::unique_ptr<pair>> connections;
+    fault current = fault::none;
+    net::timer flush_timer;
+};
+
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -1,4 +1,4 @@
-#include "relay_process/raw_replica.hpp"
+#include "relay_support/raw_replica.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -9,7 +9,7 @@
 
 #include <utility>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 namespace
@@ -164,4 +164,4 @@
     bufferevent_free(link);
 }
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -10,7 +10,7 @@
 struct bufferevent;
 struct evconnlistener;
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 /// A replica that does not keep to the protocol. It writes its answers as
@@ -60,4 +60,4 @@
     std::string previous = "0";
 };
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -1,4 +1,4 @@
-#include "relay_process/relay_fleet.hpp"
+#include "relay_support/relay_fleet.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 using nlohmann::json;
@@ -18,7 +18,6 @@
 {
 
 constexpr duration patience = std::chrono::seconds(20);
-constexpr int engine_count = 3;
 
 /// \returns A loopback address of this process's own, so that no connection
 /// or other test takes the port between its choice and its use.
@@ -67,19 +66,34 @@
     return document.dump();
 }
 
-relay_fleet::relay_fleet(int node_count, int keep_seconds, int most_nodes_alone)
-    : keep_results_s(keep_seconds), most_alone(most_nodes_alone)
+relay_fleet::relay_fleet(int node_count)
+    : relay_fleet(relay_fleet_options{.node_count = node_count})
 {
+}
+
+relay_fleet::relay_fleet(const relay_fleet_options& chosen) : options(chosen)
+{
+    const int node_count = this->options.node_count;
     this->store.put("op/config", configuration(3, "/plain/"));
-    for (int number = 0; number < engine_count; ++number)
+    const auto add_replica =
+        [this](const std::string& name, const std::string& service)
+    {
+        auto replica = std::make_unique<replica_stand_in>(this->loop, name);
+        if (this->options.has_proxies)
+        {
+            this->replica_proxies.push_back(std::make_unique<fault_proxy>(
+                this->loop, replica->listening()));
+            replica->advertise(this->replica_proxies.back()->address());
+        }
+        this->store.put("servers/" + name, replica->entry(service));
+        return replica;
+    };
+    for (int number = 0; number < this->options.engine_count; ++number)
     {
-        auto engine = std::make_unique<replica_stand_in>(
-            this->loop, "i-" + std::to_string(number));
-        this->store.put("servers/" + engine->name(), engine->entry("llm"));
-        this->engines.push_back(std::move(engine));
+        this->engines.push_back(
+            add_replica("i-" + std::to_string(number), "llm"));
     }
-    this->web = std::make_unique<replica_stand_in>(this->loop, "i-web");
-    this->store.put("servers/i-web", this->web->entry("web"));
+    this->web = add_replica("i-web", "web");
     this->store.put("servers/i-broken", "{\"service\":1}");
     this->nodes.resize(static_cast<std::size_t>(node_count));
     // All nodes use one port for one another, each at its own address.
@@ -96,6 +110,11 @@
         entry.peer = endpoint{host, peer_port};
         entry.metrics = endpoint{host, metrics_port};
         entry.store = this->store.add_address();
+        if (this->options.has_proxies)
+        {
+            this->store_proxies.push_back(
+                std::make_unique<fault_proxy>(this->loop, entry.store));
+        }
     }
     for (int number = 0; number < node_count; ++number)
     {
@@ -123,28 +142,32 @@
     node& entry = this->nodes[number];
     entry.settings =
         this->folder.path("node" + std::to_string(number) + ".json");
+    const endpoint& store_address = this->options.has_proxies
+                                        ? this->store_proxies[number]->address()
+                                        : entry.store;
     json seeds = json::array();
     for (const node& other : this->nodes)
     {
         seeds.push_back(to_string(other.peer));
     }
-    const json document{{"node",
-                         {{"id", "n" + std::to_string(number)},
-                          {"region", "r"},
-                          {"availability_zone", "z"}}},
-                        {"listen",
-                         {{"front", to_string(entry.front)},
-                          {"ready", to_string(entry.ready)},
-                          {"directory", to_string(entry.directory)},
-                          {"peer", to_string(entry.peer)},
-                          {"metrics", to_string(entry.metrics)}}},
-                        {"seeds", seeds},
-                        {"store",
-                         {{"address", to_string(entry.store)},
-                          {"most_nodes_alone", this->most_alone}}},
-                        {"addresses", {{"validity_s", 0.5}}},
-                        {"jobs", {{"keep_results_s", this->keep_results_s}}},
-                        {"stop", {{"limit_s", 8}}}};
+    const json document{
+        {"node",
+         {{"id", "n" + std::to_string(number)},
+          {"region", "r"},
+          {"availability_zone", "z"}}},
+        {"listen",
+         {{"front", to_string(entry.front)},
+          {"ready", to_string(entry.ready)},
+          {"directory", to_string(entry.directory)},
+          {"peer", to_string(entry.peer)},
+          {"metrics", to_string(entry.metrics)}}},
+        {"seeds", seeds},
+        {"store",
+         {{"address", to_string(store_address)},
+          {"most_nodes_alone", this->options.most_alone}}},
+        {"addresses", {{"validity_s", 0.5}}},
+        {"jobs", {{"keep_results_s", this->options.keep_results_s}}},
+        {"stop", {{"limit_s", 8}}}};
     std::ofstream(entry.settings) << document.dump();
 }
 
@@ -291,4 +314,4 @@
     return true;
 }
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -4,8 +4,10 @@
 #include "net/http_client.hpp"
 #include "process_support/child_process.hpp"
 #include "process_support/temporary_folder.hpp"
-#include "relay_process/replica_stand_in.hpp"
-#include "relay_process/store_stand_in.hpp"
+#include "relay_support/fault_proxy.hpp"
+#include "relay_support/relay_fleet_options.hpp"
+#include "relay_support/replica_stand_in.hpp"
+#include "relay_support/store_stand_in.hpp"
 
 #include <functional>
 #include <map>
@@ -13,18 +15,16 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 /// Relay nodes as processes, with the store and the replicas in this process.
 class relay_fleet
 {
 public:
-    /// \param node_count How many nodes.
-    /// \param keep_results_s How long results stay readable.
-    /// \param most_alone Up to so many nodes all follow the store.
-    explicit relay_fleet(int node_count, int keep_results_s = 900,
-                         int most_alone = 16);
+    /// \param node_count How many nodes; all else as usual.
+    explicit relay_fleet(int node_count);
+    explicit relay_fleet(const relay_fleet_options& chosen);
 
     /// \param version The version.
     /// \param plain_prefix Prefix of the route of plain requests.
@@ -90,6 +90,10 @@
     store_stand_in store{this->loop};
     std::vector<std::unique_ptr<replica_stand_in>> engines;
     std::unique_ptr<replica_stand_in> web;
+    /// One for each node, and one for each replica, the web replica last; none
+    /// unless the options ask for them.
+    std::vector<std::unique_ptr<fault_proxy>> store_proxies;
+    std::vector<std::unique_ptr<fault_proxy>> replica_proxies;
 
 private:
     struct node
@@ -108,11 +112,10 @@
 
     net::http_client client{this->loop};
     process_support::temporary_folder folder;
-    int keep_results_s;
-    int most_alone;
+    relay_fleet_options options;
     std::vector<node> nodes;
     std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
     std::uint64_t next_call = 1;
 };
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -1,10 +1,10 @@
-#include "relay_process/replica_stand_in.hpp"
+#include "relay_support/replica_stand_in.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 namespace
@@ -19,6 +19,7 @@
     : loop(event_loop), id(std::move(replica_name)), server(event_loop)
 {
     this->address.port = this->server.listen(this->address).value();
+    this->shown_address = this->address;
     this->server.set_handler(
         [this](const std::shared_ptr<net::http_exchange>& exchange)
         {
@@ -31,7 +32,7 @@
                                     const std::string& state) const
 {
     return nlohmann::json{
-        {"service", service}, {"address", to_string(this->address)},
+        {"service", service}, {"address", to_string(this->shown_address)},
         {"zone", "z"},        {"version", "v1"},
         {"slots", 4},         {"state", state},
         {"seq", 1},           {"born", 1}}
@@ -120,4 +121,4 @@
     ++entry.next;
 }
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 /// A replica: answers plain requests at once, and streams numbered events for
@@ -35,6 +35,12 @@
     std::string entry(const std::string& service,
                       const std::string& state = "ready") const;
 
+    /// \returns Where it listens.
+    const endpoint& listening() const { return this->address; }
+
+    /// Names another address in what it writes of itself.
+    void advertise(const endpoint& shown) { this->shown_address = shown; }
+
     const std::string& name() const { return this->id; }
 
     /// Events of each stream.
@@ -65,8 +71,9 @@
     std::string id;
     net::http_server server;
     endpoint address{"127.0.0.1", 0};
+    endpoint shown_address;
     std::map<std::uint64_t, stream> streams;
     std::uint64_t next_stream = 1;
 };
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -1,10 +1,10 @@
-#include "relay_process/store_stand_in.hpp"
+#include "relay_support/store_stand_in.hpp"
 
 #include "key_value/base64.hpp"
 
 #include <utility>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 using nlohmann::json;
@@ -280,4 +280,4 @@
     this->tell_watches();
 }
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- a/tests/relay_process/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace parsleytrack::relay_process
+namespace parsleytrack::relay_support
 {
 
 /// The platform's store, as far as the relay uses it. Each address that it
@@ -94,4 +94,4 @@
     int refused_count = 0;
 };
 
-} // namespace parsleytrack::relay_process
+} // namespace parsleytrack::relay_support
--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,362 @@
+#include "soak/fault_plan.hpp"
+
+#include <array>
+#include <csignal>
+#include <iomanip>
+#include <ostream>
+#include <utility>
+
+namespace parsleytrack::soak
+{
+
+namespace
+{
+
+using relay_support::fault_proxy;
+using relay_support::replica_stand_in;
+using std::chrono::milliseconds;
+
+constexpr duration watch_interval = milliseconds(50);
+constexpr std::array link_faults = {
+    std::pair{fault_proxy::fault::delayed, "delayed"},
+    std::pair{fault_proxy::fault::reset, "reset"},
+    std::pair{fault_proxy::fault::silent, "silent"},
+    std::pair{fault_proxy::fault::cut_to_server, "cut to the server"},
+    std::pair{fault_proxy::fault::cut_to_client, "cut to the client"}};
+constexpr std::array behaviours = {
+    std::pair{replica_stand_in::fault::full, "full"},
+    std::pair{replica_stand_in::fault::cut, "cuts streams"},
+    std::pair{replica_stand_in::fault::failing, "fails"}};
+
+} // namespace
+
+fault_plan::fault_plan(relay_support::relay_fleet& test_fleet, int node_count,
+                       random_source& random_numbers, violations& found,
+                       std::ostream& log)
+    : fleet(test_fleet), random(random_numbers), problems(found), out(log),
+      modes(static_cast<std::size_t>(node_count), node_mode::up),
+      began(net::event_loop::now()), impaired_at(this->began)
+{
+    this->watch_timer = this->fleet.loop.call_every(
+        watch_interval, [this] { this->watch_processes(); });
+}
+
+void fault_plan::start()
+{
+    this->active = true;
+    this->schedule();
+}
+
+void fault_plan::heal()
+{
+    this->active = false;
+    this->strike_timer.cancel();
+    this->timers.clear();
+    for (const auto& proxy : this->fleet.store_proxies)
+    {
+        proxy->set(fault_proxy::fault::none);
+    }
+    for (const auto& proxy : this->fleet.replica_proxies)
+    {
+        proxy->set(fault_proxy::fault::none);
+    }
+    this->fleet.store.lost_answers = 0;
+    for (const auto& engine : this->fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+        this->fleet.store.put("servers/" + engine->name(),
+                              engine->entry("llm"));
+    }
+    for (std::size_t node = 0; node < this->modes.size(); ++node)
+    {
+        const int number = static_cast<int>(node);
+        this->fleet.store.turn_away(this->fleet.store_address(number), false);
+        switch (std::exchange(this->modes[node], node_mode::up))
+        {
+        case node_mode::up:
+            break;
+        case node_mode::frozen:
+            this->fleet.process(number).signal(SIGCONT);
+            break;
+        case node_mode::stopping:
+            this->fleet.process(number).kill();
+            this->fleet.start(number);
+            break;
+        case node_mode::down:
+            this->fleet.start(number);
+            break;
+        }
+    }
+    this->note("all faults end");
+}
+
+bool fault_plan::is_up(int node) const
+{
+    return this->modes[static_cast<std::size_t>(node)] == node_mode::up;
+}
+
+bool fault_plan::is_stopping(int node) const
+{
+    return this->modes[static_cast<std::size_t>(node)] == node_mode::stopping;
+}
+
+void fault_plan::schedule()
+{
+    this->strike_timer = this->fleet.loop.call_after(this->draw_span(100, 1500),
+                                                     [this]
+                                                     {
+                                                         this->strike();
+                                                         this->schedule();
+                                                     });
+}
+
+void fault_plan::strike()
+{
+    switch (this->draw(8))
+    {
+    case 0:
+    case 1:
+    case 2:
+        this->strike_node(static_cast<int>(this->draw(this->modes.size())));
+        return;
+    case 3:
+    case 4:
+        this->strike_store();
+        return;
+    case 5:
+    case 6:
+        this->strike_replica();
+        return;
+    default:
+        this->change_configuration();
+        return;
+    }
+}
+
+void fault_plan::strike_node(int node)
+{
+    if (!this->is_up(node))
+    {
+        return;
+    }
+    switch (this->draw(5))
+    {
+    case 0:
+        this->kill(node);
+        return;
+    case 1:
+        this->freeze(node);
+        return;
+    case 2:
+        this->stop(node);
+        return;
+    case 3:
+        this->note("node " + std::to_string(node) + " is reloaded", true);
+        this->fleet.process(node).signal(SIGHUP);
+        return;
+    default:
+        for (std::size_t other = 0; other < this->modes.size(); ++other)
+        {
+            this->kill(static_cast<int>(other));
+        }
+        return;
+    }
+}
+
+void fault_plan::kill(int node)
+{
+    if (!this->is_up(node))
+    {
+        return;
+    }
+    this->note("node " + std::to_string(node) + " is killed");
+    this->modes[static_cast<std::size_t>(node)] = node_mode::down;
+    this->fleet.process(node).kill();
+    this->after(this->draw_span(200, 2000),
+                [this, node]
+                {
+                    this->modes[static_cast<std::size_t>(node)] = node_mode::up;
+                    this->fleet.start(node);
+                    this->note("node " + std::to_string(node) + " starts");
+                });
+}
+
+void fault_plan::freeze(int node)
+{
+    this->note("node " + std::to_string(node) + " is frozen");
+    this->modes[static_cast<std::size_t>(node)] = node_mode::frozen;
+    this->fleet.process(node).signal(SIGSTOP);
+    this->after(this->draw_span(300, 4500),
+                [this, node]
+                {
+                    this->modes[static_cast<std::size_t>(node)] = node_mode::up;
+                    this->fleet.process(node).signal(SIGCONT);
+                    this->note("node " + std::to_string(node) + " wakes up");
+                });
+}
+
+void fault_plan::stop(int node)
+{
+    this->note("node " + std::to_string(node) + " is told to stop", true);
+    this->modes[static_cast<std::size_t>(node)] = node_mode::stopping;
+    this->fleet.process(node).signal(SIGTERM);
+}
+
+void fault_plan::strike_store()
+{
+    const int node = static_cast<int>(this->draw(this->modes.size()));
+    fault_proxy& proxy =
+        *this->fleet.store_proxies[static_cast<std::size_t>(node)];
+    const duration span = this->draw_span(300, 4000);
+    const std::string name = "node " + std::to_string(node);
+    switch (this->draw(4))
+    {
+    case 0:
+        this->note("the store loses answers");
+        this->fleet.store.lost_answers += static_cast<int>(1 + this->draw(4));
+        return;
+    case 1:
+        this->note("the store turns " + name + " away");
+        this->fleet.store.turn_away(this->fleet.store_address(node), true);
+        this->after(span,
+                    [this, node]
+                    {
+                        this->fleet.store.turn_away(
+                            this->fleet.store_address(node), false);
+                        this->note("the store serves again");
+                    });
+        return;
+    case 2:
+        this->note("the store is down");
+        for (std::size_t other = 0; other < this->modes.size(); ++other)
+        {
+            fault_proxy& link = *this->fleet.store_proxies[other];
+            link.set(fault_proxy::fault::reset);
+            this->after(span, [&link] { link.set(fault_proxy::fault::none); });
+        }
+        this->after(span, [this] { this->note("the store is back"); });
+        return;
+    default:
+        const auto& [fault, title] = link_faults.at(this->draw(5));
+        this->note(name + " and the store: " + title);
+        proxy.set(fault);
+        this->after(span,
+                    [this, &proxy, name]
+                    {
+                        proxy.set(fault_proxy::fault::none);
+                        this->note(name + " and the store: well");
+                    });
+        return;
+    }
+}
+
+void fault_plan::strike_replica()
+{
+    const std::size_t chosen = this->draw(this->fleet.engines.size());
+    replica_stand_in& replica = *this->fleet.engines[chosen];
+    fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
+    const duration span = this->draw_span(300, 3000);
+    switch (this->draw(3))
+    {
+    case 0:
+    {
+        const auto& [fault, title] = link_faults.at(this->draw(5));
+        this->note("replica " + replica.name() + ": " + title);
+        proxy.set(fault);
+        break;
+    }
+    case 1:
+    {
+        const auto& [fault, title] = behaviours.at(this->draw(3));
+        this->note("replica " + replica.name() + ": " + title);
+        replica.behaviour = fault;
+        break;
+    }
+    default:
+        this->note("replica " + replica.name() + " leaves", true);
+        this->fleet.store.put("servers/" + replica.name(),
+                              replica.entry("llm", "draining"));
+        break;
+    }
+    this->after(span,
+                [this, &replica, &proxy]
+                {
+                    proxy.set(fault_proxy::fault::none);
+                    replica.behaviour = replica_stand_in::fault::none;
+                    this->fleet.store.put("servers/" + replica.name(),
+                                          replica.entry("llm"));
+                    this->note("replica " + replica.name() + ": well");
+                });
+}
+
+void fault_plan::change_configuration()
+{
+    this->version += static_cast<int>(1 + this->draw(3));
+    this->note("configuration " + std::to_string(this->version), true);
+    this->fleet.store.put(
+        "op/config",
+        relay_support::relay_fleet::configuration(this->version, "/plain/"));
+}
+
+void fault_plan::after(duration span, std::function<void()> action)
+{
+    const std::uint64_t number = this->next_timer++;
+    this->timers[number] =
+        this->fleet.loop.call_after(span,
+                                    [this, number, action = std::move(action)]
+                                    {
+                                        const net::timer own =
+                                            std::move(this->timers.at(number));
+                                        this->timers.erase(number);
+                                        action();
+                                    });
+}
+
+void fault_plan::watch_processes()
+{
+    for (std::size_t node = 0; node < this->modes.size(); ++node)
+    {
+        const int number = static_cast<int>(node);
+        if (this->modes[node] == node_mode::down ||
+            !this->fleet.process(number).has_ended())
+        {
+            continue;
+        }
+        const int code = this->fleet.process(number).exit_code();
+        if (this->modes[node] != node_mode::stopping || code != 0)
+        {
+            this->problems.add("a process ends only when it is told to",
+                               "node " + std::to_string(node) + " ended with " +
+                                   std::to_string(code));
+        }
+        this->modes[node] = node_mode::up;
+        this->fleet.start(number);
+        this->note("node " + std::to_string(node) + " starts", true);
+    }
+}
+
+void fault_plan::note(const std::string& what, bool planned)
+{
+    const time_point now = net::event_loop::now();
+    if (!planned)
+    {
+        this->impaired_at = now;
+    }
+    this->out << std::fixed << std::setprecision(3)
+              << std::chrono::duration<double>(now - this->began).count() << ' '
+              << what << '\n';
+}
+
+std::size_t fault_plan::draw(std::size_t count)
+{
+    return this->random() % count;
+}
+
+duration fault_plan::draw_span(std::int64_t least_ms, std::int64_t most_ms)
+{
+    return milliseconds(least_ms +
+                        static_cast<std::int64_t>(this->draw(
+                            static_cast<std::size_t>(most_ms - least_ms + 1))));
+}
+
+} // namespace parsleytrack::soak
--- /dev/null
+++ b/tests/soak/fault_plan.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "net/timer.hpp"
+#include "relay_support/relay_fleet.hpp"
+#include "soak/violations.hpp"
+#include "units/random_source.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace parsleytrack::soak
+{
+
+/// Draws faults and applies them from outside, in series and overlapping. All
+/// that it does is undone by heal().
+class fault_plan
+{
+public:
+    /// \param test_fleet Outlives this object, as do the others.
+    /// \param log Gets a line for each fault.
+    fault_plan(relay_support::relay_fleet& test_fleet, int node_count,
+               random_source& random_numbers, violations& found,
+               std::ostream& log);
+
+    /// Begins to apply faults.
+    void start();
+
+    /// Ends all faults and starts all nodes that do not run.
+    void heal();
+
+    /// \returns Whether a node is expected to run and to answer.
+    bool is_up(int node) const;
+
+    /// \returns When the last fault but planned work began or ended.
+    time_point last_impairment() const { return this->impaired_at; }
+
+    /// \returns Whether a node has been told to stop and still runs.
+    bool is_stopping(int node) const;
+
+private:
+    enum class node_mode
+    {
+        up,
+        frozen,
+        stopping,
+        down
+    };
+
+    void schedule();
+    void strike();
+    void strike_node(int node);
+    void strike_store();
+    void strike_replica();
+    void change_configuration();
+    void kill(int node);
+    void freeze(int node);
+    void stop(int node);
+    void after(duration span, std::function<void()> action);
+    void watch_processes();
+    void note(const std::string& what, bool planned = false);
+    std::size_t draw(std::size_t count);
+    duration draw_span(std::int64_t least_ms, std::int64_t most_ms);
+
+    relay_support::relay_fleet& fleet;
+    random_source& random;
+    violations& problems;
+    std::ostream& out;
+    std::vector<node_mode> modes;
+    std::map<std::uint64_t, net::timer> timers;
+    std::uint64_t next_timer = 1;
+    net::timer strike_timer;
+    net::timer watch_timer;
+    time_point began;
+    time_point impaired_at;
+    int version = 3;
+    bool active = false;
+};
+
+} // namespace parsleytrack::soak
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,98 @@
+#include "soak/soak_run.hpp"
+
+#include "relay_support/relay_fleet.hpp"
+#include "soak/callers.hpp"
+#include "soak/fault_plan.hpp"
+#include "soak/job_callers.hpp"
+
+#include <map>
+
+namespace parsleytrack::soak
+{
+
+namespace
+{
+
+/// How long after the end of all faults service and jobs may take: what the
+/// platform allows for the recovery of its smaller deployments.
+constexpr duration recovery_limit = std::chrono::seconds(12);
+constexpr duration job_limit = std::chrono::seconds(18);
+constexpr duration poll_interval = std::chrono::milliseconds(300);
+
+void run_for(relay_support::relay_fleet& fleet, duration span)
+{
+    const time_point until = net::event_loop::now() + span;
+    while (net::event_loop::now() < until)
+    {
+        fleet.loop.run_for(std::chrono::milliseconds(20));
+    }
+}
+
+/// Checks that every node serves again.
+void check_service(relay_support::relay_fleet& fleet, int node_count,
+                   violations& found)
+{
+    const time_point limit = net::event_loop::now() + recovery_limit;
+    for (int node = 0; node < node_count; ++node)
+    {
+        int attempt = 0;
+        while (fleet
+                   .call(node, "POST", "/stream/a",
+                         "end" + std::to_string(node) + "-" +
+                             std::to_string(attempt++))
+                   .status != 200)
+        {
+            if (net::event_loop::now() > limit)
+            {
+                found.add("service is back after the faults",
+                          "node " + std::to_string(node) + " does not serve");
+                return;
+            }
+            run_for(fleet, poll_interval);
+        }
+    }
+}
+
+void check_jobs(relay_support::relay_fleet& fleet, job_callers& jobs,
+                violations& found)
+{
+    const time_point limit = net::event_loop::now() + job_limit;
+    while (!jobs.read_all())
+    {
+        if (net::event_loop::now() > limit)
+        {
+            found.add("accepted jobs are done after the faults",
+                      "some have items without a result");
+            return;
+        }
+        run_for(fleet, poll_interval);
+    }
+}
+
+} // namespace
+
+soak_outcome run_soak(std::uint64_t seed, int node_count, duration span,
+                      std::ostream& log)
+{
+    random_source random(seed);
+    violations found;
+    relay_support::relay_fleet fleet(relay_support::relay_fleet_options{
+        .node_count = node_count, .most_alone = 3, .has_proxies = true});
+    fault_plan plan(fleet, node_count, random, found, log);
+    callers online(fleet, node_count, plan, random, found);
+    job_callers jobs(fleet, node_count, random, found);
+    online.start();
+    jobs.start();
+    plan.start();
+    run_for(fleet, span);
+    plan.heal();
+    check_service(fleet, node_count, found);
+    online.stop();
+    jobs.stop();
+    check_jobs(fleet, jobs, found);
+    online.check_runs();
+    return soak_outcome{found.all(), online.asked(), online.served(),
+                        jobs.accepted()};
+}
+
+} // namespace parsleytrack::soak
