Choose ports that are free for all nodes of a test fleet; measure costs per event

One soak run of 55 ended before it began: a node's peer port was taken at its own address (chosen at the first node's address only). Ports are now probed at all nodes' addresses and never chosen twice.

--- a/tests/process_support/child_process.cpp
+++ b/tests/process_support/child_process.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -104,6 +105,27 @@
     this->code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+duration child_process::processor_time() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    // The name in parentheses may hold spaces; user and system time are the
+    // 12th and 13th field after it.
+    std::istringstream fields(
+        text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::string skipped;
+    for (int field = 0; field < 11; ++field)
+    {
+        fields >> skipped;
+    }
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    return std::chrono::microseconds((user + system) * 1'000'000 /
+                                     ::sysconf(_SC_CLK_TCK));
+}
+
 std::string child_process::output() const
 {
     std::ostringstream text;
--- a/tests/process_support/child_process.hpp
+++ b/tests/process_support/child_process.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "units/time.hpp"
+
 #include <sys/types.h>
 
 #include <string>
@@ -33,6 +35,10 @@
     /// it has ended.
     int exit_code() const { return this->code; }
 
+    /// \returns Processor time that it has used, as the system counts it; zero
+    /// once it has ended.
+    duration processor_time() const;
+
     /// \returns All that it has written so far.
     std::string output() const;
 
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -28,15 +28,51 @@
            std::to_string(pid % 256) + "." + std::to_string(number + 2);
 }
 
-/// \returns A port that was free a moment ago.
-endpoint free_address(net::event_loop& loop, const std::string& host)
+/// Ports that are free at the addresses of all nodes.
+class port_choice
 {
-    net::http_server probe(loop);
-    endpoint address{host, 0};
-    address.port = probe.listen(address).value();
-    probe.stop_accepting();
-    return address;
-}
+public:
+    port_choice(net::event_loop& event_loop, std::size_t host_count)
+        : loop(event_loop), hosts(host_count)
+    {
+    }
+
+    /// \returns A port that was free everywhere a moment ago, and that was not
+    /// returned before.
+    std::uint16_t next()
+    {
+        while (true)
+        {
+            net::http_server first(this->loop);
+            const std::uint16_t port =
+                first.listen(endpoint{own_host(0), 0}).value();
+            first.stop_accepting();
+            if (this->is_free(port) && this->taken.insert(port).second)
+            {
+                return port;
+            }
+        }
+    }
+
+private:
+    bool is_free(std::uint16_t port)
+    {
+        for (std::size_t number = 0; number < this->hosts; ++number)
+        {
+            net::http_server probe(this->loop);
+            if (probe.listen(endpoint{own_host(number), port}).has_error())
+            {
+                return false;
+            }
+            probe.stop_accepting();
+        }
+        return true;
+    }
+
+    net::event_loop& loop;
+    std::size_t hosts;
+    std::set<std::uint16_t> taken;
+};
 
 const char* const configuration_text = R"({"version":3,"routes":[
  {"name":"plain","host":"h","prefix":"/plain/","kind":"safe","timeoutMs":2000,
@@ -97,16 +133,16 @@
     this->store.put("servers/i-broken", "{\"service\":1}");
     this->nodes.resize(static_cast<std::size_t>(node_count));
     // All nodes use one port for one another, each at its own address.
-    const std::uint16_t peer_port = free_address(this->loop, own_host(0)).port;
-    const std::uint16_t metrics_port =
-        free_address(this->loop, own_host(0)).port;
+    port_choice ports(this->loop, this->nodes.size());
+    const std::uint16_t peer_port = ports.next();
+    const std::uint16_t metrics_port = ports.next();
     for (std::size_t number = 0; number < this->nodes.size(); ++number)
     {
         node& entry = this->nodes[number];
         const std::string host = own_host(number);
-        entry.front = free_address(this->loop, host);
-        entry.ready = free_address(this->loop, host);
-        entry.directory = free_address(this->loop, host);
+        entry.front = endpoint{host, ports.next()};
+        entry.ready = endpoint{host, ports.next()};
+        entry.directory = endpoint{host, ports.next()};
         entry.peer = endpoint{host, peer_port};
         entry.metrics = endpoint{host, metrics_port};
         entry.store = this->store.add_address();
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -101,7 +101,7 @@
     stream& entry = this->streams.at(number);
     const auto exchange = entry.exchange;
     const bool is_cut = this->behaviour == fault::cut && entry.next > cut_after;
-    if (entry.next > stream_events || is_cut || !exchange->is_open())
+    if (entry.next > this->event_count || is_cut || !exchange->is_open())
     {
         if (is_cut)
         {
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -47,6 +47,8 @@
     static constexpr int stream_events = 12;
 
     fault behaviour = fault::none;
+    /// Events of the streams that begin from now on.
+    int event_count = stream_events;
     /// Time between two events.
     duration event_interval = std::chrono::milliseconds(5);
     /// Events after which each request was gone on with; 0 from its start.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,7 +31,8 @@
         std::cout << "seed " << seed << ": " << outcome.requests
                   << " requests, " << outcome.served << " served, "
                   << outcome.jobs << " jobs, " << outcome.violations.size()
-                  << " violations\n";
+                  << " violations"
+                  << std::endl;
         if (outcome.violations.empty())
         {
             continue;
