Send only changes to nodes that follow the list of replicas

Now a node says how far it is and gets what has changed since; a new listing is told as its difference; a whole list is sent up to 500 records only, beyond that a node asks the store until it is up to date. merged_records tests: differences, changes since a position, 300 random histories.

--- a/src/feeds/feed_codec.cpp
+++ b/src/feeds/feed_codec.cpp
@@ -44,21 +44,23 @@
 
 } // namespace
 
-std::string encode_question(const std::string& prefix)
+std::string encode(const feed_question& question)
 {
     wire::feed_question message;
-    message.prefix = prefix;
+    message.prefix = question.prefix;
+    message.position = question.position.count();
     return wire::encode(message);
 }
 
-result<std::string> decode_question(std::string_view bytes)
+result<feed_question> decode_question(std::string_view bytes)
 {
     const auto message = wire::decode<wire::feed_question>(bytes);
     if (message.has_error())
     {
         return message.error();
     }
-    return message.value().prefix;
+    return feed_question{message.value().prefix,
+                         store_revision(message.value().position)};
 }
 
 std::string encode(const feed_part& part)
@@ -66,7 +68,6 @@
     wire::feed_part message;
     message.kind = to_wire(part.what);
     message.position = part.position.count();
-    message.after_failure = part.after_failure;
     for (const key_value::record_change& change : part.records)
     {
         wire::feed_record record;
@@ -89,7 +90,6 @@
     feed_part part;
     part.what = from_wire(message.value().kind);
     part.position = store_revision(message.value().position);
-    part.after_failure = message.value().after_failure;
     for (const wire::feed_record& record : message.value().records)
     {
         part.records.push_back(key_value::record_change{
--- a/src/feeds/feed_codec.hpp
+++ b/src/feeds/feed_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "feeds/feed_part.hpp"
+#include "feeds/feed_question.hpp"
 #include "units/result.hpp"
 
 #include <string>
@@ -11,8 +12,8 @@
 
 /// Bytes of the messages of a feed. Reading gives error_code::corrupt_data for
 /// what cannot be read.
-std::string encode_question(const std::string& prefix);
-result<std::string> decode_question(std::string_view bytes);
+std::string encode(const feed_question& question);
+result<feed_question> decode_question(std::string_view bytes);
 
 std::string encode(const feed_part& part);
 result<feed_part> decode_part(std::string_view bytes);
--- a/src/feeds/feed_part.hpp
+++ b/src/feeds/feed_part.hpp
@@ -26,8 +26,6 @@
     std::vector<key_value::record_change> records;
     /// All: the store's revision up to which the records are complete.
     store_revision position;
-    /// All: the store was out of the source's reach before.
-    bool after_failure = false;
 };
 
 } // namespace parsleytrack::feeds
--- a/src/feeds/merged_records.cpp
+++ b/src/feeds/merged_records.cpp
@@ -1,29 +1,62 @@
 #include "feeds/merged_records.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleytrack::feeds
 {
 
-bool merged_records::take_all(const key_value::record_listing& listing)
+namespace
+{
+
+/// Erased keys that are remembered: several times the replicas of the largest
+/// fleet that leave in a release.
+constexpr std::size_t max_erased = 4000;
+
+} // namespace
+
+std::optional<merged_records::change_list>
+merged_records::take_all(const key_value::record_listing& listing)
 {
     if (listing.read_at < this->complete_to)
     {
-        return false;
+        return std::nullopt;
     }
-    this->records.clear();
+    change_list changes;
+    std::map<std::string, key_value::stored_record> before =
+        std::exchange(this->records, {});
     for (const key_value::stored_record& record : listing.records)
     {
+        const auto known = before.find(record.key);
+        if (known == before.end() || known->second.revision != record.revision)
+        {
+            changes.push_back({record, false});
+        }
+        if (known != before.end())
+        {
+            before.erase(known);
+        }
+        this->erased.erase(record.key);
         this->records[record.key] = record;
     }
+    if (this->complete_to == store_revision())
+    {
+        this->erased_since = listing.read_at;
+    }
     this->complete_to = listing.read_at;
-    return true;
+    for (const auto& [key, record] : before)
+    {
+        this->erase(key, listing.read_at);
+        changes.push_back(
+            {key_value::stored_record{key, {}, listing.read_at}, true});
+    }
+    return changes;
 }
 
-std::vector<key_value::record_change> merged_records::take_changes(
-    const std::vector<key_value::record_change>& changes)
+merged_records::change_list
+merged_records::take_changes(const change_list& changes)
 {
-    std::vector<key_value::record_change> news;
+    change_list news;
     const store_revision known_before = this->complete_to;
     for (const key_value::record_change& change : changes)
     {
@@ -35,9 +68,11 @@
         if (change.deleted)
         {
             this->records.erase(change.record.key);
+            this->erase(change.record.key, revision);
         }
         else
         {
+            this->erased.erase(change.record.key);
             this->records[change.record.key] = change.record;
         }
         this->complete_to = std::max(this->complete_to, revision);
@@ -46,6 +81,16 @@
     return news;
 }
 
+void merged_records::erase(const std::string& key, store_revision revision)
+{
+    this->erased[key] = revision;
+    if (this->erased.size() > max_erased)
+    {
+        this->erased.clear();
+        this->erased_since = this->complete_to;
+    }
+}
+
 key_value::record_listing merged_records::all() const
 {
     key_value::record_listing listing;
@@ -57,4 +102,33 @@
     return listing;
 }
 
+std::optional<merged_records::change_list>
+merged_records::since(store_revision position) const
+{
+    if (position < this->erased_since)
+    {
+        return std::nullopt;
+    }
+    change_list changes;
+    for (const auto& [key, record] : this->records)
+    {
+        if (record.revision > position)
+        {
+            changes.push_back({record, false});
+        }
+    }
+    for (const auto& [key, revision] : this->erased)
+    {
+        if (revision > position)
+        {
+            changes.push_back(
+                {key_value::stored_record{key, {}, revision}, true});
+        }
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const auto& first, const auto& second)
+              { return first.record.revision < second.record.revision; });
+    return changes;
+}
+
 } // namespace parsleytrack::feeds
--- a/src/feeds/merged_records.hpp
+++ b/src/feeds/merged_records.hpp
@@ -2,7 +2,9 @@
 
 #include "key_value/stored_record.hpp"
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,26 +16,41 @@
 class merged_records
 {
 public:
+    using change_list = std::vector<key_value::record_change>;
+
     /// Takes a full listing.
     ///
-    /// \returns Whether it was taken; an older one than what is known is not.
-    bool take_all(const key_value::record_listing& listing);
+    /// \returns What it changes; absent when it is older than what is known.
+    std::optional<change_list>
+    take_all(const key_value::record_listing& listing);
 
     /// Takes changes that follow what the same source has said before.
     ///
     /// \returns Those that were not known yet, in their order.
-    std::vector<key_value::record_change>
-    take_changes(const std::vector<key_value::record_change>& changes);
+    change_list take_changes(const change_list& changes);
 
     /// \returns Everything that is known.
     key_value::record_listing all() const;
 
+    /// \param position A revision up to which someone else is complete.
+    /// \returns What has changed since; absent when it is not known any more
+    /// what was erased since.
+    std::optional<change_list> since(store_revision position) const;
+
+    std::size_t size() const { return this->records.size(); }
+
     /// \returns The store's revision up to which the records are complete; 0
     /// before the first listing.
     store_revision position() const { return this->complete_to; }
 
 private:
+    void erase(const std::string& key, store_revision revision);
+
     std::map<std::string, key_value::stored_record> records;
+    /// Keys that were erased lately, and the revision at the latest.
+    std::map<std::string, store_revision> erased;
+    /// From this revision on all erased keys are remembered.
+    store_revision erased_since;
     store_revision complete_to;
 };
 
--- a/src/feeds/record_feed.cpp
+++ b/src/feeds/record_feed.cpp
@@ -19,6 +19,11 @@
 /// the call to the store that follows it is well below the two seconds in which
 /// changes are due.
 constexpr duration silence_timeout = std::chrono::milliseconds(1600);
+/// Largest list that a source sends as a whole: some hundred kilobytes. Nodes
+/// with an older list of more records ask the store until they are up to date.
+constexpr std::size_t most_records_at_once = 500;
+/// How long a source that could not be followed is left alone.
+constexpr duration retry_pause = std::chrono::seconds(3);
 /// How long a source must be well before the store is no longer asked.
 constexpr duration settling_time = std::chrono::seconds(2);
 
@@ -93,10 +98,11 @@
 
 void record_feed::tick()
 {
-    this->publisher.send(feed_part{feed_part::kind::unchanged, {}, {}, false});
+    this->publisher.send(feed_part{feed_part::kind::unchanged, {}, {}});
     for (const node_info& source : this->sources)
     {
-        if (!this->subscriptions.contains(source.id))
+        if (!this->subscriptions.contains(source.id) &&
+            net::event_loop::now() >= this->retry_at[source.id])
         {
             this->subscribe(source);
         }
@@ -121,7 +127,8 @@
     subscription& entry = this->subscriptions[source.id];
     entry.call = this->peers.call(
         source.peer, wire::message_type::record_feed,
-        encode_question(this->prefix), silence_timeout,
+        encode(feed_question{this->prefix, this->records.position()}),
+        silence_timeout,
         {[this, id = source.id](const std::string& bytes)
          { this->take_part(id, bytes); },
          [this, id = source.id](const result<std::string>& end)
@@ -153,15 +160,18 @@
         {
             listing.records.push_back(std::move(change.record));
         }
-        this->take_all(listing, part.value().after_failure);
+        this->take_all(listing, false);
         return;
     }
     case feed_part::kind::changes:
+        found->second.well = true;
         this->take_changes(part.value().records);
+        this->recover();
         return;
     case feed_part::kind::unchanged:
         return;
     case feed_part::kind::failing:
+        this->source_failed = true;
         this->lose(source, "the source does not reach the store");
         return;
     }
@@ -178,6 +188,8 @@
     this->loop.post([call = std::make_shared<std::unique_ptr<wire::peer_call>>(
                          std::move(found->second.call))] { call->reset(); });
     const bool was_well = found->second.well;
+    this->retry_at[source] =
+        net::event_loop::now() + (was_well ? duration::zero() : retry_pause);
     this->subscriptions.erase(found);
     if (was_well)
     {
@@ -200,7 +212,7 @@
 {
     const auto question = decode_question(exchange->request());
     const bool can_answer = question.has_value() &&
-                            question.value() == this->prefix &&
+                            question.value().prefix == this->prefix &&
                             this->own.is_running() && !this->own.is_failing() &&
                             this->records.position() > store_revision();
     if (!can_answer)
@@ -212,6 +224,21 @@
         return;
     }
     feed_part first;
+    if (auto changes = this->records.since(question.value().position))
+    {
+        first.what = feed_part::kind::changes;
+        first.records = std::move(*changes);
+        this->publisher.add(exchange, first);
+        return;
+    }
+    if (this->records.size() > most_records_at_once)
+    {
+        exchange->fail(error{error_code::no_replica,
+                             "what has changed since is not known any more",
+                             ran_state::no,
+                             {}});
+        return;
+    }
     first.what = feed_part::kind::all;
     const key_value::record_listing all = this->records.all();
     first.position = all.read_at;
@@ -225,25 +252,19 @@
 void record_feed::take_all(const key_value::record_listing& listing,
                            bool after_failure)
 {
-    const bool recovered = std::exchange(this->failing, false);
-    if (!this->records.take_all(listing))
+    const auto changes = this->records.take_all(listing);
+    if (!changes)
     {
-        if (recovered)
-        {
-            this->hooks.on_all(this->records.all(), true);
-        }
+        this->recover();
         return;
     }
-    this->hooks.on_all(listing, after_failure || recovered);
-    feed_part part;
-    part.what = feed_part::kind::all;
-    part.position = listing.read_at;
-    part.after_failure = after_failure;
-    for (const key_value::stored_record& record : listing.records)
+    const bool recovered = std::exchange(this->failing, false);
+    const bool lost = std::exchange(this->source_failed, false);
+    this->hooks.on_all(listing, after_failure || recovered || lost);
+    if (!changes->empty())
     {
-        part.records.push_back({record, false});
+        this->publisher.send(feed_part{feed_part::kind::changes, *changes, {}});
     }
-    this->publisher.send(part);
 }
 
 void record_feed::take_changes(
@@ -256,12 +277,20 @@
         return;
     }
     this->hooks.on_changes(news);
-    this->publisher.send(feed_part{feed_part::kind::changes, news, {}, false});
+    this->publisher.send(feed_part{feed_part::kind::changes, news, {}});
+}
+
+void record_feed::recover()
+{
+    if (std::exchange(this->failing, false))
+    {
+        this->hooks.on_all(this->records.all(), true);
+    }
 }
 
 void record_feed::take_failure(const error& reason)
 {
-    this->publisher.send(feed_part{feed_part::kind::failing, {}, {}, false});
+    this->publisher.send(feed_part{feed_part::kind::failing, {}, {}});
     this->publisher.close();
     if (this->has_well_source() || std::exchange(this->failing, true))
     {
--- a/src/feeds/record_feed.hpp
+++ b/src/feeds/record_feed.hpp
@@ -62,6 +62,8 @@
     void answer(const std::shared_ptr<wire::peer_exchange>& exchange);
     void take_all(const key_value::record_listing& listing, bool after_failure);
     void take_changes(const std::vector<key_value::record_change>& changes);
+    /// Tells the listener that what it knows holds again.
+    void recover();
     void take_failure(const error& reason);
     void log_source(const char* event, const std::string& source,
                     const std::string& reason) const;
@@ -83,6 +85,10 @@
     time_point last_part;
     /// The listener was told that what it knows may be out of date.
     bool failing = false;
+    /// A source has said that it does not reach the store.
+    bool source_failed = false;
+    /// When sources that could not be followed are tried again.
+    std::map<node_id, time_point> retry_at;
     net::timer tick_timer;
 };
 
--- a/src/wire/feed.thrift
+++ b/src/wire/feed.thrift
@@ -6,6 +6,8 @@
 // are wanted.
 struct feed_question {
   1: string prefix;
+  // The store's revision up to which the asker is complete; 0 for nothing.
+  2: i64 position;
 }
 
 struct feed_record {
@@ -32,6 +34,4 @@
   2: list<feed_record> records;
   // The store's revision up to which the records are complete.
   3: i64 position;
-  // All: the store was out of reach before.
-  4: bool after_failure;
 }
--- a/tests/feeds/merged_records_test.cpp
+++ b/tests/feeds/merged_records_test.cpp
@@ -46,8 +46,10 @@
 
 TEST(merged_records, an_older_listing_undoes_nothing)
 {
-    CHECK(this->merged.take_all(listing({change("a", 3), change("b", 5)}, 9)));
-    CHECK_FALSE(this->merged.take_all(listing({change("a", 3)}, 4)));
+    CHECK(this->merged.take_all(listing({change("a", 3), change("b", 5)}, 9))
+              .has_value());
+    CHECK_FALSE(
+        this->merged.take_all(listing({change("a", 3)}, 4)).has_value());
     CHECK_EQUAL(2, this->merged.all().records.size());
     CHECK_EQUAL(9, this->merged.position().count());
 }
@@ -63,6 +65,60 @@
     CHECK_EQUAL(0, this->merged.take_changes({change("b", 10)}).size());
 }
 
+TEST(merged_records, a_listing_says_what_it_changes)
+{
+    this->merged.take_all(
+        listing({change("a", 3), change("b", 5), change("c", 6)}, 9));
+    const auto changes =
+        this->merged.take_all(listing({change("a", 3), change("b", 11)}, 12));
+    CHECK_EQUAL(2, changes->size());
+    STRCMP_EQUAL("b", changes->at(0).record.key.c_str());
+    CHECK(changes->at(1).deleted);
+}
+
+TEST(merged_records, tells_what_has_changed_since_a_position)
+{
+    this->merged.take_all(listing({change("a", 3), change("b", 5)}, 9));
+    this->merged.take_changes({change("a", 10, true), change("c", 11)});
+    CHECK_FALSE(this->merged.since(store_revision(8)).has_value());
+    CHECK_EQUAL(2, this->merged.since(store_revision(9))->size());
+    const auto last = this->merged.since(store_revision(10));
+    CHECK_EQUAL(1, last->size());
+    STRCMP_EQUAL("c", last->at(0).record.key.c_str());
+    CHECK(this->merged.since(store_revision(11))->empty());
+}
+
+TEST(merged_records, a_node_that_asks_for_changes_ends_with_the_same_records)
+{
+    constexpr int rounds = 300;
+    random_source random(11);
+    for (int round = 0; round < rounds; ++round)
+    {
+        merged_records source;
+        merged_records asker;
+        const auto first = listing({change("a", 1), change("b", 2)}, 2);
+        source.take_all(first);
+        asker.take_all(first);
+        for (std::int64_t revision = 3; revision < 60; ++revision)
+        {
+            const std::string key(1, static_cast<char>('a' + random() % 5));
+            source.take_changes(
+                {change(key.c_str(), revision, random() % 3 == 0)});
+            if (random() % 7 == 0)
+            {
+                asker.take_changes(*source.since(asker.position()));
+            }
+        }
+        asker.take_changes(*source.since(asker.position()));
+        CHECK_EQUAL(source.size(), asker.size());
+        for (std::size_t index = 0; index < source.size(); ++index)
+        {
+            CHECK(source.all().records[index].revision ==
+                  asker.all().records[index].revision);
+        }
+    }
+}
+
 TEST(merged_records, two_sources_in_any_order_end_in_what_the_store_has)
 {
     constexpr int rounds = 500;
