--- a/tests/relay_process/whole_path_test.cpp
+++ b/tests/relay_process/whole_path_test.cpp
@@ -46,6 +46,10 @@
     }
 }
 
+/// How long after its word a leaving replica may get new requests, as the
+/// platform's smaller deployments have it.
+constexpr duration drain_bound = std::chrono::milliseconds(2000);
+
 int runs_of(const relay_fleet& fleet, const std::string& request)
 {
     int runs = 0;
@@ -191,8 +195,7 @@
     relay_fleet fleet(2);
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
     fleet.store.erase("servers/i-1");
-    const time_point until =
-        net::event_loop::now() + std::chrono::milliseconds(500);
+    const time_point until = net::event_loop::now() + drain_bound;
     fleet.wait([until] { return net::event_loop::now() > until; });
     for (int count = 0; count < 10; ++count)
     {
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -81,7 +81,7 @@
   "timeoutMs":5000,"targetLatencyMs":1000,"service":"llm","maxAttempts":3,
   "resumable":true,"priority":0},
  {"name":"once","host":"h","prefix":"/once/","kind":"streaming",
-  "timeoutMs":5000,"targetLatencyMs":1000,"service":"llm","maxAttempts":1,
+  "timeoutMs":5000,"targetLatencyMs":1000,"service":"llm","maxAttempts":3,
   "priority":0},
  {"name":"batch","host":"h","prefix":"/batch/","kind":"batch",
   "targetLatencyMs":400,"runTargetMs":18000,"retentionS":60,"maxAttempts":2,
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -102,7 +102,7 @@
 
 void fault_plan::schedule()
 {
-    this->strike_timer = this->fleet.loop.call_after(this->draw_span(100, 1500),
+    this->strike_timer = this->fleet.loop.call_after(this->draw_span(100, 900),
                                                      [this]
                                                      {
                                                          this->strike();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,8 +31,7 @@
         std::cout << "seed " << seed << ": " << outcome.requests
                   << " requests, " << outcome.served << " served, "
                   << outcome.jobs << " jobs, " << outcome.violations.size()
-                  << " violations"
-                  << std::endl;
+                  << " violations" << std::endl;
         if (outcome.violations.empty())
         {
             continue;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -17,6 +17,8 @@
 /// platform allows for the recovery of its smaller deployments.
 constexpr duration recovery_limit = std::chrono::seconds(12);
 constexpr duration job_limit = std::chrono::seconds(18);
+/// So that several streams are under way at any time.
+constexpr duration event_interval = std::chrono::milliseconds(15);
 constexpr duration poll_interval = std::chrono::milliseconds(300);
 
 void run_for(relay_support::relay_fleet& fleet, duration span)
@@ -78,6 +80,10 @@
     violations found;
     relay_support::relay_fleet fleet(relay_support::relay_fleet_options{
         .node_count = node_count, .most_alone = 3, .has_proxies = true});
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = event_interval;
+    }
     fault_plan plan(fleet, node_count, random, found, log);
     callers online(fleet, node_count, plan, random, found);
     job_callers jobs(fleet, node_count, random, found);
