Let large groups start together: pages of listings may flow for seconds, seeds are asked less often

A page may now take 8 s as long as bytes come, and seeds are asked at a rate that falls with the group.

--- a/src/decisions/membership_send.cpp
+++ b/src/decisions/membership_send.cpp
@@ -16,6 +16,9 @@
 constexpr double datagram_header_bytes = 28;
 /// Nodes above which full exchanges become rarer.
 constexpr std::size_t exchange_scale_nodes = 100;
+/// Nodes for which a seed is asked at the full rate; with twice as many each
+/// asks half as often.
+constexpr std::size_t join_scale_nodes = 30;
 
 duration jittered(duration span, random_source& random)
 {
@@ -96,7 +99,9 @@
         now < this->join_end ? this->unknown_seeds() : std::vector<endpoint>();
     if (present == 0 || !unknown.empty())
     {
-        interval = this->options.join_interval;
+        // Views grow with the group, and all nodes of it may ask one seed.
+        interval = this->options.join_interval *
+                   static_cast<std::int64_t>(1 + present / join_scale_nodes);
     }
     this->next_exchange = now + jittered(interval, this->random);
     ++this->exchange_count;
--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -13,6 +13,9 @@
 
 /// Above the slowest answers that the store gives while it still works.
 constexpr duration call_timeout = std::chrono::milliseconds(1200);
+/// Longest time for a page of a listing. When all nodes start together they
+/// share the store's link, so that a page may take seconds while it flows.
+constexpr duration listing_timeout = std::chrono::seconds(8);
 /// How long the store may hold a call for changes; its own limit is 30 s. The
 /// connection is probed meanwhile.
 constexpr duration watch_wait = std::chrono::seconds(25);
@@ -109,8 +112,11 @@
                                   ? std::string()
                                   : state->collected.records.back().key;
     this->count_read(state->freshness);
-    this->send(this->dialect.list(state->prefix, after, state->freshness),
-               call_timeout,
+    net::http_request request =
+        this->dialect.list(state->prefix, after, state->freshness);
+    request.head_timeout = call_timeout;
+    request.idle_timeout = call_timeout;
+    this->send(std::move(request), listing_timeout,
                [this, state](result<net::http_response> response)
                {
                    if (response.has_error())
@@ -227,14 +233,13 @@
     this->reach_callbacks.push_back(std::move(callback));
 }
 
-void record_client::send(const net::http_request& request, duration timeout,
+void record_client::send(net::http_request request, duration timeout,
                          response_callback callback)
 {
-    net::http_request copy = request;
-    copy.total_timeout = timeout;
+    request.total_timeout = timeout;
     const std::uint64_t number = this->next_number++;
     this->calls[number] = this->http.send(
-        this->address, copy,
+        this->address, request,
         {{},
          {},
          [this, number,
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "key_value/outage_detector.hpp"
 #include "key_value/call_counts.hpp"
+#include "key_value/outage_detector.hpp"
 #include "key_value/record_dialect.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -68,7 +68,7 @@
     struct commit_state;
     struct list_state;
 
-    void send(const net::http_request& request, duration timeout,
+    void send(net::http_request request, duration timeout,
               response_callback callback);
     void send_page(const std::shared_ptr<list_state>& state);
     void send_commit(const std::shared_ptr<commit_state>& state);
