--- a/src/jobs/job_page.hpp
+++ b/src/jobs/job_page.hpp
@@ -7,6 +7,9 @@
 namespace parsleytrack::jobs
 {
 
+/// Results larger than this are read in several answers; the callers' bound.
+constexpr std::size_t max_page_bytes = 1'000'000;
+
 /// One result as callers read it.
 struct job_result
 {
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr duration connect_timeout = std::chrono::milliseconds(300);
 /// A replica that gives no sign for so long is held to be silent. Longer than
 /// for online requests, since nobody waits and prompts are read again after a
 /// preemption.
@@ -73,7 +72,7 @@
                                      std::to_string(this->progress.last_event));
     }
     request.body = this->item.body;
-    request.connect_timeout = connect_timeout;
+    request.connect_timeout = replica_exchange::connect_timeout;
     request.head_timeout = silence_timeout;
     request.idle_timeout = silence_timeout;
     replica_exchange::callbacks hooks;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -24,8 +24,6 @@
 constexpr duration commit_interval = std::chrono::milliseconds(1500);
 /// Shortly before the job is due each outcome is written at once.
 constexpr duration urgent_before_due = std::chrono::seconds(4);
-/// Results larger than this are read in several answers; the callers' bound.
-constexpr std::size_t max_page_bytes = 1'000'000;
 /// Lost answers of a commit are followed up for so long before the outcomes
 /// are written by a new transaction.
 constexpr duration commit_limit = std::chrono::seconds(10);
@@ -200,7 +198,7 @@
     }
     for (const parked_reader& reader : std::exchange(this->readers, {}))
     {
-        reader.callback(this->owned.page(reader.after, max_page_bytes));
+        reader.callback(this->owned.page(reader.after, jobs::max_page_bytes));
     }
     this->log_state("job_let_go");
 }
@@ -443,7 +441,7 @@
 
 void job_owner::read(std::size_t after, duration wait, page_callback callback)
 {
-    const jobs::job_page page = this->owned.page(after, max_page_bytes);
+    const jobs::job_page page = this->owned.page(after, jobs::max_page_bytes);
     if (!page.results.empty() || wait <= duration::zero() ||
         this->owned.state().is_finished())
     {
@@ -461,7 +459,7 @@
             const std::size_t position = entry->after;
             const net::timer own_timer = std::move(entry->expiry);
             this->readers.erase(entry);
-            waiting(this->owned.page(position, max_page_bytes));
+            waiting(this->owned.page(position, jobs::max_page_bytes));
         });
 }
 
@@ -470,7 +468,7 @@
     for (auto entry = this->readers.begin(); entry != this->readers.end();)
     {
         const jobs::job_page page =
-            this->owned.page(entry->after, max_page_bytes);
+            this->owned.page(entry->after, jobs::max_page_bytes);
         if (page.results.empty() && !this->owned.state().is_finished())
         {
             ++entry;
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -19,7 +19,6 @@
 constexpr duration owner_margin = std::chrono::milliseconds(400);
 constexpr duration retry_after = std::chrono::milliseconds(500);
 constexpr std::size_t max_known_owners = 4096;
-constexpr std::size_t max_page_bytes = 1'000'000;
 
 error unreadable(const job_id& job)
 {
@@ -188,7 +187,7 @@
                     return;
                 }
                 bytes += entry->output.size();
-                if (!page.results.empty() && bytes > max_page_bytes)
+                if (!page.results.empty() && bytes > jobs::max_page_bytes)
                 {
                     break;
                 }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -18,9 +18,6 @@
 /// Share of the target latency that is kept for the replica's own work when
 /// it is judged whether an answer can still be on time.
 constexpr int replica_share = 4;
-/// A connection within a region opens in a few milliseconds; one packet may be
-/// lost and is sent again after 200 ms.
-constexpr duration connect_timeout = std::chrono::milliseconds(300);
 /// A replica that gives no sign for so long is held to be silent, if another
 /// one may take over. Twice the longest pause between events that is on time.
 constexpr duration silence_timeout = std::chrono::milliseconds(600);
@@ -181,7 +178,7 @@
     }
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
-    sent.connect_timeout = connect_timeout;
+    sent.connect_timeout = replica_exchange::connect_timeout;
     sent.allow_connection_reuse = repeatable;
     if (repeatable && this->runs + 1 < this->request.route->max_attempts)
     {
--- a/src/relay/relay_dialect.hpp
+++ b/src/relay/relay_dialect.hpp
@@ -40,9 +40,6 @@
     virtual result<routing::replica_entry>
     read_replica(const std::string& key, std::string_view value) const = 0;
 
-    /// \returns Path at which nodes are asked whether they take requests.
-    virtual std::string ready_path() const = 0;
-
     /// \returns The question; absent when the request is another one.
     virtual std::optional<address_question>
     read_address_question(const net::http_request_head& head) const = 0;
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -39,6 +39,10 @@
 class replica_exchange
 {
 public:
+    /// A connection within a region opens in a few milliseconds; one packet may
+    /// be lost and is sent again after 200 ms.
+    static constexpr duration connect_timeout = std::chrono::milliseconds(300);
+
     struct callbacks
     {
         /// Status and fields of an answer that the replica stands for.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -12,10 +12,6 @@
         const route& entry = this->current.routes[index];
         this->by_host[entry.host][entry.prefix] = index;
     }
-    for (std::size_t index = 0; index < this->current.services.size(); ++index)
-    {
-        this->service_positions[this->current.services[index].name] = index;
-    }
 }
 
 const route* route_table::find(std::string_view host,
@@ -38,14 +34,6 @@
     return nullptr;
 }
 
-const service* route_table::find_service(const service_name& name) const
-{
-    const auto found = this->service_positions.find(name);
-    return found == this->service_positions.end()
-               ? nullptr
-               : &this->current.services[found->second];
-}
-
 const route* route_table::find_by_name(const std::string& name) const
 {
     for (const route& entry : this->current.routes)
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -23,9 +23,6 @@
     /// matches.
     const route* find(std::string_view host, std::string_view path) const;
 
-    /// \returns The service, or null when the configuration has none such.
-    const service* find_service(const service_name& name) const;
-
     /// \returns The route of that name, or null.
     const route* find_by_name(const std::string& name) const;
 
@@ -36,7 +33,6 @@
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>,
              std::less<>>
         by_host;
-    std::map<service_name, std::size_t> service_positions;
 };
 
 } // namespace parsleytrack::routing
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -1,6 +1,7 @@
 #include "settings/relay_settings_loader.hpp"
 
 #include "settings/document_parser.hpp"
+#include "settings/log_level_reader.hpp"
 #include "settings/object_reader.hpp"
 #include "settings/settings_file.hpp"
 #include "units/endpoint_parser.hpp"
@@ -87,7 +88,8 @@
     {
         seed.port = settings.peer.port;
     }
-    reader.object("store", [&settings](object_reader& part)
+    reader.object("store",
+                  [&settings](object_reader& part)
                   {
                       settings.store = read_address(part, "address");
                       settings.most_alone = static_cast<int>(part.number(
@@ -114,13 +116,7 @@
                           part.seconds("limit_s", settings.stop_limit,
                                        seconds(1), seconds(600));
                   });
-    reader.object("log",
-                  [&settings](object_reader& part)
-                  {
-                      const std::size_t level = part.choice(
-                          "level", {"debug", "info", "warning", "error"}, 1);
-                      settings.level = static_cast<log_level>(level);
-                  });
+    detail::read_log_level(reader, settings.level);
     return settings;
 }
 
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings_reader.hpp"
 
+#include "settings/log_level_reader.hpp"
 #include "units/endpoint_parser.hpp"
 
 #include <algorithm>
@@ -178,13 +179,7 @@
                           part.seconds("leave_margin_s", settings.leave_margin,
                                        milliseconds(0), seconds(300));
                   });
-    reader.object("log",
-                  [&settings](object_reader& part)
-                  {
-                      const std::size_t level = part.choice(
-                          "level", {"debug", "info", "warning", "error"}, 1);
-                      settings.level = static_cast<log_level>(level);
-                  });
+    read_log_level(reader, settings.level);
     return settings;
 }
 
