--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -27,18 +27,23 @@
 /// Lost answers of a commit are followed up for so long before the outcomes
 /// are written by a new transaction.
 constexpr duration commit_limit = std::chrono::seconds(10);
-/// What has been received of running items is written so often, beside the
-/// writes of outcomes: an item runs for some five seconds, and what a node that
-/// dies has not written is run again.
-constexpr duration progress_interval = std::chrono::milliseconds(2500);
 /// Progress that cannot be written soon is out of date.
 constexpr duration progress_limit = std::chrono::seconds(1);
-/// A quarter of the store's largest value.
-constexpr std::size_t max_progress_bytes = 256 * 1024;
 /// Keeps an item that finds no usable replica from asking without a break.
 constexpr duration interruption_pause = std::chrono::milliseconds(30);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
 
+/// \returns The progress of items that have no outcome.
+jobs::job_progress without_ended(jobs::job_progress known,
+                                 const jobs::job_state& state)
+{
+    for (const jobs::item_outcome& outcome : state.outcomes)
+    {
+        known.erase(outcome.item);
+    }
+    return known;
+}
+
 } // namespace
 
 job_owner::job_owner(const relay_context& node, slot_client& slot_source,
@@ -46,14 +51,11 @@
                      jobs::job_progress known, std::function<void()> on_lost)
     : context(node), slots(slot_source), usages(usages_of_routes),
       owned(std::move(owned_job)), lost_callback(std::move(on_lost)),
-      progress(std::move(known))
+      progress(this->owned.input().id,
+               without_ended(std::move(known), this->owned.state()),
+               net::event_loop::now()),
+      readers(node.loop, this->owned)
 {
-    for (const jobs::item_outcome& outcome : this->owned.state().outcomes)
-    {
-        this->progress.erase(outcome.item);
-    }
-    this->saved_events = this->events_received();
-    this->next_save = net::event_loop::now() + progress_interval;
 }
 
 job_owner::~job_owner()
@@ -92,7 +94,7 @@
         this->commit();
         return;
     }
-    if (net::event_loop::now() >= this->next_save)
+    if (this->progress.is_due(net::event_loop::now()))
     {
         this->save_progress();
     }
@@ -113,7 +115,7 @@
     this->run_target = route.run_target;
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
-        this->progress[item],
+        this->progress.of(item),
         [this, item, most = route.max_attempts](item_end end,
                                                 const std::string& reason)
         { this->take_item_end(item, end, reason, most); });
@@ -135,7 +137,7 @@
                  std::move(run->second))] { old->reset(); });
         this->runs.erase(run);
     }
-    const jobs::item_progress& known = this->progress[item];
+    const jobs::item_progress& known = this->progress.of(item);
     const std::string& id = this->owned.input().items[item].id;
     const char* outcome = "completed";
     switch (end)
@@ -196,10 +198,7 @@
     {
         this->owned.return_item(item);
     }
-    for (const parked_reader& reader : std::exchange(this->readers, {}))
-    {
-        reader.callback(this->owned.page(reader.after, jobs::max_page_bytes));
-    }
+    this->readers.answer_all();
     this->log_state("job_let_go");
 }
 
@@ -237,7 +236,7 @@
         std::max(token_count(0), usage.waiting - commit->released_tokens);
     auto transaction =
         transaction_of(*commit, usage_book::usage{left, usage.revision});
-    this->add_progress(transaction);
+    this->progress.add_to(transaction, net::event_loop::now());
     this->context.store.commit(
         std::move(transaction), commit_limit,
         [this, observed = this->alive, commit = std::move(*commit),
@@ -254,14 +253,14 @@
 {
     // A commit under way carries it, and changes the revision.
     if (this->owned.is_committing() || this->owned.state().is_finished() ||
-        this->events_received() == this->saved_events)
+        !this->progress.has_news())
     {
         return;
     }
     const job_id& job = this->owned.input().id;
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(job), this->owned.revision()}};
-    this->add_progress(transaction);
+    this->progress.add_to(transaction, net::event_loop::now());
     this->context.store.commit(
         std::move(transaction), progress_limit,
         [job](const result<key_value::transaction_outcome>& outcome)
@@ -277,41 +276,6 @@
         });
 }
 
-void job_owner::add_progress(key_value::record_transaction& transaction)
-{
-    jobs::job_progress kept;
-    std::size_t bytes = 0;
-    for (const auto& [item, known] : this->progress)
-    {
-        bytes += known.output.size();
-        if (known.last_event > 0 && bytes <= max_progress_bytes)
-        {
-            kept.emplace(item, known);
-        }
-    }
-    const std::string key = job_progress_key(this->owned.input().id);
-    if (!kept.empty())
-    {
-        transaction.puts.push_back({key, jobs::encode(kept)});
-    }
-    else if (this->saved_events > 0)
-    {
-        transaction.erased.push_back(key);
-    }
-    this->saved_events = this->events_received();
-    this->next_save = net::event_loop::now() + progress_interval;
-}
-
-std::int64_t job_owner::events_received() const
-{
-    std::int64_t events = 0;
-    for (const auto& [item, known] : this->progress)
-    {
-        events += known.last_event;
-    }
-    return events;
-}
-
 bool job_owner::must_release(token_count waiting) const
 {
     const auto table = this->context.configuration.current();
@@ -358,7 +322,7 @@
         this->usages.set(commit.state.route_name, {usage, revision});
     }
     this->log_state("job_committed");
-    this->answer_readers();
+    this->readers.answer();
     this->commit_when_due();
 }
 
@@ -386,7 +350,7 @@
         {
             // Its answer was lost.
             this->owned.commit_applied(commit, record.revision);
-            this->answer_readers();
+            this->readers.answer();
             if (state.value().cancelled)
             {
                 this->take_record(record);
@@ -439,47 +403,6 @@
     this->commit();
 }
 
-void job_owner::read(std::size_t after, duration wait, page_callback callback)
-{
-    const jobs::job_page page = this->owned.page(after, jobs::max_page_bytes);
-    if (!page.results.empty() || wait <= duration::zero() ||
-        this->owned.state().is_finished())
-    {
-        callback(page);
-        return;
-    }
-    parked_reader& reader = this->readers.emplace_back();
-    reader.after = after;
-    reader.callback = std::move(callback);
-    reader.expiry = this->context.loop.call_after(
-        wait,
-        [this, entry = std::prev(this->readers.end())]
-        {
-            const page_callback waiting = std::move(entry->callback);
-            const std::size_t position = entry->after;
-            const net::timer own_timer = std::move(entry->expiry);
-            this->readers.erase(entry);
-            waiting(this->owned.page(position, jobs::max_page_bytes));
-        });
-}
-
-void job_owner::answer_readers()
-{
-    for (auto entry = this->readers.begin(); entry != this->readers.end();)
-    {
-        const jobs::job_page page =
-            this->owned.page(entry->after, jobs::max_page_bytes);
-        if (page.results.empty() && !this->owned.state().is_finished())
-        {
-            ++entry;
-            continue;
-        }
-        const page_callback waiting = std::move(entry->callback);
-        entry = this->readers.erase(entry);
-        waiting(page);
-    }
-}
-
 void job_owner::log_state(const char* event) const
 {
     const jobs::job_state& state = this->owned.state();
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -2,14 +2,16 @@
 
 #include "jobs/owned_job.hpp"
 #include "relay/item_run.hpp"
+#include "relay/page_readers.hpp"
+#include "relay/progress_record.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
 #include "relay/usage_book.hpp"
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace parsleytrack::relay
 {
@@ -18,8 +20,6 @@
 class job_owner
 {
 public:
-    using page_callback = std::function<void(const jobs::job_page&)>;
-
     /// \param node Outlives this object.
     /// \param slot_source Outlives this object.
     /// \param usages Outlives this object.
@@ -48,18 +48,15 @@
     ///
     /// \param after Position of the first result.
     /// \param wait How long to wait for one when there is none.
-    void read(std::size_t after, duration wait, page_callback callback);
+    void read(std::size_t after, duration wait,
+              page_readers::page_callback callback)
+    {
+        this->readers.read(after, wait, std::move(callback));
+    }
 
     const jobs::owned_job& job() const { return this->owned; }
 
 private:
-    struct parked_reader
-    {
-        std::size_t after = 0;
-        page_callback callback;
-        net::timer expiry;
-    };
-
     void end_runs();
     void start_item(std::size_t item, const routing::route& route);
     void take_item_end(std::size_t item, item_end end,
@@ -69,13 +66,10 @@
     bool must_release(token_count waiting) const;
     duration due_in() const;
     void save_progress();
-    void add_progress(key_value::record_transaction& transaction);
-    std::int64_t events_received() const;
     void take_commit(const jobs::job_commit& commit, token_count usage,
                      const result<key_value::transaction_outcome>& outcome);
     void resolve_conflict(const jobs::job_commit& commit,
                           const key_value::transaction_outcome& outcome);
-    void answer_readers();
     void log_state(const char* event) const;
 
     const relay_context& context;
@@ -83,12 +77,9 @@
     usage_book& usages;
     jobs::owned_job owned;
     std::function<void()> lost_callback;
-    jobs::job_progress progress;
-    /// Events of all items that the store knows of.
-    std::int64_t saved_events = 0;
-    time_point next_save;
+    progress_record progress;
+    page_readers readers;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
-    std::list<parked_reader> readers;
     /// How long after its submission the job is due, by the newest route.
     duration run_target = duration::zero();
     bool commit_is_planned = false;
--- /dev/null
+++ b/src/relay/job_peers.cpp
@@ -0,0 +1,160 @@
+#include "relay/job_peers.hpp"
+
+#include "jobs/job_codec.hpp"
+#include "logging/log.hpp"
+#include "wire/codec.hpp"
+#include "wire/generated/node_jobs_types.h"
+
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Nodes of a region answer within milliseconds; what is lost is found by the
+/// next look at the records.
+constexpr duration call_timeout = std::chrono::seconds(1);
+
+} // namespace
+
+job_peers::job_peers(const relay_context& node, callbacks listener)
+    : context(node), hooks(std::move(listener))
+{
+    using wire::message_type;
+    using exchange_pointer = std::shared_ptr<wire::peer_exchange>;
+    this->context.peers.on_call(message_type::node_job_read,
+                                [this](const exchange_pointer& exchange)
+                                { this->answer_read(exchange); });
+    this->context.peers.on_call(message_type::node_job_news,
+                                [this](const exchange_pointer& exchange)
+                                { this->take_news(exchange); });
+    this->context.peers.on_call(message_type::node_job_handover,
+                                [this](const exchange_pointer& exchange)
+                                { this->take_handover(exchange); });
+}
+
+void job_peers::hand_over(const jobs::job_input& input,
+                          const accepted_job& accepted)
+{
+    const auto owner = this->context.group.find(accepted.state.owner);
+    if (!owner)
+    {
+        return;
+    }
+    wire::node_job_handover message;
+    message.input = jobs::encode(input);
+    message.state = jobs::encode(accepted.state);
+    message.revision = accepted.revision.count();
+    this->call(*owner, wire::message_type::node_job_handover,
+               wire::encode(message), "job_handover_lost", input.id);
+}
+
+void job_peers::tell_owner(const jobs::job_state& state)
+{
+    const auto owner = this->context.group.find(state.owner);
+    if (!owner || owner->id == this->context.group.own().id)
+    {
+        return;
+    }
+    wire::node_job_news message;
+    message.job = state.id.str();
+    this->call(*owner, wire::message_type::node_job_news, wire::encode(message),
+               "job_news_lost", state.id);
+}
+
+void job_peers::call(const node_info& owner, wire::message_type type,
+                     const std::string& message, const char* lost_event,
+                     const job_id& job)
+{
+    const std::uint64_t number = this->next_number++;
+    this->calls[number] = this->context.peers.call(
+        owner.peer, type, message, call_timeout,
+        {{},
+         [this, number, lost_event, job,
+          name = owner.id](const result<std::string>& outcome)
+         {
+             if (outcome.has_error())
+             {
+                 // The owner's next look at the records finds it.
+                 log_event(log_level::info, lost_event,
+                           {{"job", job.str()},
+                            {"owner", name.str()},
+                            {"reason", outcome.error().message}});
+             }
+             this->calls.erase(number);
+         }});
+}
+
+void job_peers::take_handover(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto message =
+        wire::decode<wire::node_job_handover>(exchange->request());
+    if (message.has_error())
+    {
+        exchange->fail(message.error());
+        return;
+    }
+    auto input = jobs::decode_input(message.value().input);
+    auto state = jobs::decode_state(message.value().state);
+    const node_info& own = this->context.group.own();
+    if (input.has_error() || state.has_error() || !this->hooks.takes_jobs() ||
+        state.value().owner != own.id ||
+        state.value().owner_life != own.started_as)
+    {
+        exchange->fail(error{error_code::bad_request,
+                             "this node cannot take the job",
+                             ran_state::no,
+                             {}});
+        return;
+    }
+    this->hooks.on_handed_over(
+        jobs::owned_job(std::move(input.value()), std::move(state.value()),
+                        store_revision(message.value().revision), {}));
+    exchange->finish({});
+}
+
+void job_peers::answer_read(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto question =
+        wire::decode<wire::node_job_read>(exchange->request());
+    if (question.has_error())
+    {
+        exchange->fail(question.error());
+        return;
+    }
+    job_owner* owner = this->hooks.find(job_id(question.value().job));
+    if (owner == nullptr || question.value().after < 0)
+    {
+        exchange->fail(error{error_code::not_found,
+                             "this node does not run the job",
+                             ran_state::no,
+                             {}});
+        return;
+    }
+    owner->read(static_cast<std::size_t>(question.value().after),
+                std::chrono::milliseconds(question.value().wait_ms),
+                [exchange](const jobs::job_page& page)
+                { exchange->finish(jobs::encode(page)); });
+}
+
+void job_peers::take_news(const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto message = wire::decode<wire::node_job_news>(exchange->request());
+    if (message.has_error())
+    {
+        exchange->fail(message.error());
+        return;
+    }
+    exchange->finish({});
+    const job_id job(message.value().job);
+    if (this->hooks.find(job) != nullptr)
+    {
+        this->hooks.on_changed(job);
+    }
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/job_peers.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "jobs/job_input.hpp"
+#include "jobs/owned_job.hpp"
+#include "relay/job_intake.hpp"
+#include "relay/job_owner.hpp"
+#include "relay/relay_context.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace parsleytrack::relay
+{
+
+/// Calls between nodes about batch jobs: hands a job to the node that is to
+/// run it, tells it of changes, and answers the same calls of others.
+class job_peers
+{
+public:
+    struct callbacks
+    {
+        /// \returns The owner of a job that this node runs, otherwise null.
+        std::function<job_owner*(const job_id&)> find;
+        /// \returns Whether this node takes jobs over.
+        std::function<bool()> takes_jobs;
+        /// A job was handed to this node.
+        std::function<void(jobs::owned_job)> on_handed_over;
+        /// The record of a job that this node runs has changed.
+        std::function<void(const job_id&)> on_changed;
+    };
+
+    /// \param node Outlives this object.
+    job_peers(const relay_context& node, callbacks listener);
+
+    /// Hands a job to the owner that its state names.
+    void hand_over(const jobs::job_input& input, const accepted_job& accepted);
+
+    /// Tells the owner that a job's record has changed.
+    void tell_owner(const jobs::job_state& state);
+
+private:
+    void call(const node_info& owner, wire::message_type type,
+              const std::string& message, const char* lost_event,
+              const job_id& job);
+    void take_handover(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void answer_read(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void take_news(const std::shared_ptr<wire::peer_exchange>& exchange);
+
+    const relay_context& context;
+    callbacks hooks;
+    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
+    std::uint64_t next_number = 1;
+};
+
+} // namespace parsleytrack::relay
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -6,8 +6,6 @@
 #include "relay/job_placement.hpp"
 #include "relay/refusal.hpp"
 #include "relay/wall_clock.hpp"
-#include "wire/codec.hpp"
-#include "wire/generated/node_jobs_types.h"
 
 #include <algorithm>
 #include <charconv>
@@ -29,7 +27,6 @@
 constexpr duration pump_interval = std::chrono::milliseconds(500);
 /// How long the results of a finished job are served from memory.
 constexpr duration kept_in_memory = std::chrono::seconds(15);
-constexpr duration news_timeout = std::chrono::seconds(1);
 
 std::string describe(const result<accepted_job>& accepted)
 {
@@ -56,20 +53,21 @@
                     const job_id job(
                         record.key.substr(job_state_prefix.size()));
                     this->owned.at(job)->take_record(record);
-                }})
+                }}),
+      peers(node,
+            {[this](const job_id& job)
+             {
+                 const auto found = this->owned.find(job);
+                 return found == this->owned.end() ? nullptr
+                                                   : found->second.get();
+             },
+             [this] { return !this->stopped; },
+             [this](jobs::owned_job job) { this->own(std::move(job), {}); },
+             [this](const job_id& job)
+             {
+                 this->refresh(job);
+             }})
 {
-    this->context.peers.on_call(
-        wire::message_type::node_job_read,
-        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
-        { this->answer_peer_read(exchange); });
-    this->context.peers.on_call(
-        wire::message_type::node_job_news,
-        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
-        { this->take_peer_news(exchange); });
-    this->context.peers.on_call(
-        wire::message_type::node_job_handover,
-        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
-        { this->take_handover(exchange); });
     this->pump_timer =
         this->context.loop.call_every(pump_interval, [this] { this->pump(); });
 }
@@ -187,72 +185,10 @@
     }
     else if (!accepted.value().was_known)
     {
-        this->hand_over(*input, accepted.value());
+        this->peers.hand_over(*input, accepted.value());
     }
 }
 
-void job_service::hand_over(const jobs::job_input& input,
-                            const accepted_job& accepted)
-{
-    const auto owner = this->context.group.find(accepted.state.owner);
-    if (!owner)
-    {
-        return;
-    }
-    wire::node_job_handover message;
-    message.input = jobs::encode(input);
-    message.state = jobs::encode(accepted.state);
-    message.revision = accepted.revision.count();
-    const std::uint64_t number = this->next_number++;
-    this->news[number] = this->context.peers.call(
-        owner->peer, wire::message_type::node_job_handover,
-        wire::encode(message), news_timeout,
-        {{},
-         [this, number, job = input.id,
-          owner = owner->id](const result<std::string>& outcome)
-         {
-             if (outcome.has_error())
-             {
-                 // The next look at the records finds the job.
-                 log_event(log_level::info, "job_handover_lost",
-                           {{"job", job.str()},
-                            {"owner", owner.str()},
-                            {"reason", outcome.error().message}});
-             }
-             this->news.erase(number);
-         }});
-}
-
-void job_service::take_handover(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const auto message =
-        wire::decode<wire::node_job_handover>(exchange->request());
-    if (message.has_error())
-    {
-        exchange->fail(message.error());
-        return;
-    }
-    auto input = jobs::decode_input(message.value().input);
-    auto state = jobs::decode_state(message.value().state);
-    const node_info& own = this->context.group.own();
-    if (input.has_error() || state.has_error() || this->stopped ||
-        state.value().owner != own.id ||
-        state.value().owner_life != own.started_as)
-    {
-        exchange->fail(error{error_code::bad_request,
-                             "this node cannot take the job",
-                             ran_state::no,
-                             {}});
-        return;
-    }
-    this->own(jobs::owned_job(std::move(input.value()),
-                              std::move(state.value()),
-                              store_revision(message.value().revision), {}),
-              {});
-    exchange->finish({});
-}
-
 void job_service::take(const std::shared_ptr<net::http_exchange>& exchange,
                        const job_call& call)
 {
@@ -377,42 +313,15 @@
                 return;
             }
             exchange->respond_json(status_ok, "{}");
-            this->tell_owner(state.value());
+            if (this->owned.contains(call.job))
+            {
+                this->refresh(call.job);
+                return;
+            }
+            this->peers.tell_owner(state.value());
         });
 }
 
-void job_service::tell_owner(const jobs::job_state& state)
-{
-    if (this->owned.contains(state.id))
-    {
-        this->refresh(state.id);
-        return;
-    }
-    const auto owner = this->context.group.find(state.owner);
-    if (!owner || owner->id == this->context.group.own().id)
-    {
-        return;
-    }
-    wire::node_job_news message;
-    message.job = state.id.str();
-    const std::uint64_t number = this->next_number++;
-    this->news[number] = this->context.peers.call(
-        owner->peer, wire::message_type::node_job_news, wire::encode(message),
-        news_timeout,
-        {{},
-         [this, number, job = state.id](const result<std::string>& outcome)
-         {
-             if (outcome.has_error())
-             {
-                 // The owner's next look at the records finds the change.
-                 log_event(
-                     log_level::info, "job_news_lost",
-                     {{"job", job.str()}, {"reason", outcome.error().message}});
-             }
-             this->news.erase(number);
-         }});
-}
-
 void job_service::refresh(const job_id& job)
 {
     this->context.store.get(
@@ -437,48 +346,6 @@
         });
 }
 
-void job_service::answer_peer_read(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const auto question =
-        wire::decode<wire::node_job_read>(exchange->request());
-    if (question.has_error())
-    {
-        exchange->fail(question.error());
-        return;
-    }
-    const auto found = this->owned.find(job_id(question.value().job));
-    if (found == this->owned.end() || question.value().after < 0)
-    {
-        exchange->fail(error{error_code::not_found,
-                             "this node does not run the job",
-                             ran_state::no,
-                             {}});
-        return;
-    }
-    found->second->read(static_cast<std::size_t>(question.value().after),
-                        std::chrono::milliseconds(question.value().wait_ms),
-                        [exchange](const jobs::job_page& page)
-                        { exchange->finish(jobs::encode(page)); });
-}
-
-void job_service::take_peer_news(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const auto message = wire::decode<wire::node_job_news>(exchange->request());
-    if (message.has_error())
-    {
-        exchange->fail(message.error());
-        return;
-    }
-    exchange->finish({});
-    const job_id job(message.value().job);
-    if (this->owned.contains(job))
-    {
-        this->refresh(job);
-    }
-}
-
 void job_service::own(jobs::owned_job job, jobs::job_progress progress)
 {
     const job_id id = job.input().id;
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -6,6 +6,7 @@
 #include "relay/job_cleaner.hpp"
 #include "relay/job_intake.hpp"
 #include "relay/job_owner.hpp"
+#include "relay/job_peers.hpp"
 #include "relay/job_reader.hpp"
 #include "relay/job_takeover.hpp"
 #include "relay/relay_context.hpp"
@@ -52,17 +53,12 @@
                          std::shared_ptr<const jobs::job_input> input,
                          time_point received,
                          const result<accepted_job>& accepted);
-    void hand_over(const jobs::job_input& input, const accepted_job& accepted);
-    void take_handover(const std::shared_ptr<wire::peer_exchange>& exchange);
     void read_results(const std::shared_ptr<net::http_exchange>& exchange,
                       const job_call& call);
     void read_body(const std::shared_ptr<net::http_exchange>& exchange,
                    const job_call& call, key_value::read_freshness freshness);
     void end_job(const std::shared_ptr<net::http_exchange>& exchange,
                  const job_call& call);
-    void answer_peer_read(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void take_peer_news(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void tell_owner(const jobs::job_state& state);
     void refresh(const job_id& job);
     void own(jobs::owned_job job, jobs::job_progress progress);
     void pump();
@@ -75,11 +71,10 @@
     job_cancellation cancellation;
     job_cleaner cleaner;
     job_takeover takeover;
+    job_peers peers;
     std::map<job_id, std::unique_ptr<job_owner>> owned;
     /// When a finished job is dropped from memory; it stays in the store.
     std::map<job_id, time_point> dropped_at;
-    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> news;
-    std::uint64_t next_number = 1;
     net::timer pump_timer;
     bool stopped = false;
 };
--- /dev/null
+++ b/src/relay/page_readers.cpp
@@ -0,0 +1,56 @@
+#include "relay/page_readers.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+void page_readers::read(std::size_t after, duration wait,
+                        page_callback callback)
+{
+    const jobs::job_page first = this->page(after);
+    if (!first.results.empty() || wait <= duration::zero() ||
+        this->job.state().is_finished())
+    {
+        callback(first);
+        return;
+    }
+    reader& added = this->waiting.emplace_back();
+    added.after = after;
+    added.callback = std::move(callback);
+    added.expiry =
+        this->loop.call_after(wait,
+                              [this, entry = std::prev(this->waiting.end())]
+                              {
+                                  const reader expired = std::move(*entry);
+                                  this->waiting.erase(entry);
+                                  expired.callback(this->page(expired.after));
+                              });
+}
+
+void page_readers::answer()
+{
+    for (auto entry = this->waiting.begin(); entry != this->waiting.end();)
+    {
+        const jobs::job_page found = this->page(entry->after);
+        if (found.results.empty() && !this->job.state().is_finished())
+        {
+            ++entry;
+            continue;
+        }
+        const page_callback callback = std::move(entry->callback);
+        entry = this->waiting.erase(entry);
+        callback(found);
+    }
+}
+
+void page_readers::answer_all()
+{
+    for (const reader& entry : std::exchange(this->waiting, {}))
+    {
+        entry.callback(this->page(entry.after));
+    }
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/page_readers.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "jobs/owned_job.hpp"
+#include "net/event_loop.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <list>
+
+namespace parsleytrack::relay
+{
+
+/// Readers of one job's results that wait until there are any.
+class page_readers
+{
+public:
+    using page_callback = std::function<void(const jobs::job_page&)>;
+
+    /// \param event_loop Outlives this object, as does the job.
+    page_readers(net::event_loop& event_loop, const jobs::owned_job& read_job)
+        : loop(event_loop), job(read_job)
+    {
+    }
+
+    /// Reads results.
+    ///
+    /// \param after Position of the first result.
+    /// \param wait How long to wait for one when there is none.
+    /// \param callback Gets the page, at once or later.
+    void read(std::size_t after, duration wait, page_callback callback);
+
+    /// Answers those for whom there are results now, or never will be.
+    void answer();
+
+    /// Answers all with what there is.
+    void answer_all();
+
+private:
+    struct reader
+    {
+        std::size_t after = 0;
+        page_callback callback;
+        net::timer expiry;
+    };
+
+    jobs::job_page page(std::size_t after) const
+    {
+        return this->job.page(after, jobs::max_page_bytes);
+    }
+
+    net::event_loop& loop;
+    const jobs::owned_job& job;
+    std::list<reader> waiting;
+};
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/progress_record.cpp
@@ -0,0 +1,73 @@
+#include "relay/progress_record.hpp"
+
+#include "jobs/job_codec.hpp"
+#include "relay/job_keys.hpp"
+
+#include <string>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// What has been received of running items is written so often, beside the
+/// writes of outcomes: an item runs for some five seconds, and what a node that
+/// dies has not written is run again.
+constexpr duration save_interval = std::chrono::milliseconds(2500);
+/// A quarter of the store's largest value.
+constexpr std::size_t max_bytes = 256 * 1024;
+
+} // namespace
+
+progress_record::progress_record(job_id owner, jobs::job_progress known,
+                                 time_point now)
+    : job(std::move(owner)), items(std::move(known)),
+      next_save(now + save_interval)
+{
+    this->saved_events = this->events();
+}
+
+bool progress_record::has_news() const
+{
+    return this->events() != this->saved_events;
+}
+
+void progress_record::add_to(key_value::record_transaction& transaction,
+                             time_point now)
+{
+    jobs::job_progress kept;
+    std::size_t bytes = 0;
+    for (const auto& [item, known] : this->items)
+    {
+        bytes += known.output.size();
+        if (known.last_event > 0 && bytes <= max_bytes)
+        {
+            kept.emplace(item, known);
+        }
+    }
+    const std::string key = job_progress_key(this->job);
+    if (!kept.empty())
+    {
+        transaction.puts.push_back({key, jobs::encode(kept)});
+    }
+    else if (this->saved_events > 0)
+    {
+        transaction.erased.push_back(key);
+    }
+    this->saved_events = this->events();
+    this->next_save = now + save_interval;
+}
+
+std::int64_t progress_record::events() const
+{
+    std::int64_t events = 0;
+    for (const auto& [item, known] : this->items)
+    {
+        events += known.last_event;
+    }
+    return events;
+}
+
+} // namespace parsleytrack::relay
