--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -104,7 +104,7 @@
     }
 }
 
-void callers::check_answer(const call& ended) const
+void callers::check_answer(const call& ended)
 {
     const auto wrong = [this, &ended](const std::string& seen)
     {
@@ -121,7 +121,7 @@
         {
             wrong(ended.body);
         }
-        ++const_cast<callers*>(this)->served_count;
+        ++this->served_count;
         return;
     }
     case 400:
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -55,7 +55,7 @@
 
     void send();
     void take_end(std::uint64_t number, bool whole);
-    void check_answer(const call& ended) const;
+    void check_answer(const call& ended);
     int runs_of(const std::string& id) const;
 
     relay_support::relay_fleet& fleet;
--- a/tests/soak/job_callers.cpp
+++ b/tests/soak/job_callers.cpp
@@ -127,13 +127,14 @@
         this->problems.add("a job has all its items", id + " got " + body);
         return;
     }
+    const std::string seen = id + " got " + body;
     std::size_t position = after;
     for (const json& entry : page["results"])
     {
         const bool done = entry["state"] == "completed";
         if (done && entry["output"] != whole_output())
         {
-            this->problems.add("a result is whole", id + " got " + body);
+            this->problems.add("a result is whole", seen);
         }
         if (position == known.results.size())
         {
