--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -119,6 +119,13 @@
     }
     this->replica = granted;
     this->sent_at = net::event_loop::now();
+    if (this->sends == 0)
+    {
+        this->context.metrics.observe(
+            "parsleytrack_slot_wait_seconds",
+            {{"kind", to_string(this->request.route->kind)}},
+            this->sent_at - this->request.received);
+    }
     ++this->sends;
     this->splitter = event_splitter();
     this->collected_body.clear();
@@ -247,6 +254,8 @@
 void online_call::take_end(replica_verdict verdict, net::http_response response,
                            const std::string& reason)
 {
+    this->context.metrics.count("parsleytrack_replica_verdicts_total",
+                                {{"verdict", to_string(verdict)}});
     switch (verdict)
     {
     case replica_verdict::answered:
--- a/tests/relay_process/status_test.cpp
+++ b/tests/relay_process/status_test.cpp
@@ -72,3 +72,34 @@
     CHECK_EQUAL(2, all.size());
     CHECK(all[0].value("silent", false) || all[1].value("silent", false));
 }
+
+TEST(relay_status, metrics_tell_reasons_latencies_and_slots)
+{
+    relay_fleet fleet(1);
+    fleet.engines[0]->behaviour = replica_stand_in::fault::full;
+    for (int count = 0; count < 9; ++count)
+    {
+        fleet.call(0, "POST", "/stream/a", "id" + std::to_string(count));
+    }
+    CHECK_EQUAL(404, fleet.call(0, "POST", "/other/", "id").status);
+    std::string text;
+    CHECK(fleet.wait(
+        [&]
+        {
+            text = fleet.metrics_text(0);
+            return text.find("parsleytrack_slots{") != std::string::npos;
+        }));
+    for (const char* part :
+         {"parsleytrack_requests_total{outcome=\"served\",kind=\"streaming\"} "
+          "9",
+          "parsleytrack_requests_total{outcome=\"no_route\",kind=\"none\"} 1",
+          "parsleytrack_replica_verdicts_total{verdict=\"not_run\"}",
+          "parsleytrack_slot_wait_seconds_bucket{kind=\"streaming\"",
+          "parsleytrack_first_output_seconds_bucket{kind=\"streaming\"",
+          "parsleytrack_store_calls{kind=\"watch\"}",
+          "parsleytrack_replicas_age_seconds",
+          "parsleytrack_configuration_version 3"})
+    {
+        CHECK_TEXT(text.find(part) != std::string::npos, part);
+    }
+}
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -298,6 +298,26 @@
     return *into;
 }
 
+std::string relay_fleet::metrics_text(int number)
+{
+    net::http_request request;
+    request.target = "/metrics";
+    request.total_timeout = patience;
+    std::string text;
+    bool ended = false;
+    const auto call = this->client.send(
+        this->metrics_address(number), request,
+        {{},
+         {},
+         [&text, &ended](const result<net::http_response>& end)
+         {
+             ended = true;
+             text = end.has_value() ? end.value().body : "";
+         }});
+    this->wait([&ended] { return ended; });
+    return text;
+}
+
 relay_fleet::answer relay_fleet::submit(int number, const std::string& job,
                                         int items)
 {
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -44,6 +44,9 @@
     answer call(int node, const std::string& method, const std::string& path,
                 const std::string& id = "", const std::string& body = "");
 
+    /// \returns The text of a node's metrics.
+    std::string metrics_text(int node);
+
     /// Starts a request; the answer is put where the pointer points.
     void begin(int node, const std::string& method, const std::string& path,
                const std::string& id, const std::string& body,
