--- a/tests/relay_process/status_test.cpp
+++ b/tests/relay_process/status_test.cpp
@@ -90,13 +90,12 @@
             return text.find("parsleytrack_slots{") != std::string::npos;
         }));
     for (const char* part :
-         {"parsleytrack_requests_total{outcome=\"served\",kind=\"streaming\"} "
-          "9",
-          "parsleytrack_requests_total{outcome=\"no_route\",kind=\"none\"} 1",
-          "parsleytrack_replica_verdicts_total{verdict=\"not_run\"}",
-          "parsleytrack_slot_wait_seconds_bucket{kind=\"streaming\"",
-          "parsleytrack_first_output_seconds_bucket{kind=\"streaming\"",
-          "parsleytrack_store_calls{kind=\"watch\"}",
+         {R"(parsleytrack_requests_total{outcome="served",kind="streaming"} 9)",
+          R"(parsleytrack_requests_total{outcome="no_route",kind="none"} 1)",
+          R"(parsleytrack_replica_verdicts_total{verdict="not_run"})",
+          R"(parsleytrack_slot_wait_seconds_bucket{kind="streaming")",
+          R"(parsleytrack_first_output_seconds_bucket{kind="streaming")",
+          R"(parsleytrack_store_calls{kind="watch"})",
           "parsleytrack_replicas_age_seconds",
           "parsleytrack_configuration_version 3"})
     {
