--- /dev/null
+++ b/tests/relay_process/rules_test.cpp
@@ -0,0 +1,132 @@
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+constexpr int requests = 24;
+
+} // namespace
+
+TEST_GROUP(relay_rules){};
+
+TEST(relay_rules, a_replica_stops_soon_after_the_caller_has_left)
+{
+    relay_fleet fleet(1);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(50);
+        engine->event_count = 200;
+    }
+    const auto streams = [&fleet]
+    {
+        std::size_t count = 0;
+        for (const auto& engine : fleet.engines)
+        {
+            count += engine->open_streams();
+        }
+        return count;
+    };
+    {
+        net::http_client caller(fleet.loop);
+        net::http_request request;
+        request.method = "POST";
+        request.target = "/stream/a";
+        request.headers = {{"Host", "h"},
+                           {"Parsleytrack-Request-Id", "id1"},
+                           {"Parsleytrack-Deadline-Ms", "20000"}};
+        bool begun = false;
+        const auto call =
+            caller.send(fleet.front_address(0), request,
+                        {{},
+                         [&begun](std::string_view) { begun = true; },
+                         [](const result<net::http_response>&) {
+                         }});
+        CHECK(fleet.wait([&begun] { return begun; }));
+        CHECK_EQUAL(1, streams());
+    }
+    // Half a second is what the platform allows.
+    const time_point until =
+        net::event_loop::now() + std::chrono::milliseconds(500);
+    fleet.wait([until] { return net::event_loop::now() > until; });
+    CHECK_EQUAL(0, streams());
+}
+
+TEST(relay_rules, replicas_get_no_more_time_than_is_left)
+{
+    relay_fleet fleet(
+        relay_fleet_options{.node_count = 1, .has_proxies = true});
+    // The first replica is silent, so that requests to it are sent again
+    // after 600 ms.
+    fleet.replica_proxies[0]->set(fault_proxy::fault::silent);
+    int sent_again = 0;
+    for (int count = 0; count < requests; ++count)
+    {
+        const std::string id = "id" + std::to_string(count);
+        const time_point begin = net::event_loop::now();
+        CHECK_EQUAL(200, fleet.call(0, "POST", "/stream/a", id).status);
+        const auto waited = to_milliseconds(net::event_loop::now() - begin);
+        for (const auto& engine : fleet.engines)
+        {
+            const auto left = engine->time_left_ms.find(id);
+            if (left == engine->time_left_ms.end())
+            {
+                continue;
+            }
+            CHECK(left->second > 0 && left->second <= 5000);
+            if (waited > 600)
+            {
+                ++sent_again;
+                CHECK(left->second <= 5000 - 600);
+            }
+        }
+    }
+    CHECK(sent_again > 0);
+}
+
+TEST(relay_rules, a_request_is_run_by_no_more_replicas_than_allowed)
+{
+    relay_fleet fleet(1);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::failing;
+    }
+    // The route allows three attempts; the replicas fail each.
+    const auto answer = fleet.call(0, "POST", "/stream/a", "id1");
+    CHECK(answer.status >= 500);
+    int runs = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        runs += engine->runs["id1"];
+    }
+    CHECK(runs <= 3);
+}
+
+TEST(relay_rules, another_service_at_a_known_address_runs_nothing)
+{
+    relay_fleet fleet(1);
+    // The address of a replica that is gone belongs to another service now.
+    fleet.engines[0]->advertise(fleet.web->listening());
+    fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm"));
+    const time_point until =
+        net::event_loop::now() + std::chrono::milliseconds(1500);
+    fleet.wait([until] { return net::event_loop::now() > until; });
+    for (int count = 0; count < requests; ++count)
+    {
+        const std::string id = "id" + std::to_string(count);
+        CHECK_EQUAL(200, fleet.call(0, "POST", "/stream/a", id).status);
+        CHECK_FALSE(fleet.web->runs.contains(id));
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 8).status);
+    CHECK_EQUAL(8, fleet.results(0, "job").size());
+    CHECK_FALSE(std::any_of(fleet.web->runs.begin(), fleet.web->runs.end(),
+                            [](const auto& run)
+                            { return run.first.starts_with("job"); }));
+}
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -60,6 +60,12 @@
         return;
     }
     ++this->runs[*request];
+    const std::string* left =
+        net::find_header(headers, "Parsleytrack-Deadline-Ms");
+    if (left != nullptr)
+    {
+        this->time_left_ms[*request] = std::stoi(*left);
+    }
     const net::http_header_list answer{
         {"Parsleytrack-Request-Id", *request},
         {"Parsleytrack-Response-Seal", "seal-" + *request}};
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -41,6 +41,9 @@
     /// Names another address in what it writes of itself.
     void advertise(const endpoint& shown) { this->shown_address = shown; }
 
+    /// \returns Streams that are under way.
+    std::size_t open_streams() const { return this->streams.size(); }
+
     const std::string& name() const { return this->id; }
 
     /// Events of each stream.
@@ -53,6 +56,8 @@
     duration event_interval = std::chrono::milliseconds(5);
     /// Events after which each request was gone on with; 0 from its start.
     std::map<std::string, std::vector<int>> resumed_after;
+    /// Time that each request had left, as it was told.
+    std::map<std::string, int> time_left_ms;
     /// How often each request was run.
     std::map<std::string, int> runs;
 
