Drive every membership by one piece of code

Cause: peering::peer_group was a copy of daemon::membership_module with small variations (reading datagrams, exchanges of views, carrying out commands); the time of day and the first incarnation were written twice.

Now membership_driver does the input and output of both, units holds the wall clock, peering the first incarnation. Two pieces of work done over and over are gone: one view is told for all changes of one step instead of one a change (a full exchange with 300 nodes gave 300), and a node is looked up instead of copying all of them.

Behaviour as before but for one text: a node of another region is told which region this one belongs to, as the daemon did.

--- a/src/daemon/batch_module.cpp
+++ b/src/daemon/batch_module.cpp
@@ -6,11 +6,11 @@
 #include "daemon/job_results.hpp"
 #include "daemon/job_store.hpp"
 #include "daemon/lot_pool.hpp"
-#include "daemon/wall_clock.hpp"
 #include "decisions/lot_assignment.hpp"
 #include "decisions/owner_liveness.hpp"
 #include "net/error_response.hpp"
 #include "storage/segment_store.hpp"
+#include "units/wall_clock.hpp"
 #include "wire/codec.hpp"
 #include "wire/generated/job_types.h"
 
--- a/src/daemon/batch_upload.cpp
+++ b/src/daemon/batch_upload.cpp
@@ -2,11 +2,11 @@
 
 #include "daemon/batch_item_parser.hpp"
 #include "daemon/job_codec.hpp"
-#include "daemon/wall_clock.hpp"
 #include "decisions/lot_assignment.hpp"
 #include "logging/log.hpp"
 #include "net/error_response.hpp"
 #include "storage/segment_store.hpp"
+#include "units/wall_clock.hpp"
 #include "wire/codec.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/daemon/job_coordinator.cpp
+++ b/src/daemon/job_coordinator.cpp
@@ -1,9 +1,9 @@
 #include "daemon/job_coordinator.hpp"
 
 #include "daemon/job_codec.hpp"
-#include "daemon/wall_clock.hpp"
 #include "decisions/lot_assignment.hpp"
 #include "logging/log.hpp"
+#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/daemon/keeper_link.cpp
+++ b/src/daemon/keeper_link.cpp
@@ -1,6 +1,6 @@
 #include "daemon/keeper_link.hpp"
 
-#include "daemon/wall_clock.hpp"
+#include "units/wall_clock.hpp"
 #include "wire/codec.hpp"
 #include "wire/generated/storage_types.h"
 
--- a/src/daemon/lot_pool.cpp
+++ b/src/daemon/lot_pool.cpp
@@ -1,7 +1,7 @@
 #include "daemon/lot_pool.hpp"
 
-#include "daemon/wall_clock.hpp"
 #include "logging/log.hpp"
+#include "units/wall_clock.hpp"
 #include "wire/codec.hpp"
 
 #include <algorithm>
--- a/src/daemon/lot_runner.cpp
+++ b/src/daemon/lot_runner.cpp
@@ -1,8 +1,8 @@
 #include "daemon/lot_runner.hpp"
 
-#include "daemon/wall_clock.hpp"
 #include "decisions/lot_limits.hpp"
 #include "logging/log.hpp"
+#include "units/wall_clock.hpp"
 #include "wire/codec.hpp"
 
 #include <algorithm>
--- a/src/daemon/membership_module.hpp
+++ b/src/daemon/membership_module.hpp
@@ -6,11 +6,9 @@
 #include "decisions/membership.hpp"
 #include "net/http_server.hpp"
 #include "net/timer.hpp"
+#include "peering/membership_driver.hpp"
 
-#include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 
 namespace parsleytrack
 {
@@ -37,16 +35,6 @@
     void leave();
 
 private:
-    void tick();
-    void receive(const endpoint& from, std::string_view bytes);
-    void answer_exchange(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void carry_out_commands();
-    void carry_out(const send_packet_command& command);
-    void carry_out(const exchange_views_command& command);
-    void carry_out(const view_changed_command& command);
-    void carry_out(const node_dead_command& command);
-    void finish_exchange(std::int64_t call_number,
-                         const result<std::string>& outcome);
     void update_fleet();
     void update_gauges();
 
@@ -55,9 +43,7 @@
     membership members;
     seed_keeper seeds;
     region_bridge bridge;
-    std::map<std::int64_t, std::unique_ptr<wire::peer_call>> exchanges;
-    std::int64_t next_exchange = 1;
-    net::timer tick_timer;
+    peering::membership_driver driver;
     net::timer gauge_timer;
     net::timer close_timer;
     net::timer drain_timer;
--- a/src/daemon/once_shards.cpp
+++ b/src/daemon/once_shards.cpp
@@ -1,8 +1,8 @@
 #include "daemon/once_shards.hpp"
 
 #include "daemon/once_codec.hpp"
-#include "daemon/wall_clock.hpp"
 #include "decisions/rendezvous.hpp"
+#include "units/wall_clock.hpp"
 
 #include <vector>
 
--- a/src/daemon/storage_module.cpp
+++ b/src/daemon/storage_module.cpp
@@ -5,9 +5,9 @@
 #include "daemon/replicated_put.hpp"
 #include "daemon/segment_fetch.hpp"
 #include "daemon/segment_repair.hpp"
-#include "daemon/wall_clock.hpp"
 #include "decisions/keeper_choice.hpp"
 #include "logging/log.hpp"
+#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <map>
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -272,6 +272,17 @@
     return std::exchange(this->commands, {});
 }
 
+std::optional<node_info> membership::find(const node_id& id) const
+{
+    if (id == this->own.node.id)
+    {
+        return this->own.visible();
+    }
+    const auto* known = this->table.find(id);
+    return known == nullptr ? std::nullopt
+                            : std::optional<node_info>(known->record.visible());
+}
+
 std::vector<node_info> membership::nodes() const
 {
     std::vector<node_info> seen{this->own.visible()};
--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -71,6 +71,9 @@
     /// \returns All nodes that are remembered, this one included.
     std::vector<node_info> nodes() const;
 
+    /// \returns A node, this one included, or nothing when it is not known.
+    std::optional<node_info> find(const node_id& id) const;
+
     /// \returns Whether no other living node is known.
     bool is_alone() const { return this->table.present_count() == 0; }
 
--- /dev/null
+++ b/src/peering/first_incarnation.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "units/numbers.hpp"
+
+#include <chrono>
+
+namespace parsleytrack::peering
+{
+
+/// \returns An incarnation for a process that starts now, above that of any
+/// earlier process of the same node.
+inline incarnation_number first_incarnation()
+{
+    const auto since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return incarnation_number(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+            .count());
+}
+
+} // namespace parsleytrack::peering
--- /dev/null
+++ b/src/peering/membership_driver.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "decisions/membership.hpp"
+#include "net/event_loop.hpp"
+#include "units/result.hpp"
+#include "wire/peer_network.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+namespace parsleytrack::peering
+{
+
+/// Does the input and output of one membership over the peer network.
+class membership_driver
+{
+public:
+    struct callbacks
+    {
+        /// The view of the nodes has changed.
+        std::function<void()> on_view_changed;
+        /// A datagram could not be read.
+        std::function<void(const endpoint& from, const error&)>
+            on_datagram_refused;
+        /// A full exchange of views had no answer.
+        std::function<void(const error&)> on_exchange_failed;
+        /// The answer to one could not be read. Optional.
+        std::function<void(const error&)> on_answer_refused;
+    };
+
+    /// \param event_loop Outlives this object, as do the other references.
+    /// \param driven What is done is decided there.
+    /// \param exchange_timeout Longest time for the answer to an exchange.
+    /// \param listener What is told.
+    membership_driver(net::event_loop& event_loop, wire::peer_network& network,
+                      membership& driven, duration exchange_timeout,
+                      callbacks listener);
+
+    /// Does what the membership has decided; to be called after each call of
+    /// it from outside.
+    void carry_out_commands();
+
+private:
+    void receive(const endpoint& from, std::string_view bytes);
+    void answer_exchange(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void finish_exchange(std::int64_t number,
+                         const result<std::string>& outcome);
+    void carry_out(const send_packet_command& command);
+    void carry_out(const exchange_views_command& command);
+    void carry_out(const view_changed_command& command);
+    void carry_out(const node_dead_command& command);
+
+    wire::peer_network& peers;
+    membership& members;
+    duration exchange_timeout;
+    callbacks hooks;
+    std::map<std::int64_t, std::unique_ptr<wire::peer_call>> exchanges;
+    std::int64_t next_exchange = 1;
+    net::timer tick_timer;
+};
+
+} // namespace parsleytrack::peering
--- a/src/peering/peer_group.cpp
+++ b/src/peering/peer_group.cpp
@@ -2,9 +2,10 @@
 
 #include "logging/log.hpp"
 #include "peering/group_options.hpp"
-#include "peering/membership_conversion.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -14,29 +15,47 @@
 namespace
 {
 
-constexpr duration tick_interval = std::chrono::milliseconds(100);
+/// A view of the largest region takes some milliseconds; several times a link
+/// that loses packets.
 constexpr duration exchange_timeout = std::chrono::seconds(1);
-constexpr std::size_t max_exchanges = 4;
 
 } // namespace
 
 peer_group::peer_group(net::event_loop& event_loop, wire::peer_network& network,
                        random_source& random_numbers, const node_info& own,
                        std::vector<endpoint> seeds)
-    : loop(event_loop), peers(network),
-      board(own.id, static_cast<std::uint64_t>(own.incarnation.count())),
-      members(own, group_options(), random_numbers, this->board)
+    : board(own.id, static_cast<std::uint64_t>(own.incarnation.count())),
+      members(own, group_options(), random_numbers, this->board),
+      driver(event_loop, network, this->members, exchange_timeout,
+             {[this] { this->take_view(); },
+              [](const endpoint& from, const error& reason)
+              {
+                  log_event(
+                      log_level::warning, "peer_datagram_refused",
+                      {{"from", to_string(from)}, {"reason", reason.message}});
+              },
+              [](const error& reason)
+              {
+                  log_event(log_level::debug, "peer_exchange_failed",
+                            {{"reason", reason.message}});
+              },
+              [](const error& reason)
+              {
+                  log_event(log_level::warning, "peer_exchange_refused",
+                            {{"reason", reason.message}});
+              }})
 {
     this->members.set_seeds(std::move(seeds));
     this->update_living();
-    this->peers.on_datagram([this](const endpoint& from, std::string_view bytes)
-                            { this->receive(from, bytes); });
-    this->peers.on_call(
-        wire::message_type::view_exchange,
-        [this](const std::shared_ptr<wire::peer_exchange>& exchange)
-        { this->answer_exchange(exchange); });
-    this->tick_timer =
-        this->loop.call_every(tick_interval, [this] { this->tick(); });
+}
+
+void peer_group::take_view()
+{
+    this->update_living();
+    for (const auto& callback : this->change_callbacks)
+    {
+        callback();
+    }
 }
 
 void peer_group::update_living()
@@ -46,14 +65,11 @@
     {
         before.insert(node.id);
     }
+    const std::vector<node_info> all = this->members.nodes();
     this->alive.clear();
-    for (node_info& node : this->members.nodes())
-    {
-        if (node.state == node_state::alive)
-        {
-            this->alive.push_back(std::move(node));
-        }
-    }
+    std::copy_if(all.begin(), all.end(), std::back_inserter(this->alive),
+                 [](const node_info& node)
+                 { return node.state == node_state::alive; });
     for (const node_info& node : this->alive)
     {
         if (before.erase(node.id) == 0)
@@ -61,7 +77,7 @@
             this->log_change("node_alive", node);
         }
     }
-    for (const node_info& node : this->members.nodes())
+    for (const node_info& node : all)
     {
         if (before.contains(node.id))
         {
@@ -82,14 +98,12 @@
 
 std::optional<node_info> peer_group::find(const node_id& id) const
 {
-    for (const node_info& node : this->members.nodes())
+    auto node = this->members.find(id);
+    if (node && node->state == node_state::dead)
     {
-        if (node.id == id && node.state != node_state::dead)
-        {
-            return node;
-        }
+        node.reset();
     }
-    return std::nullopt;
+    return node;
 }
 
 void peer_group::on_change(std::function<void()> callback)
@@ -100,127 +114,13 @@
 void peer_group::announce_leaving()
 {
     this->members.announce_leaving();
-    this->carry_out_commands();
+    this->driver.carry_out_commands();
 }
 
 void peer_group::announce_gone()
 {
     this->members.announce_gone();
-    this->carry_out_commands();
-}
-
-void peer_group::tick()
-{
-    this->members.tick(net::event_loop::now());
-    this->carry_out_commands();
-}
-
-void peer_group::receive(const endpoint& from, std::string_view bytes)
-{
-    const auto packet = decode_packet(bytes);
-    if (packet.has_error())
-    {
-        log_event(
-            log_level::warning, "peer_datagram_refused",
-            {{"from", to_string(from)}, {"reason", packet.error().message}});
-        return;
-    }
-    this->members.receive(net::event_loop::now(), from, packet.value());
-    this->carry_out_commands();
-}
-
-void peer_group::answer_exchange(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const auto request = decode_view(exchange->request());
-    if (request.has_error())
-    {
-        exchange->fail(request.error());
-        return;
-    }
-    const auto answer =
-        this->members.answer_exchange(net::event_loop::now(), request.value());
-    if (answer)
-    {
-        exchange->finish(encode_view(*answer));
-    }
-    else
-    {
-        exchange->fail(error{error_code::bad_request,
-                             "this node belongs to another region",
-                             ran_state::no,
-                             {}});
-    }
-    this->carry_out_commands();
-}
-
-void peer_group::finish_exchange(std::int64_t number,
-                                 const result<std::string>& outcome)
-{
-    this->exchanges.erase(number);
-    if (outcome.has_error())
-    {
-        log_event(log_level::debug, "peer_exchange_failed",
-                  {{"reason", outcome.error().message}});
-        return;
-    }
-    const auto answer = decode_view(outcome.value());
-    if (answer.has_error())
-    {
-        log_event(log_level::warning, "peer_exchange_refused",
-                  {{"reason", answer.error().message}});
-        return;
-    }
-    this->members.finish_exchange(net::event_loop::now(), answer.value());
-    this->carry_out_commands();
-}
-
-void peer_group::carry_out_commands()
-{
-    for (const membership_command& command : this->members.take_commands())
-    {
-        std::visit([this](const auto& specific) { this->carry_out(specific); },
-                   command);
-    }
-}
-
-void peer_group::carry_out(const send_packet_command& command)
-{
-    this->peers.send_datagram(command.target, encode_packet(command.packet));
-}
-
-void peer_group::carry_out(const exchange_views_command& command)
-{
-    if (this->exchanges.size() >= max_exchanges)
-    {
-        return;
-    }
-    const std::int64_t number = this->next_exchange++;
-    this->exchanges[number] = this->peers.call(
-        command.target, wire::message_type::view_exchange,
-        encode_view(this->members.open_exchange()), exchange_timeout,
-        {{},
-         [this, number](const result<std::string>& outcome)
-         {
-             this->finish_exchange(number, outcome);
-         }});
-}
-
-void peer_group::carry_out(const view_changed_command&)
-{
-    this->update_living();
-    for (const auto& callback : this->change_callbacks)
-    {
-        callback();
-    }
-}
-
-void peer_group::carry_out(const node_dead_command& command)
-{
-    log_event(log_level::warning, "node_dead",
-              {{"peer_node", command.node.str()},
-               {"address", to_string(command.peer)}});
-    this->peers.drop_peer(command.peer);
+    this->driver.carry_out_commands();
 }
 
 } // namespace parsleytrack::peering
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -4,16 +4,14 @@
 #include "decisions/membership.hpp"
 #include "decisions/node_info.hpp"
 #include "net/event_loop.hpp"
+#include "peering/membership_driver.hpp"
 #include "units/endpoint.hpp"
 #include "units/ids.hpp"
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <string_view>
 #include <vector>
 
 namespace parsleytrack::peering
@@ -47,28 +45,14 @@
     void announce_gone();
 
 private:
+    void take_view();
     void update_living();
     void log_change(const char* event, const node_info& node) const;
-    void tick();
-    void receive(const endpoint& from, std::string_view bytes);
-    void answer_exchange(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void finish_exchange(std::int64_t number,
-                         const result<std::string>& outcome);
-    void carry_out_commands();
-    void carry_out(const send_packet_command& command);
-    void carry_out(const exchange_views_command& command);
-    void carry_out(const view_changed_command& command);
-    void carry_out(const node_dead_command& command);
-
-    net::event_loop& loop;
-    wire::peer_network& peers;
     gossip_board board;
     membership members;
+    membership_driver driver;
     std::vector<node_info> alive;
-    std::map<std::int64_t, std::unique_ptr<wire::peer_call>> exchanges;
-    std::int64_t next_exchange = 1;
     std::vector<std::function<void()>> change_callbacks;
-    net::timer tick_timer;
 };
 
 } // namespace parsleytrack::peering
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -4,7 +4,7 @@
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_transaction.hpp"
-#include "relay/wall_clock.hpp"
+#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -5,7 +5,7 @@
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
 #include "relay/refusal.hpp"
-#include "relay/wall_clock.hpp"
+#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -3,6 +3,7 @@
 #include "logging/log.hpp"
 #include "metrics/registry.hpp"
 #include "net/http_server.hpp"
+#include "peering/first_incarnation.hpp"
 #include "relay/address_service.hpp"
 #include "relay/job_service.hpp"
 #include "relay/online_service.hpp"
@@ -47,11 +48,7 @@
     own.availability_zone = settings.availability_zone;
     own.entry = settings.front.has_value();
     own.capacity = settings.capacity;
-    // Above that of any earlier process of the same node.
-    own.incarnation = incarnation_number(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
+    own.incarnation = peering::first_incarnation();
     own.started_as = own.incarnation;
     return own;
 }
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -1,6 +1,6 @@
 #include "relay/status_report.hpp"
 
-#include "relay/wall_clock.hpp"
+#include "units/wall_clock.hpp"
 
 #include <nlohmann/json.hpp>
 
