--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/node.hpp"
 #include "logging/log.hpp"
+#include "logging/log_findings.hpp"
 #include "platform/run_on_platform.hpp"
 #include "settings/settings_loader.hpp"
 
@@ -39,11 +40,7 @@
     auto outcome = settings::load_settings(FLAGS_settings);
     if (const auto* problems = std::get_if<findings>(&outcome))
     {
-        for (const finding& problem : *problems)
-        {
-            log_event(log_level::error, "bad_settings",
-                      {{"place", problem.place}, {"message", problem.message}});
-        }
+        log_findings("bad_settings", *problems);
         return exit_refused;
     }
     auto& node_settings = std::get<settings::node_settings>(outcome);
--- a/src/daemon/replica_runner_ends.cpp
+++ b/src/daemon/replica_runner_ends.cpp
@@ -111,14 +111,8 @@
     }
     entry& stopped = found->second;
     // Both calls may be in one of their callbacks, so they end afterwards.
-    this->context.loop.post(
-        [call = std::shared_ptr<net::http_call>(std::move(stopped.call)),
-         stop = std::shared_ptr<net::http_call>(
-             std::move(stopped.stop_call))]() mutable
-        {
-            call.reset();
-            stop.reset();
-        });
+    this->context.loop.free_later(std::move(stopped.call));
+    this->context.loop.free_later(std::move(stopped.stop_call));
     if (!stopped.wanted)
     {
         this->jobs.erase(found);
--- a/src/feeds/record_feed.cpp
+++ b/src/feeds/record_feed.cpp
@@ -147,8 +147,7 @@
                          part.has_error() ? part.error().message : "not asked");
         return;
     }
-    found->second.heard = net::event_loop::now();
-    this->last_part = found->second.heard;
+    this->last_part = net::event_loop::now();
     switch (part.value().what)
     {
     case feed_part::kind::all:
@@ -185,8 +184,7 @@
         return;
     }
     // The call may be the one whose callback runs.
-    this->loop.post([call = std::make_shared<std::unique_ptr<wire::peer_call>>(
-                         std::move(found->second.call))] { call->reset(); });
+    this->loop.free_later(std::move(found->second.call));
     const bool was_well = found->second.well;
     this->retry_at[source] =
         net::event_loop::now() + (was_well ? duration::zero() : retry_pause);
--- a/src/feeds/record_feed.hpp
+++ b/src/feeds/record_feed.hpp
@@ -48,7 +48,6 @@
     struct subscription
     {
         std::unique_ptr<wire::peer_call> call;
-        time_point heard;
         /// It has sent all records, and reaches the store.
         bool well = false;
     };
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -173,6 +173,25 @@
     return page;
 }
 
+std::string encode_output(const job_result& output, std::size_t item_count)
+{
+    return encode(job_page{item_count, {output}});
+}
+
+result<job_result> decode_output(std::string_view bytes)
+{
+    auto page = decode_page(bytes);
+    if (page.has_error())
+    {
+        return page.error();
+    }
+    if (page.value().results.empty())
+    {
+        return damaged("a record of a result has none");
+    }
+    return std::move(page.value().results.front());
+}
+
 std::string encode(const job_progress& progress)
 {
     wire::node_job_progress message;
--- a/src/jobs/job_codec.hpp
+++ b/src/jobs/job_codec.hpp
@@ -26,6 +26,12 @@
 std::string encode(const job_page& page);
 result<job_page> decode_page(std::string_view bytes);
 
+/// A record of one result, as it stands in the store.
+///
+/// \param item_count How many items its job has.
+std::string encode_output(const job_result& output, std::size_t item_count);
+result<job_result> decode_output(std::string_view bytes);
+
 std::string encode(const job_progress& progress);
 result<job_progress> decode_progress(std::string_view bytes);
 
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -1,5 +1,6 @@
 #include "jobs/owned_job.hpp"
 
+#include "jobs/page_builder.hpp"
 #include "units/invariant.hpp"
 
 #include <algorithm>
@@ -177,23 +178,20 @@
 
 job_page owned_job::page(std::size_t after, std::size_t most_bytes) const
 {
-    job_page page;
-    page.total = this->submitted.items.size();
-    std::size_t bytes = 0;
+    page_builder page(this->submitted.items.size(), most_bytes);
     for (std::size_t position = after; position < this->agreed.outcomes.size();
          ++position)
     {
         const item_outcome& outcome = this->agreed.outcomes[position];
-        const std::string& output = this->agreed_outputs[position];
-        bytes += output.size();
-        if (!page.results.empty() && bytes > most_bytes)
+        const bool fits = page.add(
+            job_result{this->submitted.items[outcome.item].id,
+                       outcome.completed, this->agreed_outputs[position]});
+        if (!fits)
         {
             break;
         }
-        page.results.push_back(job_result{
-            this->submitted.items[outcome.item].id, outcome.completed, output});
     }
-    return page;
+    return page.take();
 }
 
 } // namespace parsleytrack::jobs
--- /dev/null
+++ b/src/jobs/page_builder.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "jobs/job_page.hpp"
+
+#include <cstddef>
+#include <utility>
+
+namespace parsleytrack::jobs
+{
+
+/// Fills a page with results up to a bound. One result always fits, however
+/// large it is.
+class page_builder
+{
+public:
+    /// \param total How many items the job has.
+    /// \param most_bytes Bound of the outputs together.
+    page_builder(std::size_t total, std::size_t most_bytes) : limit(most_bytes)
+    {
+        this->page.total = total;
+    }
+
+    /// \returns Whether the result was added; when not, the page is full.
+    bool add(job_result result)
+    {
+        this->bytes += result.output.size();
+        if (!this->page.results.empty() && this->bytes > this->limit)
+        {
+            return false;
+        }
+        this->page.results.push_back(std::move(result));
+        return true;
+    }
+
+    job_page take() { return std::move(this->page); }
+
+private:
+    job_page page;
+    std::size_t limit;
+    std::size_t bytes = 0;
+};
+
+} // namespace parsleytrack::jobs
--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -22,6 +22,8 @@
 constexpr duration watch_timeout = watch_wait + call_timeout;
 constexpr duration first_repeat_delay = std::chrono::milliseconds(40);
 constexpr duration longest_repeat_delay = std::chrono::milliseconds(400);
+/// A read that was lost is most often lost with its connection.
+constexpr int repeats_of_a_read = 1;
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 412;
 constexpr int status_gone = 410;
@@ -69,31 +71,30 @@
 void record_client::get(const std::string& key, read_freshness freshness,
                         get_callback callback)
 {
-    const net::http_request request = this->dialect.get(key, freshness);
+    this->get(key, freshness, repeats_of_a_read, std::move(callback));
+}
+
+void record_client::get(const std::string& key, read_freshness freshness,
+                        int repeats, get_callback callback)
+{
     this->count_read(freshness);
-    this->send(
-        request, call_timeout,
-        [this, key, request, freshness,
-         callback = std::move(callback)](result<net::http_response> first)
-        {
-            if (first.has_value())
-            {
-                callback(this->dialect.read_get(key, first.value()));
-                return;
-            }
-            this->count_read(freshness);
-            this->send(request, call_timeout,
-                       [this, key, callback](result<net::http_response> second)
-                       {
-                           if (second.has_error())
-                           {
-                               callback(second.error());
-                               return;
-                           }
-                           callback(
-                               this->dialect.read_get(key, second.value()));
-                       });
-        });
+    this->send(this->dialect.get(key, freshness), call_timeout,
+               [this, key, freshness, repeats, callback = std::move(callback)](
+                   const result<net::http_response>& answer)
+               {
+                   if (answer.has_value())
+                   {
+                       callback(this->dialect.read_get(key, answer.value()));
+                   }
+                   else if (repeats > 0)
+                   {
+                       this->get(key, freshness, repeats - 1, callback);
+                   }
+                   else
+                   {
+                       callback(answer.error());
+                   }
+               });
 }
 
 void record_client::list(const std::string& prefix, read_freshness freshness,
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -68,6 +68,8 @@
     struct commit_state;
     struct list_state;
 
+    void get(const std::string& key, read_freshness freshness, int repeats,
+             get_callback callback);
     void send(net::http_request request, duration timeout,
               response_callback callback);
     void send_page(const std::shared_ptr<list_state>& state);
--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -18,6 +18,29 @@
 
 } // namespace
 
+record_follower::callbacks
+record_follower::each_record(std::function<void(const stored_record&)> take)
+{
+    return {[take](const record_listing& listing, bool)
+            {
+                for (const stored_record& record : listing.records)
+                {
+                    take(record);
+                }
+            },
+            [take](const std::vector<record_change>& changes)
+            {
+                for (const record_change& change : changes)
+                {
+                    if (!change.deleted)
+                    {
+                        take(change.record);
+                    }
+                }
+            },
+            {}};
+}
+
 record_follower::record_follower(net::event_loop& event_loop,
                                  record_client& client,
                                  random_source& random_numbers,
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -29,6 +29,11 @@
         std::function<void(const error&)> on_failure;
     };
 
+    /// \param take Gets each record that exists, as it was listed or changed.
+    /// \returns Callbacks for a listener that needs no more.
+    static callbacks
+    each_record(std::function<void(const stored_record&)> take);
+
     /// \param pause_after_changes How long changes are collected before the
     /// next ones are asked for, to spare calls.
     record_follower(net::event_loop& event_loop, record_client& client,
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <utility>
 
 struct event;
 struct event_base;
@@ -60,12 +61,20 @@
     [[nodiscard]] timer call_every(duration interval,
                                    std::function<void()> callback);
 
-    /// Calls a function after the current callback has returned. Used to free
-    /// an object from within one of its own callbacks.
+    /// Calls a function after the current callback has returned.
     ///
     /// \param callback What is called.
     void post(std::function<void()> callback);
 
+    /// Frees an object after the current callback has returned, which may be
+    /// one of the object's own.
+    template <class Object>
+    void free_later(std::unique_ptr<Object> object)
+    {
+        this->post([kept = std::shared_ptr<Object>(std::move(object))]() mutable
+                   { kept.reset(); });
+    }
+
     /// Calls a function when a signal arrives.
     ///
     /// \param signal_number Such as SIGTERM.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,11 +1,10 @@
 #include "net/http_server.hpp"
 
+#include "net/bound_port.hpp"
 #include "net/server_connection.hpp"
 
 #include <event2/listener.h>
 #include <evhtp.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <cerrno>
 #include <cstring>
@@ -78,12 +77,8 @@
                      {}};
     }
     this->accepting = true;
-    sockaddr_in bound{};
-    socklen_t length = sizeof(bound);
-    const int descriptor =
-        static_cast<int>(evconnlistener_get_fd(this->server->server));
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &length);
-    return ntohs(bound.sin_port);
+    return bound_port(
+        static_cast<int>(evconnlistener_get_fd(this->server->server)));
 }
 
 void http_server::stop_accepting()
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -14,25 +14,9 @@
     : dialect(translator),
       follower(event_loop, client, random_numbers,
                translator.keys().configuration, duration::zero(),
-               {[this](const key_value::record_listing& listing, bool)
-                {
-                    for (const key_value::stored_record& record :
-                         listing.records)
-                    {
-                        this->take(record);
-                    }
-                },
-                [this](const std::vector<key_value::record_change>& changes)
-                {
-                    for (const key_value::record_change& change : changes)
-                    {
-                        if (!change.deleted)
-                        {
-                            this->take(change.record);
-                        }
-                    }
-                },
-                {}})
+               key_value::record_follower::each_record(
+                   [this](const key_value::stored_record& record)
+                   { this->take(record); }))
 {
 }
 
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "relay/event_splitter.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -83,4 +84,22 @@
     return events;
 }
 
+std::vector<stream_event> event_splitter::feed_new(std::string_view piece,
+                                                   std::int64_t& last_event)
+{
+    std::vector<stream_event> events = this->feed(piece);
+    std::erase_if(events,
+                  [&last_event](const stream_event& event)
+                  {
+                      if (!event.number)
+                      {
+                          return false;
+                      }
+                      const bool is_known = *event.number <= last_event;
+                      last_event = std::max(last_event, *event.number);
+                      return is_known;
+                  });
+    return events;
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/event_splitter.hpp
+++ b/src/relay/event_splitter.hpp
@@ -2,6 +2,7 @@
 
 #include "relay/stream_event.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,13 @@
     /// \returns The events that are complete now.
     std::vector<stream_event> feed(std::string_view piece);
 
+    /// The same, without the events that came before.
+    ///
+    /// \param last_event Number of the last event that is known; goes up with
+    /// those that are returned.
+    std::vector<stream_event> feed_new(std::string_view piece,
+                                       std::int64_t& last_event);
+
     /// \returns Whether part of an event has been fed without its end.
     bool has_partial_event() const { return !this->pending.empty(); }
 
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -101,19 +101,20 @@
     {
         return;
     }
-    for (const stream_event& event : this->splitter.feed(piece))
+    bool has_events = this->progress.last_event > 0;
+    for (const stream_event& event :
+         this->splitter.feed_new(piece, this->progress.last_event))
     {
-        // Events that came before, and comments, add nothing.
-        if (!event.number || *event.number <= this->progress.last_event)
+        // Comments add nothing.
+        if (!event.number)
         {
             continue;
         }
-        if (this->progress.last_event > 0)
+        if (std::exchange(has_events, true))
         {
             this->progress.output += '\n';
         }
         this->progress.output += event.data;
-        this->progress.last_event = *event.number;
     }
     if (this->splitter.is_too_long())
     {
@@ -154,9 +155,7 @@
 void item_run::finish(item_end end, const std::string& reason)
 {
     // The exchange may be the one whose callback runs.
-    this->context.loop.post(
-        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
-             std::move(this->attempt))] { old->reset(); });
+    this->context.loop.free_later(std::move(this->attempt));
     this->lease.reset();
     const auto callback = std::move(this->ended_callback);
     callback(end, reason);
--- a/src/relay/job_cancellation.cpp
+++ b/src/relay/job_cancellation.cpp
@@ -81,7 +81,7 @@
                         {usage_key, jobs::encode_usage(left)}};
     this->context.store.commit(
         std::move(transaction), commit_limit,
-        [this, state, usage_key, left, attempt, callback = std::move(callback)](
+        [this, state, left, attempt, callback = std::move(callback)](
             const result<key_value::transaction_outcome>& outcome)
         {
             if (outcome.has_error())
@@ -98,13 +98,7 @@
                 callback(state);
                 return;
             }
-            for (const auto& record : outcome.value().current)
-            {
-                if (record.key == usage_key)
-                {
-                    this->usages.take(state.route_name, record);
-                }
-            }
+            this->usages.take_from(state.route_name, outcome.value().current);
             if (attempt >= max_attempts)
             {
                 callback(error{error_code::store_unavailable,
--- a/src/relay/job_intake.cpp
+++ b/src/relay/job_intake.cpp
@@ -115,13 +115,9 @@
         entry->callback(accepted_job{entry->state, revision, false});
         return;
     }
-    for (const key_value::stored_record& record : outcome.value().current)
+    if (this->usages.take_from(route, outcome.value().current))
     {
-        if (record.key == job_usage_key(route))
-        {
-            this->usages.take(route, record);
-            entry->usage_is_fresh = true;
-        }
+        entry->usage_is_fresh = true;
     }
     for (const key_value::stored_record& record : outcome.value().current)
     {
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -27,8 +27,6 @@
 /// Lost answers of a commit are followed up for so long before the outcomes
 /// are written by a new transaction.
 constexpr duration commit_limit = std::chrono::seconds(10);
-/// Progress that cannot be written soon is out of date.
-constexpr duration progress_limit = std::chrono::seconds(1);
 /// Keeps an item that finds no usable replica from asking without a break.
 constexpr duration interruption_pause = std::chrono::milliseconds(30);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
@@ -86,10 +84,7 @@
                   {{"job", input.id.str()},
                    {"reason", route == nullptr ? "route_removed" : "expired"},
                    {"age_ms", age_ms}});
-        for (const auto& [item, run] : std::exchange(this->runs, {}))
-        {
-            this->owned.return_item(item);
-        }
+        this->return_running_items();
         this->owned.give_up_waiting_items();
         this->commit();
         return;
@@ -132,9 +127,7 @@
     const auto run = this->runs.find(item);
     if (run != this->runs.end())
     {
-        this->context.loop.post(
-            [old = std::make_shared<std::unique_ptr<item_run>>(
-                 std::move(run->second))] { old->reset(); });
+        this->context.loop.free_later(std::move(run->second));
         this->runs.erase(run);
     }
     const jobs::item_progress& known = this->progress.of(item);
@@ -194,12 +187,17 @@
 void job_owner::end_runs()
 {
     this->stopped = true;
+    this->return_running_items();
+    this->readers.answer_all();
+    this->log_state("job_let_go");
+}
+
+void job_owner::return_running_items()
+{
     for (const auto& [item, run] : std::exchange(this->runs, {}))
     {
         this->owned.return_item(item);
     }
-    this->readers.answer_all();
-    this->log_state("job_let_go");
 }
 
 void job_owner::commit_when_due()
@@ -252,28 +250,10 @@
 void job_owner::save_progress()
 {
     // A commit under way carries it, and changes the revision.
-    if (this->owned.is_committing() || this->owned.state().is_finished() ||
-        !this->progress.has_news())
+    if (!this->owned.is_committing() && !this->owned.state().is_finished())
     {
-        return;
+        this->progress.save(this->context.store, this->owned.revision());
     }
-    const job_id& job = this->owned.input().id;
-    key_value::record_transaction transaction;
-    transaction.conditions = {{job_state_key(job), this->owned.revision()}};
-    this->progress.add_to(transaction, net::event_loop::now());
-    this->context.store.commit(
-        std::move(transaction), progress_limit,
-        [job](const result<key_value::transaction_outcome>& outcome)
-        {
-            if (outcome.has_error() || !outcome.value().applied)
-            {
-                log_event(log_level::info, "job_progress_not_saved",
-                          {{"job", job.str()},
-                           {"reason", outcome.has_error()
-                                          ? outcome.error().message
-                                          : "the record has changed"}});
-            }
-        });
 }
 
 bool job_owner::must_release(token_count waiting) const
@@ -329,13 +309,7 @@
 void job_owner::resolve_conflict(const jobs::job_commit& commit,
                                  const key_value::transaction_outcome& outcome)
 {
-    for (const key_value::stored_record& record : outcome.current)
-    {
-        if (record.key == job_usage_key(commit.state.route_name))
-        {
-            this->usages.take(commit.state.route_name, record);
-        }
-    }
+    this->usages.take_from(commit.state.route_name, outcome.current);
     for (const key_value::stored_record& record : outcome.current)
     {
         if (record.key != job_state_key(commit.state.id) ||
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -58,6 +58,7 @@
 
 private:
     void end_runs();
+    void return_running_items();
     void start_item(std::size_t item, const routing::route& route);
     void take_item_end(std::size_t item, item_end end,
                        const std::string& reason, int most_failures);
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -1,6 +1,7 @@
 #include "relay/job_reader.hpp"
 
 #include "jobs/job_codec.hpp"
+#include "jobs/page_builder.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
@@ -27,15 +28,29 @@
                  retry_after};
 }
 
-/// \returns The page of one result that a record holds, or nothing.
-std::optional<jobs::job_result> read_output(const std::string& value)
+error no_such_item()
 {
-    auto page = jobs::decode_page(value);
-    if (page.has_error() || page.value().results.empty())
+    return error{
+        error_code::not_found, "there is no such item", ran_state::no, {}};
+}
+
+/// \param bytes The record of a job's input.
+/// \returns The body of one of its items.
+result<std::string> body_of(const std::string& bytes, const std::string& item)
+{
+    auto input = jobs::decode_input(bytes);
+    if (input.has_error())
     {
-        return std::nullopt;
+        return input.error();
     }
-    return std::move(page.value().results.front());
+    for (jobs::job_item& entry : input.value().items)
+    {
+        if (entry.id == item)
+        {
+            return std::move(entry.body);
+        }
+    }
+    return no_such_item();
 }
 
 } // namespace
@@ -171,29 +186,63 @@
                 asked->callback(unreadable(asked->job));
                 return;
             }
-            jobs::job_page page;
-            page.total = total;
-            std::size_t bytes = 0;
+            jobs::page_builder page(total, jobs::max_page_bytes);
             const auto& records = outputs.value().records;
             for (std::size_t position = asked->after; position < records.size();
                  ++position)
             {
-                auto entry = read_output(records[position].value);
-                if (!entry)
+                auto output = jobs::decode_output(records[position].value);
+                if (output.has_error())
                 {
                     log_event(log_level::error, "job_output_damaged",
-                              {{"key", records[position].key}});
+                              {{"key", records[position].key},
+                               {"reason", output.error().message}});
                     asked->callback(unreadable(asked->job));
                     return;
                 }
-                bytes += entry->output.size();
-                if (!page.results.empty() && bytes > jobs::max_page_bytes)
+                if (!page.add(std::move(output.value())))
                 {
                     break;
                 }
-                page.results.push_back(std::move(*entry));
             }
-            asked->callback(std::move(page));
+            asked->callback(page.take());
+        });
+}
+
+void job_reader::read_body(const job_id& job, const std::string& item,
+                           body_callback callback)
+{
+    this->read_body(job, item, key_value::read_freshness::may_be_stale,
+                    std::move(callback));
+}
+
+void job_reader::read_body(const job_id& job, const std::string& item,
+                           key_value::read_freshness freshness,
+                           body_callback callback)
+{
+    this->context.store.get(
+        job_input_key(job), freshness,
+        [this, job, item, freshness, callback = std::move(callback)](
+            const result<key_value::stored_record>& record)
+        {
+            if (record.has_error())
+            {
+                error reason = record.error();
+                reason.ran = ran_state::no;
+                reason.code = error_code::store_unavailable;
+                callback(reason);
+                return;
+            }
+            if (!record.value().exists() &&
+                freshness != key_value::read_freshness::latest)
+            {
+                this->read_body(job, item, key_value::read_freshness::latest,
+                                callback);
+                return;
+            }
+            callback(record.value().exists()
+                         ? body_of(record.value().value, item)
+                         : no_such_item());
         });
 }
 
--- a/src/relay/job_reader.hpp
+++ b/src/relay/job_reader.hpp
@@ -33,6 +33,13 @@
     void read(const job_id& job, std::size_t after, duration wait,
               page_callback callback);
 
+    /// Gets the body; error_code::not_found when there is no such item.
+    using body_callback = std::function<void(result<std::string>)>;
+
+    /// Reads the body of an item as it was submitted.
+    void read_body(const job_id& job, const std::string& item,
+                   body_callback callback);
+
 private:
     /// One read until it is answered.
     struct question
@@ -51,6 +58,8 @@
     void take_state(const shared_question& asked,
                     const result<key_value::stored_record>& record);
     void read_outputs(const shared_question& asked, std::size_t total);
+    void read_body(const job_id& job, const std::string& item,
+                   key_value::read_freshness freshness, body_callback callback);
 
     const relay_context& context;
     /// Owners that the store has named, where they are not the preferred ones.
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -198,8 +198,7 @@
         this->read_results(exchange, call);
         return;
     case job_call::kind::read_item_body:
-        this->read_body(exchange, call,
-                        key_value::read_freshness::may_be_stale);
+        this->read_body(exchange, call);
         return;
     case job_call::kind::end:
         this->end_job(exchange, call);
@@ -246,52 +245,20 @@
 }
 
 void job_service::read_body(const std::shared_ptr<net::http_exchange>& exchange,
-                            const job_call& call,
-                            key_value::read_freshness freshness)
+                            const job_call& call)
 {
-    this->context.store.get(
-        job_input_key(call.job), freshness,
-        [this, exchange, call,
-         freshness](const result<key_value::stored_record>& record)
+    this->reader.read_body(
+        call.job, call.item,
+        [exchange](const result<std::string>& body)
         {
-            if (record.has_error())
-            {
-                error reason = record.error();
-                reason.ran = ran_state::no;
-                reason.code = error_code::store_unavailable;
-                refuse(*exchange, reason);
-                return;
-            }
-            if (!record.value().exists() &&
-                freshness != key_value::read_freshness::latest)
-            {
-                this->read_body(exchange, call,
-                                key_value::read_freshness::latest);
-                return;
-            }
-            auto input = record.value().exists()
-                             ? jobs::decode_input(record.value().value)
-                             : result<jobs::job_input>(jobs::job_input());
-            if (input.has_error())
+            if (body.has_error())
             {
-                refuse(*exchange, input.error());
+                refuse(*exchange, body.error());
                 return;
             }
-            for (const jobs::job_item& item : input.value().items)
-            {
-                if (item.id == call.item)
-                {
-                    exchange->respond(
-                        status_ok,
-                        {{"Content-Type", "application/octet-stream"}},
-                        item.body);
-                    return;
-                }
-            }
-            refuse(*exchange, error{error_code::not_found,
-                                    "there is no such item",
-                                    ran_state::no,
-                                    {}});
+            exchange->respond(status_ok,
+                              {{"Content-Type", "application/octet-stream"}},
+                              body.value());
         });
 }
 
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -56,7 +56,7 @@
     void read_results(const std::shared_ptr<net::http_exchange>& exchange,
                       const job_call& call);
     void read_body(const std::shared_ptr<net::http_exchange>& exchange,
-                   const job_call& call, key_value::read_freshness freshness);
+                   const job_call& call);
     void end_job(const std::shared_ptr<net::http_exchange>& exchange,
                  const job_call& call);
     void refresh(const job_id& job);
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -201,14 +201,13 @@
             std::vector<std::string> outputs;
             for (const auto& record : listing.value().records)
             {
-                auto page = jobs::decode_page(record.value);
-                if (page.has_error() || page.value().results.empty())
+                auto output = jobs::decode_output(record.value);
+                if (output.has_error())
                 {
                     this->abandon(state.id, "read_outputs", "one is damaged");
                     return;
                 }
-                outputs.push_back(
-                    std::move(page.value().results.front().output));
+                outputs.push_back(std::move(output.value().output));
             }
             if (outputs.size() != state.outcomes.size())
             {
--- a/src/relay/job_transaction.cpp
+++ b/src/relay/job_transaction.cpp
@@ -22,12 +22,10 @@
     }
     for (std::size_t index = 0; index < commit.results.size(); ++index)
     {
-        jobs::job_page page;
-        page.total = commit.state.item_count;
-        page.results = {commit.results[index]};
         transaction.puts.push_back(key_value::record_put{
             job_output_key(job, commit.first_position + index),
-            jobs::encode(page)});
+            jobs::encode_output(commit.results[index],
+                                commit.state.item_count)});
     }
     return transaction;
 }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -3,10 +3,10 @@
 #include "logging/log.hpp"
 #include "relay/hop_headers.hpp"
 #include "relay/refusal.hpp"
+#include "relay/replica_request.hpp"
 
 #include <algorithm>
 #include <random>
-#include <strings.h>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -48,8 +48,6 @@
 {
 }
 
-online_call::~online_call() = default;
-
 void online_call::start()
 {
     const auto& choices = this->request.route->services;
@@ -132,7 +130,7 @@
     replica_exchange::callbacks hooks;
     hooks.on_head = [this](const net::http_response& head)
     {
-        this->take_head(head);
+        this->collected_status = head.status;
     };
     if (this->request.route->kind == routing::request_kind::streaming)
     {
@@ -153,36 +151,9 @@
 
 net::http_request online_call::make_request() const
 {
-    const header_names& names = this->context.dialect.headers();
-    const net::http_request_head& head = this->exchange->head();
-    net::http_request sent;
-    sent.method = head.method;
-    sent.target = head.path;
-    if (!head.raw_query.empty())
-    {
-        sent.target += "?" + head.raw_query;
-    }
-    for (const auto& field : end_to_end_headers(head.headers))
-    {
-        const bool is_replaced =
-            strcasecmp(field.first.c_str(), names.time_left_ms.c_str()) == 0 ||
-            strcasecmp(field.first.c_str(), names.expected_replica.c_str()) ==
-                0 ||
-            (this->last_event > 0 &&
-             strcasecmp(field.first.c_str(), names.resume_after.c_str()) == 0);
-        if (!is_replaced)
-        {
-            sent.headers.push_back(field);
-        }
-    }
-    sent.headers.emplace_back(names.time_left_ms,
-                              std::to_string(std::max<std::int64_t>(
-                                  1, to_milliseconds(this->remaining()))));
-    if (this->last_event > 0)
-    {
-        sent.headers.emplace_back(names.resume_after,
-                                  std::to_string(this->last_event));
-    }
+    net::http_request sent =
+        replica_request(this->exchange->head(), this->context.dialect.headers(),
+                        this->remaining(), this->last_event);
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
     sent.connect_timeout = replica_exchange::connect_timeout;
@@ -195,11 +166,6 @@
     return sent;
 }
 
-void online_call::take_head(const net::http_response& head)
-{
-    this->collected_status = head.status;
-}
-
 void online_call::take_piece(std::string_view piece)
 {
     if (!is_success(this->collected_status))
@@ -212,16 +178,9 @@
         return;
     }
     std::string ready;
-    for (const stream_event& event : this->splitter.feed(piece))
+    for (const stream_event& event :
+         this->splitter.feed_new(piece, this->last_event))
     {
-        if (event.number)
-        {
-            if (*event.number <= this->last_event)
-            {
-                continue;
-            }
-            this->last_event = *event.number;
-        }
         ready += event.raw;
     }
     if (this->splitter.is_too_long())
@@ -256,35 +215,25 @@
 {
     this->context.metrics.count("parsleytrack_replica_verdicts_total",
                                 {{"verdict", to_string(verdict)}});
-    switch (verdict)
+    const bool answered = verdict == replica_verdict::answered;
+    if (answered || verdict == replica_verdict::may_have_run)
     {
-    case replica_verdict::answered:
         ++this->runs;
-        if (this->take_answer(std::move(response)))
-        {
-            return;
-        }
-        this->report_failure(false);
-        this->send_again("the answer is not whole");
-        return;
-    case replica_verdict::not_run:
-        this->send_again(reason);
+    }
+    if (answered && this->take_answer(std::move(response)))
+    {
         return;
-    case replica_verdict::wrong_replica:
+    }
+    const bool leaving = verdict == replica_verdict::wrong_replica;
+    if (leaving)
+    {
         this->context.replicas.mark_leaving(this->replica, "refused_request");
-        this->report_failure(true);
-        this->send_again(reason);
-        return;
-    case replica_verdict::not_sent:
-        this->report_failure(false);
-        this->send_again(reason);
-        return;
-    case replica_verdict::may_have_run:
-        ++this->runs;
-        this->report_failure(false);
-        this->send_again(reason);
-        return;
     }
+    if (verdict != replica_verdict::not_run)
+    {
+        this->report_failure(leaving);
+    }
+    this->send_again(answered ? "the answer is not whole" : reason);
 }
 
 bool online_call::take_answer(net::http_response response)
@@ -308,9 +257,7 @@
     }
     const std::string& body =
         this->collected_body.empty() ? response.body : this->collected_body;
-    const bool retry_elsewhere =
-        status >= first_error_status && this->may_send_again();
-    if (retry_elsewhere)
+    if (status >= first_error_status && this->may_send_again())
     {
         return false;
     }
@@ -333,9 +280,7 @@
 {
     this->excluded.insert(this->replica);
     // The exchange with the replica may be the one whose callback runs.
-    this->context.loop.post(
-        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
-             std::move(this->attempt))] { old->reset(); });
+    this->context.loop.free_later(std::move(this->attempt));
     this->lease.reset();
     if (!this->may_send_again())
     {
@@ -405,44 +350,45 @@
     {
         return;
     }
-    const time_point now = net::event_loop::now();
     this->deadline_timer.cancel();
-    const auto& table = this->request.table->contents();
+    this->report_end(outcome, status);
+    // Closes the connection to the replica, outside of its own callback.
+    this->context.loop.free_later(std::move(this->attempt));
+    this->lease.reset();
+    const auto callback = std::move(this->ended_callback);
+    callback();
+}
+
+void online_call::report_end(const char* outcome, int status) const
+{
+    const auto since_arrival = [this](time_point when)
+    {
+        return when - this->request.received;
+    };
+    const time_point now = net::event_loop::now();
+    const char* kind = to_string(this->request.route->kind);
     log_event(
         log_level::info, "request_ended",
         {{"request", this->request.id.str()},
          {"outcome", outcome},
          {"status", status},
          {"route", this->request.route->name},
-         {"configuration", table.version.count()},
+         {"configuration", this->request.table->contents().version.count()},
          {"replica", this->replica.str()},
          {"sends", this->sends},
          {"runs", this->runs},
          {"sent_after_ms",
-          this->sends > 0
-              ? to_milliseconds(this->sent_at - this->request.received)
-              : -1},
-         {"first_ms",
-          this->first_output_at
-              ? to_milliseconds(*this->first_output_at - this->request.received)
-              : -1},
-         {"total_ms", to_milliseconds(now - this->request.received)},
+          this->sends > 0 ? to_milliseconds(since_arrival(this->sent_at)) : -1},
+         {"first_ms", this->first_output_at ? to_milliseconds(since_arrival(
+                                                  *this->first_output_at))
+                                            : -1},
+         {"total_ms", to_milliseconds(since_arrival(now))},
          {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
-    auto& metrics = this->context.metrics;
-    metrics.count(
-        "parsleytrack_requests_total",
-        {{"outcome", outcome}, {"kind", to_string(this->request.route->kind)}});
-    metrics.observe("parsleytrack_first_output_seconds",
-                    {{"kind", to_string(this->request.route->kind)}},
-                    this->first_output_at.value_or(now) -
-                        this->request.received);
-    // Closes the connection to the replica, outside of its own callback.
-    this->context.loop.post(
-        [old = std::make_shared<std::unique_ptr<replica_exchange>>(
-             std::move(this->attempt))] { old->reset(); });
-    this->lease.reset();
-    const auto callback = std::move(this->ended_callback);
-    callback();
+    this->context.metrics.count("parsleytrack_requests_total",
+                                {{"outcome", outcome}, {"kind", kind}});
+    this->context.metrics.observe(
+        "parsleytrack_first_output_seconds", {{"kind", kind}},
+        since_arrival(this->first_output_at.value_or(now)));
 }
 
 duration online_call::remaining() const
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -32,7 +32,7 @@
     online_call(const relay_context& node, slot_client& slot_source,
                 std::shared_ptr<net::http_exchange> caller,
                 online_request request, std::function<void()> on_end);
-    ~online_call();
+    ~online_call() = default;
     online_call(const online_call&) = delete;
     online_call& operator=(const online_call&) = delete;
 
@@ -43,7 +43,6 @@
     duration useful_time() const;
     void send(const replica_id& replica);
     net::http_request make_request() const;
-    void take_head(const net::http_response& head);
     void take_piece(std::string_view piece);
     void take_end(replica_verdict verdict, net::http_response response,
                   const std::string& reason);
@@ -54,6 +53,7 @@
     void expire();
     void report_failure(bool leaving);
     void finish(const char* outcome, int status);
+    void report_end(const char* outcome, int status) const;
     duration remaining() const;
 
     const relay_context& context;
--- a/src/relay/progress_record.cpp
+++ b/src/relay/progress_record.cpp
@@ -1,6 +1,8 @@
 #include "relay/progress_record.hpp"
 
 #include "jobs/job_codec.hpp"
+#include "logging/log.hpp"
+#include "net/event_loop.hpp"
 #include "relay/job_keys.hpp"
 
 #include <string>
@@ -16,6 +18,8 @@
 /// writes of outcomes: an item runs for some five seconds, and what a node that
 /// dies has not written is run again.
 constexpr duration save_interval = std::chrono::milliseconds(2500);
+/// Progress that cannot be written soon is out of date.
+constexpr duration save_limit = std::chrono::seconds(1);
 /// A quarter of the store's largest value.
 constexpr std::size_t max_bytes = 256 * 1024;
 
@@ -34,6 +38,31 @@
     return this->events() != this->saved_events;
 }
 
+void progress_record::save(key_value::record_client& store,
+                           store_revision revision)
+{
+    if (!this->has_news())
+    {
+        return;
+    }
+    key_value::record_transaction transaction;
+    transaction.conditions = {{job_state_key(this->job), revision}};
+    this->add_to(transaction, net::event_loop::now());
+    store.commit(
+        std::move(transaction), save_limit,
+        [job = this->job](const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_error() || !outcome.value().applied)
+            {
+                log_event(log_level::info, "job_progress_not_saved",
+                          {{"job", job.str()},
+                           {"reason", outcome.has_error()
+                                          ? outcome.error().message
+                                          : "the record has changed"}});
+            }
+        });
+}
+
 void progress_record::add_to(key_value::record_transaction& transaction,
                              time_point now)
 {
--- a/src/relay/progress_record.hpp
+++ b/src/relay/progress_record.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/item_progress.hpp"
 #include "jobs/job_state.hpp"
+#include "key_value/record_client.hpp"
 #include "key_value/record_transaction.hpp"
 #include "units/time.hpp"
 
@@ -24,16 +25,22 @@
     /// The item has ended.
     void erase(std::size_t item) { this->items.erase(item); }
 
-    /// \returns Whether the store does not know all of it.
-    bool has_news() const;
-
     /// \returns Whether it is time to write what is new.
     bool is_due(time_point now) const { return now >= this->next_save; }
 
+    /// Writes what the store does not know yet, if anything.
+    ///
+    /// \param store Outlives the call.
+    /// \param revision That of the job's state, which must still hold.
+    void save(key_value::record_client& store, store_revision revision);
+
     /// Adds what there is to a transaction, or erases a record that is of no
     /// more use. It counts as known from then on.
     void add_to(key_value::record_transaction& transaction, time_point now);
 
+    /// \returns Whether the store does not know all of it.
+    bool has_news() const;
+
 private:
     std::int64_t events() const;
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_node.hpp"
 
 #include "logging/log.hpp"
+#include "logging/log_findings.hpp"
 #include "metrics/registry.hpp"
 #include "net/http_server.hpp"
 #include "peering/first_incarnation.hpp"
@@ -254,58 +255,18 @@
                                this->status.json(this->stop.has_value()));
         return;
     }
-    const auto table = this->configuration.current();
-    const key_value::call_counts& calls = this->store.calls_made();
-    const auto show_calls = [this](const char* kind, std::uint64_t count)
-    {
-        this->metrics.set_gauge("parsleytrack_store_calls", {{"kind", kind}},
-                                static_cast<double>(count));
-    };
-    show_calls("read", calls.reads);
-    show_calls("stale_read", calls.stale_reads);
-    show_calls("watch", calls.watches);
-    show_calls("commit", calls.commits);
-    show_calls("failed", calls.failures);
-    this->metrics.set_gauge("parsleytrack_store_reachable", {},
-                            this->store.is_reachable() ? 1.0 : 0.0);
-    this->metrics.set_gauge(
-        "parsleytrack_configuration_version", {},
-        table ? static_cast<double>(table->contents().version.count()) : 0.0);
-    this->metrics.set_gauge(
-        "parsleytrack_replicas_age_seconds", {},
-        std::chrono::duration<double>(this->replicas.age()).count());
-    this->metrics.set_gauge("parsleytrack_open_requests", {},
-                            static_cast<double>(this->online.open_calls()));
+    this->status.update_gauges(this->online.open_calls());
     exchange->respond(status_ok,
                       {{"Content-Type", "text/plain; version=0.0.4"}},
                       this->metrics.prometheus_text());
 }
 
-void relay_node::state::log_store_calls() const
-{
-    const key_value::call_counts& calls = this->store.calls_made();
-    log_event(
-        log_level::info, "store_calls",
-        {{"reads", calls.reads},
-         {"stale_reads", calls.stale_reads},
-         {"watches", calls.watches},
-         {"commits", calls.commits},
-         {"failures", calls.failures},
-         {"reachable", this->store.is_reachable() ? "yes" : "no"},
-         {"configuration_age_ms", to_milliseconds(this->configuration.age())},
-         {"replicas_age_ms", to_milliseconds(this->replicas.age())}});
-}
-
 void relay_node::state::reload()
 {
     const auto outcome = settings::load_relay_settings(this->settings_path);
     if (const auto* problems = std::get_if<findings>(&outcome))
     {
-        for (const finding& problem : *problems)
-        {
-            log_event(log_level::error, "reload_refused",
-                      {{"place", problem.place}, {"message", problem.message}});
-        }
+        log_findings("reload_refused", *problems);
         return;
     }
     const auto& fresh = std::get<settings::relay_settings>(outcome);
@@ -376,7 +337,7 @@
     self.configuration.start();
     self.replicas.start();
     self.calls_timer = self.loop.call_every(store_calls_interval, [&self]
-                                            { self.log_store_calls(); });
+                                            { self.status.log_store_calls(); });
     log_event(log_level::info, "started",
               {{"peer", to_string(self.settings.peer)},
                {"zone", self.settings.availability_zone.str()},
--- a/src/relay/run.cpp
+++ b/src/relay/run.cpp
@@ -1,6 +1,7 @@
 #include "relay/run.hpp"
 
 #include "logging/log.hpp"
+#include "logging/log_findings.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/storage_node.hpp"
 #include "settings/relay_settings_loader.hpp"
@@ -22,11 +23,7 @@
     const auto outcome = settings::load_relay_settings(settings_path);
     if (const auto* problems = std::get_if<findings>(&outcome))
     {
-        for (const finding& problem : *problems)
-        {
-            log_event(log_level::error, "bad_settings",
-                      {{"place", problem.place}, {"message", problem.message}});
-        }
+        log_findings("bad_settings", *problems);
         return exit_refused;
     }
     const auto& settings = std::get<settings::relay_settings>(outcome);
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -220,9 +220,7 @@
                    {"request", state.order.request.str()}});
     }
     // The call may be the one whose callback runs.
-    this->context.loop.post(
-        [call = std::make_shared<std::unique_ptr<wire::peer_call>>(
-             std::move(state.call))] { call->reset(); });
+    this->context.loop.free_later(std::move(state.call));
     state.patience.cancel();
     if (state.granted)
     {
--- a/src/relay/slot_desk.cpp
+++ b/src/relay/slot_desk.cpp
@@ -132,7 +132,7 @@
         return known->second;
     }
     slots::slot_broker& broker = this->brokers[pool];
-    this->update_replicas();
+    this->update_replicas(pool, broker);
     return broker;
 }
 
@@ -140,21 +140,26 @@
 {
     for (auto& [pool, broker] : this->brokers)
     {
-        const auto replicas =
-            this->context.replicas.book().usable(pool.service);
-        const int pools = slots::pool_count(replicas.size());
-        std::vector<slots::slot_replica> usable;
-        for (const routing::replica_entry* entry : replicas)
+        this->update_replicas(pool, broker);
+    }
+}
+
+void slot_desk::update_replicas(const slot_pool& pool,
+                                slots::slot_broker& broker)
+{
+    const auto replicas = this->context.replicas.book().usable(pool.service);
+    const int pools = slots::pool_count(replicas.size());
+    std::vector<slots::slot_replica> usable;
+    for (const routing::replica_entry* entry : replicas)
+    {
+        if (slots::pool_of(entry->id, pools) == pool.index)
         {
-            if (slots::pool_of(entry->id, pools) == pool.index)
-            {
-                usable.push_back(slots::slot_replica{
-                    entry->id, entry->availability_zone, entry->slots});
-            }
+            usable.push_back(slots::slot_replica{
+                entry->id, entry->availability_zone, entry->slots});
         }
-        broker.set_replicas(usable, net::event_loop::now());
-        this->carry_out(broker);
     }
+    broker.set_replicas(usable, net::event_loop::now());
+    this->carry_out(broker);
 }
 
 void slot_desk::answer_peer(
--- a/src/relay/slot_desk.hpp
+++ b/src/relay/slot_desk.hpp
@@ -56,6 +56,7 @@
     void answer_peer(const std::shared_ptr<wire::peer_exchange>& exchange);
     void take_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
     void update_replicas();
+    void update_replicas(const slot_pool& pool, slots::slot_broker& broker);
     void tick();
     void show_state() const;
     void show_pool(const pool_state& pool) const;
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -1,9 +1,14 @@
 #include "relay/status_report.hpp"
 
+#include "logging/log.hpp"
 #include "units/wall_clock.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <chrono>
+#include <cstdint>
+
 namespace parsleytrack::relay
 {
 
@@ -20,12 +25,32 @@
             {"age_ms", to_milliseconds(configuration.age())}};
 }
 
+/// One of the counts of calls to the store.
+struct call_count
+{
+    /// Its name in the document.
+    const char* name;
+    /// Its label among the metrics.
+    const char* kind;
+    std::uint64_t key_value::call_counts::*value;
+};
+
+constexpr std::array call_kinds = {
+    call_count{"reads", "read", &key_value::call_counts::reads},
+    call_count{"stale_reads", "stale_read",
+               &key_value::call_counts::stale_reads},
+    call_count{"watches", "watch", &key_value::call_counts::watches},
+    call_count{"commits", "commit", &key_value::call_counts::commits},
+    call_count{"failures", "failed", &key_value::call_counts::failures}};
+
 json describe_store(const key_value::record_client& store)
 {
-    const key_value::call_counts& calls = store.calls_made();
-    return {{"reachable", store.is_reachable()}, {"reads", calls.reads},
-            {"stale_reads", calls.stale_reads},  {"watches", calls.watches},
-            {"commits", calls.commits},          {"failures", calls.failures}};
+    json document{{"reachable", store.is_reachable()}};
+    for (const call_count& count : call_kinds)
+    {
+        document[count.name] = store.calls_made().*count.value;
+    }
+    return document;
 }
 
 json describe_replicas(const routing::replica_book& book)
@@ -118,4 +143,43 @@
     return document.dump();
 }
 
+void status_report::update_gauges(std::size_t open_requests) const
+{
+    auto& metrics = this->context.metrics;
+    const key_value::record_client& store = this->context.store;
+    for (const call_count& count : call_kinds)
+    {
+        metrics.set_gauge("parsleytrack_store_calls", {{"kind", count.kind}},
+                          static_cast<double>(store.calls_made().*count.value));
+    }
+    const auto table = this->context.configuration.current();
+    metrics.set_gauge("parsleytrack_store_reachable", {},
+                      store.is_reachable() ? 1.0 : 0.0);
+    metrics.set_gauge(
+        "parsleytrack_configuration_version", {},
+        table ? static_cast<double>(table->contents().version.count()) : 0.0);
+    metrics.set_gauge(
+        "parsleytrack_replicas_age_seconds", {},
+        std::chrono::duration<double>(this->context.replicas.age()).count());
+    metrics.set_gauge("parsleytrack_open_requests", {},
+                      static_cast<double>(open_requests));
+}
+
+void status_report::log_store_calls() const
+{
+    const key_value::record_client& store = this->context.store;
+    const key_value::call_counts& calls = store.calls_made();
+    log_event(
+        log_level::info, "store_calls",
+        {{"reads", calls.reads},
+         {"stale_reads", calls.stale_reads},
+         {"watches", calls.watches},
+         {"commits", calls.commits},
+         {"failures", calls.failures},
+         {"reachable", store.is_reachable() ? "yes" : "no"},
+         {"configuration_age_ms",
+          to_milliseconds(this->context.configuration.age())},
+         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/status_report.hpp
+++ b/src/relay/status_report.hpp
@@ -4,6 +4,7 @@
 #include "relay/relay_context.hpp"
 #include "relay/slot_desk.hpp"
 
+#include <cstddef>
 #include <string>
 
 namespace parsleytrack::relay
@@ -21,6 +22,14 @@
     /// \returns A JSON document; its fields are on the operators' page.
     std::string json(bool stopping) const;
 
+    /// Brings the gauges of the metrics up to date.
+    ///
+    /// \param open_requests Online requests under way.
+    void update_gauges(std::size_t open_requests) const;
+
+    /// Logs the calls to the store so far, and how old its news are.
+    void log_store_calls() const;
+
 private:
     const relay_context& context;
     const slot_desk& desk;
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -26,24 +26,9 @@
       follower(this->loop, this->store, this->random,
                translator.keys().retirement_prefix + this->settings.id.str(),
                duration::zero(),
-               {[this](const key_value::record_listing& listing, bool)
-                {
-                    for (const auto& record : listing.records)
-                    {
-                        this->take(record);
-                    }
-                },
-                [this](const std::vector<key_value::record_change>& changes)
-                {
-                    for (const key_value::record_change& change : changes)
-                    {
-                        if (!change.deleted)
-                        {
-                            this->take(change.record);
-                        }
-                    }
-                },
-                {}})
+               key_value::record_follower::each_record(
+                   [this](const key_value::stored_record& record)
+                   { this->take(record); }))
 {
 }
 
--- a/src/relay/usage_book.cpp
+++ b/src/relay/usage_book.cpp
@@ -2,6 +2,9 @@
 
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
+#include "relay/job_keys.hpp"
+
+#include <algorithm>
 
 namespace parsleytrack::relay
 {
@@ -35,6 +38,21 @@
     this->values[route_name] = value;
 }
 
+bool usage_book::take_from(const std::string& route_name,
+                           const std::vector<key_value::stored_record>& current)
+{
+    const auto found =
+        std::find_if(current.begin(), current.end(),
+                     [key = job_usage_key(route_name)](const auto& record)
+                     { return record.key == key; });
+    if (found == current.end())
+    {
+        return false;
+    }
+    this->take(route_name, *found);
+    return true;
+}
+
 void usage_book::set(const std::string& route_name, usage value)
 {
     this->values[route_name] = value;
--- a/src/relay/usage_book.hpp
+++ b/src/relay/usage_book.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -28,6 +29,12 @@
     void take(const std::string& route_name,
               const key_value::stored_record& record);
 
+    /// Takes in the route's record from those of a conflict.
+    ///
+    /// \returns Whether it was among them.
+    bool take_from(const std::string& route_name,
+                   const std::vector<key_value::stored_record>& current);
+
     /// Takes in a value that was written.
     void set(const std::string& route_name, usage value);
 
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -1,13 +1,9 @@
 #include "settings/relay_settings_loader.hpp"
 
-#include "settings/document_parser.hpp"
+#include "settings/document_loader.hpp"
 #include "settings/log_level_reader.hpp"
-#include "settings/object_reader.hpp"
-#include "settings/settings_file.hpp"
 #include "units/endpoint_parser.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace parsleytrack::settings
 {
 
@@ -125,31 +121,12 @@
 relay_load_outcome parse_relay_settings(std::string_view text,
                                         const std::string& name)
 {
-    findings problems;
-    const nlohmann::json document =
-        detail::parse_document(text, name, problems);
-    if (!problems.empty())
-    {
-        return problems;
-    }
-    object_reader reader(document, name + ":", problems);
-    relay_settings settings = read_relay_settings(reader);
-    reader.finish();
-    if (!problems.empty())
-    {
-        return problems;
-    }
-    return settings;
+    return detail::parse_as(text, name, read_relay_settings);
 }
 
 relay_load_outcome load_relay_settings(const std::string& path)
 {
-    const auto text = detail::read_settings_file(path);
-    if (const auto* problems = std::get_if<findings>(&text))
-    {
-        return *problems;
-    }
-    return parse_relay_settings(std::get<std::string>(text), path);
+    return detail::load_as(path, read_relay_settings);
 }
 
 } // namespace parsleytrack::settings
--- a/src/wire/peer_network.cpp
+++ b/src/wire/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "wire/peer_network.hpp"
 
+#include "net/bound_port.hpp"
 #include "wire/peer_connection.hpp"
 
 #include <arpa/inet.h>
@@ -127,16 +128,13 @@
     {
         return cannot_listen(address);
     }
-    socklen_t length = sizeof(bound);
-    ::getsockname(this->datagram_socket, reinterpret_cast<sockaddr*>(&bound),
-                  &length);
     this->datagram_event = event_new(
         this->loop_handle.base(), this->datagram_socket, EV_READ | EV_PERSIST,
         [](evutil_socket_t, short, void* argument)
         { static_cast<peer_network*>(argument)->read_datagrams(); },
         this);
     event_add(this->datagram_event, nullptr);
-    return ntohs(bound.sin_port);
+    return net::bound_port(this->datagram_socket);
 }
 
 void peer_network::on_call(message_type type, call_handler handler)
