Draw the conclusions of a failed request in one place

online_call and item_run each told the broker and marked a leaving replica, with the same conditions; slot_client::report_end does it for both. Behaviour as before.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -138,16 +138,8 @@
         this->finish(item_end::impossible, reason);
         return;
     }
-    const bool leaving = verdict == replica_verdict::wrong_replica;
-    if (leaving)
-    {
-        this->context.replicas.mark_leaving(this->replica, "refused_request");
-    }
-    if (verdict != replica_verdict::not_run)
-    {
-        this->slots.report(replica_report{
-            request_id(this->item.id), this->service, this->replica, leaving});
-    }
+    this->slots.report_end(request_id(this->item.id), this->service,
+                           this->replica, verdict);
     const bool failed = whole && response.status != status_ok;
     this->finish(failed ? item_end::failed : item_end::interrupted, reason);
 }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -65,7 +65,9 @@
             if (this->attempt && !this->attempt->has_head() &&
                 net::event_loop::now() - this->sent_at > silence_timeout)
             {
-                this->report_failure(false);
+                this->slots.report_end(this->request.id, this->service,
+                                       this->replica,
+                                       replica_verdict::may_have_run);
             }
             this->finish("caller_left", 0);
         });
@@ -224,15 +226,8 @@
     {
         return;
     }
-    const bool leaving = verdict == replica_verdict::wrong_replica;
-    if (leaving)
-    {
-        this->context.replicas.mark_leaving(this->replica, "refused_request");
-    }
-    if (verdict != replica_verdict::not_run)
-    {
-        this->report_failure(leaving);
-    }
+    this->slots.report_end(this->request.id, this->service, this->replica,
+                           verdict);
     this->send_again(answered ? "the answer is not whole" : reason);
 }
 
@@ -338,12 +333,6 @@
               ran ? ran_state::unknown : ran_state::no, retry_after_refused});
 }
 
-void online_call::report_failure(bool leaving)
-{
-    this->slots.report(replica_report{this->request.id, this->service,
-                                      this->replica, leaving});
-}
-
 void online_call::finish(const char* outcome, int status)
 {
     if (std::exchange(this->ended, true))
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -51,7 +51,6 @@
     void send_again(const std::string& reason);
     void fail(error reason);
     void expire();
-    void report_failure(bool leaving);
     void finish(const char* outcome, int status);
     void report_end(const char* outcome, int status) const;
     duration remaining() const;
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -87,6 +87,22 @@
          }});
 }
 
+void slot_client::report_end(const request_id& request,
+                             const service_name& service,
+                             const replica_id& replica, replica_verdict verdict)
+{
+    if (verdict == replica_verdict::not_run)
+    {
+        return;
+    }
+    const bool leaving = verdict == replica_verdict::wrong_replica;
+    if (leaving)
+    {
+        this->context.replicas.mark_leaving(replica, "refused_request");
+    }
+    this->report(replica_report{request, service, replica, leaving});
+}
+
 void slot_client::give_back(std::uint64_t number)
 {
     const auto found = this->orders.find(number);
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/relay_context.hpp"
+#include "relay/replica_exchange.hpp"
 #include "relay/replica_report.hpp"
 #include "relay/slot_desk.hpp"
 #include "relay/slot_order.hpp"
@@ -59,8 +60,12 @@
     [[nodiscard]] std::unique_ptr<slot_lease> order(const slot_order& wanted,
                                                     callbacks hooks);
 
-    /// Tells the broker that a request has failed at its replica.
-    void report(const replica_report& report);
+    /// Draws the conclusions of a request that ended without a usable answer:
+    /// tells the broker, and holds the replica to leave if it said so.
+    ///
+    /// \param verdict What became of the request at the replica.
+    void report_end(const request_id& request, const service_name& service,
+                    const replica_id& replica, replica_verdict verdict);
 
     /// Called by leases only.
     void give_back(std::uint64_t number);
@@ -88,6 +93,8 @@
         slots::pool_choice choice;
     };
 
+    /// Tells the broker that a request has failed at its replica.
+    void report(const replica_report& report);
     service_pools& pools_of(const service_name& service);
     const node_info& broker_of(const slot_pool& pool);
     void open(std::uint64_t number);
