Let the relay's tests share what they all need

Whole streams and outputs (three copies), waiting for a time (four and five loops), a replica's record (three), and a listener at a free port (two) stand in tests/relay_support now: expected_output, run_for, replica_record, loopback_listener. No assertion changed.

--- a/tests/bench_relay/main.cpp
+++ b/tests/bench_relay/main.cpp
@@ -1,4 +1,5 @@
 #include "relay_support/relay_fleet.hpp"
+#include "relay_support/replica_record.hpp"
 
 #include <csignal>
 #include <iostream>
@@ -27,12 +28,9 @@
     {
         outer.store.erase("servers/" + engine->name());
     }
-    replica_stand_in& passage = *outer.engines[0];
-    passage.advertise(inner.front_address(0));
-    outer.store.put("servers/" + passage.name(),
-                    R"({"service":"llm","zone":"z","version":"v","slots":12,)"
-                    R"("state":"ready","seq":1,"born":1,"address":")" +
-                        to_string(inner.front_address(0)) + "\"}");
+    outer.store.put(
+        "servers/" + outer.engines[0]->name(),
+        replica_record("llm", inner.front_address(0), "ready", at_once));
 }
 
 void set_events(relay_fleet& fleet, int count)
--- a/tests/relay_process/feed_test.cpp
+++ b/tests/relay_process/feed_test.cpp
@@ -18,12 +18,6 @@
 constexpr std::size_t sources = 2;
 const std::string replicas = "servers/";
 
-void run_for(relay_fleet& fleet, duration span)
-{
-    const time_point until = net::event_loop::now() + span;
-    fleet.wait([until] { return net::event_loop::now() > until; });
-}
-
 /// Changes the list of replicas, at which calls of nodes that no longer follow
 /// the store end.
 void touch(relay_fleet& fleet, int number)
@@ -42,7 +36,7 @@
         [&]
         {
             touch(fleet, ++number);
-            run_for(fleet, std::chrono::milliseconds(700));
+            fleet.run_for(std::chrono::milliseconds(700));
             const auto watchers = fleet.store.watchers(replicas);
             found.clear();
             for (int node = 0; node < node_count; ++node)
@@ -84,7 +78,7 @@
     settle(fleet);
     // A leaving replica gets nothing new two seconds after its word.
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
-    run_for(fleet, std::chrono::seconds(2));
+    fleet.run_for(std::chrono::seconds(2));
     for (int node = 0; node < node_count; ++node)
     {
         CHECK_FALSE(uses(fleet, node, *fleet.engines[0]));
@@ -102,7 +96,7 @@
         fleet.store.turn_away(fleet.store_address(node), !found.contains(node));
     }
     fleet.store.erase("servers/i-1");
-    run_for(fleet, std::chrono::seconds(2));
+    fleet.run_for(std::chrono::seconds(2));
     for (int node = 0; node < node_count; ++node)
     {
         CHECK_FALSE(uses(fleet, node, *fleet.engines[1]));
@@ -120,7 +114,7 @@
     }
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
     // The silence that is allowed, and the time for changes.
-    run_for(fleet, std::chrono::milliseconds(3000));
+    fleet.run_for(std::chrono::milliseconds(3000));
     for (int node = 0; node < node_count; ++node)
     {
         CHECK(found.contains(node) || !uses(fleet, node, *fleet.engines[0]));
@@ -141,10 +135,10 @@
         fleet.store.turn_away(fleet.store_address(node), true);
     }
     touch(fleet, 1000);
-    run_for(fleet, std::chrono::seconds(2));
+    fleet.run_for(std::chrono::seconds(2));
     const int before = fleet.store.refused_calls();
     constexpr int seconds = 5;
-    run_for(fleet, std::chrono::seconds(seconds));
+    fleet.run_for(std::chrono::seconds(seconds));
     // A node has two lists to follow, each of which it may ask for once a
     // second, and looks for jobs without an owner every two seconds.
     constexpr double most_per_second = 2.5;
--- a/tests/relay_process/progress_test.cpp
+++ b/tests/relay_process/progress_test.cpp
@@ -1,3 +1,4 @@
+#include "relay_support/expected_output.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -23,8 +24,7 @@
         engine->event_interval = event_interval;
     }
     CHECK_EQUAL(202, fleet.submit(0, "job", items).status);
-    const time_point until = net::event_loop::now() + part_of_a_run;
-    fleet.wait([until] { return net::event_loop::now() > until; });
+    fleet.run_for(part_of_a_run);
 }
 
 /// Checks that the items ended whole, and were gone on with.
@@ -36,14 +36,10 @@
     }
     const nlohmann::json results = fleet.results(node, "job");
     CHECK_EQUAL(items, results.size());
-    std::string whole;
-    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
-    {
-        whole += (number > 1 ? "\nt" : "t") + std::to_string(number);
-    }
     for (const auto& entry : results)
     {
-        STRCMP_EQUAL(whole.c_str(), entry["output"].get<std::string>().c_str());
+        STRCMP_EQUAL(whole_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
     }
     int resumed = 0;
     for (const auto& engine : fleet.engines)
--- a/tests/relay_process/recovery_test.cpp
+++ b/tests/relay_process/recovery_test.cpp
@@ -32,12 +32,6 @@
     }
 }
 
-void run_for(relay_fleet& fleet, duration span)
-{
-    const time_point until = net::event_loop::now() + span;
-    fleet.wait([until] { return net::event_loop::now() > until; });
-}
-
 } // namespace
 
 TEST_GROUP(relay_recovery){};
@@ -77,13 +71,13 @@
         engine->behaviour = replica_stand_in::fault::none;
     }
     // Longer than it takes to find jobs without an owner.
-    run_for(fleet, std::chrono::seconds(4));
+    fleet.run_for(std::chrono::seconds(4));
     for (const auto& engine : fleet.engines)
     {
         CHECK(engine->runs.empty());
     }
     CHECK_EQUAL(202, fleet.submit(1, "job", 5).status);
-    run_for(fleet, std::chrono::seconds(1));
+    fleet.run_for(std::chrono::seconds(1));
     CHECK(fleet.engines[0]->runs.empty());
 }
 
@@ -109,7 +103,7 @@
         [&fleet]
         { return fleet.call(0, "POST", "/moved/a", "id1").status == 200; }));
     fleet.store.put("op/config", relay_fleet::configuration(8, "/older/"));
-    run_for(fleet, std::chrono::milliseconds(500));
+    fleet.run_for(std::chrono::milliseconds(500));
     CHECK_EQUAL(200, fleet.call(0, "POST", "/moved/a", "id2").status);
     CHECK_EQUAL(404, fleet.call(0, "POST", "/older/a", "id3").status);
 }
@@ -119,7 +113,7 @@
     relay_fleet fleet(1);
     fleet.store.put("op/config", R"({"version":10,"routes":7})");
     fleet.store.put("op/config", "not a document");
-    run_for(fleet, std::chrono::milliseconds(500));
+    fleet.run_for(std::chrono::milliseconds(500));
     CHECK_EQUAL(200, fleet.call(0, "POST", "/plain/a", "id1").status);
     fleet.store.put("op/config", relay_fleet::configuration(11, "/moved/"));
     CHECK(fleet.wait(
--- a/tests/relay_process/rules_test.cpp
+++ b/tests/relay_process/rules_test.cpp
@@ -57,9 +57,7 @@
         CHECK_EQUAL(1, streams());
     }
     // Half a second is what the platform allows.
-    const time_point until =
-        net::event_loop::now() + std::chrono::milliseconds(500);
-    fleet.wait([until] { return net::event_loop::now() > until; });
+    fleet.run_for(std::chrono::milliseconds(500));
     CHECK_EQUAL(0, streams());
 }
 
@@ -117,9 +115,7 @@
     // The address of a replica that is gone belongs to another service now.
     fleet.engines[0]->advertise(fleet.web->listening());
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm"));
-    const time_point until =
-        net::event_loop::now() + std::chrono::milliseconds(1500);
-    fleet.wait([until] { return net::event_loop::now() > until; });
+    fleet.run_for(std::chrono::milliseconds(1500));
     for (int count = 0; count < requests; ++count)
     {
         const std::string id = "id" + std::to_string(count);
--- a/tests/relay_process/whole_path_test.cpp
+++ b/tests/relay_process/whole_path_test.cpp
@@ -1,3 +1,4 @@
+#include "relay_support/expected_output.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -11,27 +12,6 @@
 namespace
 {
 
-std::string whole_stream()
-{
-    std::string text;
-    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
-    {
-        text += "id: " + std::to_string(number) + "\ndata: t" +
-                std::to_string(number) + "\n\n";
-    }
-    return text;
-}
-
-std::string whole_output()
-{
-    std::string text;
-    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
-    {
-        text += (number > 1 ? "\nt" : "t") + std::to_string(number);
-    }
-    return text;
-}
-
 /// Checks that each item has one result with the whole text.
 void check_results(const nlohmann::json& results, std::size_t count)
 {
@@ -128,9 +108,7 @@
     {
         engine->behaviour = replica_stand_in::fault::none;
     }
-    const time_point until =
-        net::event_loop::now() + std::chrono::milliseconds(1500);
-    fleet.wait([until] { return net::event_loop::now() > until; });
+    fleet.run_for(std::chrono::milliseconds(1500));
     CHECK_EQUAL(0, runs_of(fleet, "job-0"));
 }
 
@@ -195,8 +173,7 @@
     relay_fleet fleet(2);
     fleet.store.put("servers/i-0", fleet.engines[0]->entry("llm", "draining"));
     fleet.store.erase("servers/i-1");
-    const time_point until = net::event_loop::now() + drain_bound;
-    fleet.wait([until] { return net::event_loop::now() > until; });
+    fleet.run_for(drain_bound);
     for (int count = 0; count < 10; ++count)
     {
         CHECK_EQUAL(200, fleet
--- /dev/null
+++ b/tests/relay_support/expected_output.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "relay_support/replica_stand_in.hpp"
+
+#include <string>
+
+namespace parsleytrack::relay_support
+{
+
+/// \returns A whole stream as callers get it.
+inline std::string whole_stream()
+{
+    std::string text;
+    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    {
+        text += "id: " + std::to_string(number) + "\ndata: t" +
+                std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+/// \returns The whole output of an item.
+inline std::string whole_output()
+{
+    std::string text;
+    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    {
+        text += (number > 1 ? "\nt" : "t") + std::to_string(number);
+    }
+    return text;
+}
+
+} // namespace parsleytrack::relay_support
--- a/tests/relay_support/fault_proxy.cpp
+++ b/tests/relay_support/fault_proxy.cpp
@@ -2,7 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -52,27 +52,15 @@
 } // namespace
 
 fault_proxy::fault_proxy(net::event_loop& event_loop, endpoint target_address)
-    : loop(event_loop), target(std::move(target_address))
+    : loop(event_loop), target(std::move(target_address)),
+      listener(event_loop, [this](int descriptor) { this->accept(descriptor); })
 {
-    sockaddr_in local = loopback(0);
-    this->listener = evconnlistener_new_bind(
-        this->loop.base(),
-        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
-           void* argument)
-        { static_cast<fault_proxy*>(argument)->accept(descriptor); },
-        this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&local),
-        sizeof(local));
-    socklen_t length = sizeof(local);
-    ::getsockname(evconnlistener_get_fd(this->listener),
-                  reinterpret_cast<sockaddr*>(&local), &length);
-    this->own.port = ntohs(local.sin_port);
     this->flush_timer =
         this->loop.call_every(flush_interval, [this] { this->flush(); });
 }
 
 fault_proxy::~fault_proxy()
 {
-    evconnlistener_free(this->listener);
     for (const auto& connection : this->connections)
     {
         bufferevent_free(connection->client.link);
--- a/tests/relay_support/fault_proxy.hpp
+++ b/tests/relay_support/fault_proxy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/event_loop.hpp"
+#include "relay_support/loopback_listener.hpp"
 #include "units/endpoint.hpp"
 
 #include <deque>
@@ -9,7 +10,6 @@
 #include <string>
 
 struct bufferevent;
-struct evconnlistener;
 
 namespace parsleytrack::relay_support
 {
@@ -39,12 +39,11 @@
     fault_proxy(const fault_proxy&) = delete;
     fault_proxy& operator=(const fault_proxy&) = delete;
 
-    const endpoint& address() const { return this->own; }
+    const endpoint& address() const { return this->listener.address(); }
 
     void set(fault next);
 
     /// Called by the library's callbacks only.
-    void accept(int descriptor);
 
     /// One of the two connections of a caller.
     struct side
@@ -61,6 +60,7 @@
     void end(side& from);
 
 private:
+    void accept(int descriptor);
     struct pair
     {
         side client;
@@ -74,8 +74,7 @@
 
     net::event_loop& loop;
     endpoint target;
-    endpoint own{"127.0.0.1", 0};
-    evconnlistener* listener = nullptr;
+    loopback_listener listener;
     std::list<std::unique_ptr<pair>> connections;
     fault current = fault::none;
     net::timer flush_timer;
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -1,10 +1,11 @@
 #include "relay_support/raw_replica.hpp"
 
+#include "relay_support/replica_record.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 #include <netinet/in.h>
-#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
 #include <utility>
@@ -52,26 +53,13 @@
 
 raw_replica::raw_replica(net::event_loop& event_loop, std::string replica_name,
                          fault how)
-    : loop(event_loop), id(std::move(replica_name)), behaviour(how)
+    : loop(event_loop), id(std::move(replica_name)), behaviour(how),
+      listener(event_loop, [this](int descriptor) { this->accept(descriptor); })
 {
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    this->listener = evconnlistener_new_bind(
-        this->loop.base(),
-        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
-           void* argument) { to_replica(argument)->accept(descriptor); },
-        this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&local),
-        sizeof(local));
-    socklen_t length = sizeof(local);
-    ::getsockname(evconnlistener_get_fd(this->listener),
-                  reinterpret_cast<sockaddr*>(&local), &length);
-    this->address.port = ntohs(local.sin_port);
 }
 
 raw_replica::~raw_replica()
 {
-    evconnlistener_free(this->listener);
     for (const auto& [link, text] : this->links)
     {
         bufferevent_free(link);
@@ -80,12 +68,7 @@
 
 std::string raw_replica::entry(const std::string& service) const
 {
-    return nlohmann::json{
-        {"service", service}, {"address", to_string(this->address)},
-        {"zone", "z"},        {"version", "v1"},
-        {"slots", 4},         {"state", "ready"},
-        {"seq", 1},           {"born", 1}}
-        .dump();
+    return replica_record(service, this->listener.address());
 }
 
 void raw_replica::accept(int descriptor)
--- a/tests/relay_support/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -1,14 +1,12 @@
 #pragma once
 
 #include "net/event_loop.hpp"
-#include "units/endpoint.hpp"
+#include "relay_support/loopback_listener.hpp"
 
 #include <map>
-#include <memory>
 #include <string>
 
 struct bufferevent;
-struct evconnlistener;
 
 namespace parsleytrack::relay_support
 {
@@ -43,19 +41,18 @@
     std::map<std::string, int> runs;
 
     /// Called by the library's callbacks only.
-    void accept(int descriptor);
     void read(bufferevent* link);
     void close(bufferevent* link);
     void write_more(bufferevent* link);
 
 private:
+    void accept(int descriptor);
     void answer(bufferevent* link, const std::string& request);
 
     net::event_loop& loop;
     std::string id;
     fault behaviour;
-    endpoint address{"127.0.0.1", 0};
-    evconnlistener* listener = nullptr;
+    loopback_listener listener;
     std::map<bufferevent*, std::string> links;
     std::string previous = "0";
 };
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -356,6 +356,15 @@
     return all;
 }
 
+void relay_fleet::run_for(duration span)
+{
+    const time_point until = net::event_loop::now() + span;
+    while (net::event_loop::now() < until)
+    {
+        this->loop.run_for(std::chrono::milliseconds(20));
+    }
+}
+
 bool relay_fleet::wait(const std::function<bool()>& condition)
 {
     const time_point limit = net::event_loop::now() + patience;
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -58,6 +58,9 @@
     /// Reads results until all are there or the time is over.
     nlohmann::json results(int node, const std::string& job);
 
+    /// Runs the loop for a time.
+    void run_for(duration span);
+
     /// Runs the loop until a condition holds.
     ///
     /// \returns Whether it came to hold within the patience.
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -1,6 +1,6 @@
 #include "relay_support/replica_stand_in.hpp"
 
-#include <nlohmann/json.hpp>
+#include "relay_support/replica_record.hpp"
 
 #include <utility>
 
@@ -31,12 +31,7 @@
 std::string replica_stand_in::entry(const std::string& service,
                                     const std::string& state) const
 {
-    return nlohmann::json{
-        {"service", service}, {"address", to_string(this->shown_address)},
-        {"zone", "z"},        {"version", "v1"},
-        {"slots", 4},         {"state", state},
-        {"seq", 1},           {"born", 1}}
-        .dump();
+    return replica_record(service, this->shown_address, state);
 }
 
 void replica_stand_in::take(const std::shared_ptr<net::http_exchange>& exchange)
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,6 +1,6 @@
 #include "soak/callers.hpp"
 
-#include "soak/expected.hpp"
+#include "relay_support/expected_output.hpp"
 
 #include <utility>
 
@@ -115,8 +115,9 @@
     {
     case 200:
     {
-        const std::string right =
-            ended.what == kind::plain ? "page of " + ended.id : whole_stream();
+        const std::string right = ended.what == kind::plain
+                                      ? "page of " + ended.id
+                                      : relay_support::whole_stream();
         if (ended.body != right)
         {
             wrong(ended.body);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -21,15 +21,6 @@
 constexpr duration event_interval = std::chrono::milliseconds(15);
 constexpr duration poll_interval = std::chrono::milliseconds(300);
 
-void run_for(relay_support::relay_fleet& fleet, duration span)
-{
-    const time_point until = net::event_loop::now() + span;
-    while (net::event_loop::now() < until)
-    {
-        fleet.loop.run_for(std::chrono::milliseconds(20));
-    }
-}
-
 /// Checks that every node serves again.
 void check_service(relay_support::relay_fleet& fleet, int node_count,
                    violations& found)
@@ -50,7 +41,7 @@
                           "node " + std::to_string(node) + " does not serve");
                 return;
             }
-            run_for(fleet, poll_interval);
+            fleet.run_for(poll_interval);
         }
     }
 }
@@ -67,7 +58,7 @@
                       "some have items without a result");
             return;
         }
-        run_for(fleet, poll_interval);
+        fleet.run_for(poll_interval);
     }
 }
 
@@ -90,7 +81,7 @@
     online.start();
     jobs.start();
     plan.start();
-    run_for(fleet, span);
+    fleet.run_for(span);
     plan.heal();
     check_service(fleet, node_count, found);
     online.stop();
