--- a/src/daemon/batch_module.cpp
+++ b/src/daemon/batch_module.cpp
@@ -3,6 +3,7 @@
 #include "daemon/batch_upload.hpp"
 #include "daemon/job_cancel.hpp"
 #include "daemon/job_coordinator.hpp"
+#include "daemon/job_nudges.hpp"
 #include "daemon/job_results.hpp"
 #include "daemon/job_store.hpp"
 #include "daemon/lot_pool.hpp"
@@ -11,7 +12,6 @@
 #include "net/error_response.hpp"
 #include "storage/segment_store.hpp"
 #include "units/wall_clock.hpp"
-#include "wire/codec.hpp"
 #include "wire/generated/job_types.h"
 
 #include <nlohmann/json.hpp>
@@ -36,7 +36,6 @@
 constexpr std::size_t max_key_bytes = 512;
 constexpr double longest_deadline_s = 7 * 24 * 3600;
 constexpr std::int64_t milliseconds_per_second = 1000;
-constexpr duration nudge_timeout = std::chrono::seconds(2);
 constexpr duration liveness_interval = std::chrono::milliseconds(250);
 
 error bad_request(std::string message)
@@ -90,17 +89,24 @@
 {
     state(node_context& node, storage_module& segments)
         : context(node), storage(segments), records(node, segments),
-          calls(node), liveness(node.settings.batch.lease),
+          nudges(node, [this](const wire::job_nudge& nudge)
+                 { this->handle_nudge(nudge); }),
+          liveness(node.settings.batch.lease),
           pool(
               node, segments, this->records,
               [this](const node_id& id) { return this->is_usable(id); },
               [this](const lot_pool::lot_name& lot, bool complete)
-              { this->tell_coordinator(lot, complete); }),
+              {
+                  this->nudges.tell_coordinator(
+                      complete ? wire::nudge_kind::lots_ended
+                               : wire::nudge_kind::lots_released,
+                      lot.first, lot.second);
+              }),
           coordinator(node, this->records, this->liveness,
                       [this](const node_id& id, const job_id& job,
                              const job_record& record,
                              const std::vector<int>& lots)
-                      { this->assign(id, job, record, lots); })
+                      { this->nudges.assign(id, job, record, lots); })
     {
         this->liveness_timer = node.loop.call_every(
             liveness_interval,
@@ -123,16 +129,12 @@
     void cancel(const exchange_pointer& exchange, const job_id& job);
     void with_progress(const exchange_pointer& exchange, const job_id& job,
                        std::function<void(job_progress)> use);
-    void tell_coordinator(const lot_pool::lot_name& lot, bool complete);
-    void assign(const node_id& id, const job_id& job, const job_record& record,
-                const std::vector<int>& lots);
-    void send_nudge(const node_id& id, const wire::job_nudge& nudge);
     void handle_nudge(const wire::job_nudge& nudge);
 
     node_context& context;
     storage_module& storage;
     job_store records;
-    call_set calls;
+    job_nudges nudges;
     owner_liveness liveness;
     lot_pool pool;
     job_coordinator coordinator;
@@ -169,16 +171,7 @@
     const auto upload = std::make_shared<batch_upload>(
         this->context, this->storage, this->records, exchange, submission,
         [this](const job_id& job, const job_record&)
-        {
-            const node_id node =
-                shard_coordinator(job_shard(job), this->context.fleet.nodes());
-            wire::job_nudge nudge;
-            nudge.kind = wire::nudge_kind::job_accepted;
-            wire::lot_reference reference;
-            reference.job = job.str();
-            nudge.lots.push_back(reference);
-            this->send_nudge(node, nudge);
-        },
+        { this->nudges.tell_coordinator(wire::nudge_kind::job_accepted, job); },
         [this, place] { this->uploads.erase(*place); });
     *place = upload.get();
     this->uploads[upload.get()] = upload;
@@ -277,83 +270,16 @@
 void batch_module::state::cancel(const exchange_pointer& exchange,
                                  const job_id& job)
 {
-    std::make_shared<job_cancel>(
-        this->records, exchange, job,
-        [this, job]
-        {
-            wire::job_nudge nudge;
-            nudge.kind = wire::nudge_kind::job_cancelled;
-            wire::lot_reference reference;
-            reference.job = job.str();
-            nudge.lots.push_back(reference);
-            for (const auto& [id, node] : this->context.fleet.nodes())
-            {
-                this->send_nudge(id, nudge);
-            }
-            this->handle_nudge(nudge);
-        })
+    std::make_shared<job_cancel>(this->records, exchange, job,
+                                 [this, job]
+                                 {
+                                     this->nudges.tell_all(
+                                         wire::nudge_kind::job_cancelled, job);
+                                     this->pool.cancel(job);
+                                 })
         ->start();
 }
 
-void batch_module::state::tell_coordinator(const lot_pool::lot_name& lot,
-                                           bool complete)
-{
-    wire::job_nudge nudge;
-    nudge.kind = complete ? wire::nudge_kind::lots_ended
-                          : wire::nudge_kind::lots_released;
-    wire::lot_reference reference;
-    reference.job = lot.first.str();
-    reference.lot = lot.second;
-    nudge.lots.push_back(reference);
-    this->send_nudge(
-        shard_coordinator(job_shard(lot.first), this->context.fleet.nodes()),
-        nudge);
-}
-
-void batch_module::state::assign(const node_id& id, const job_id& job,
-                                 const job_record& record,
-                                 const std::vector<int>& lots)
-{
-    wire::job_nudge nudge;
-    nudge.kind = wire::nudge_kind::own_lots;
-    for (const int lot : lots)
-    {
-        wire::lot_reference reference;
-        reference.job = job.str();
-        reference.lot = lot;
-        reference.deadline_ms = record.deadline_ms;
-        nudge.lots.push_back(std::move(reference));
-    }
-    this->send_nudge(id, nudge);
-}
-
-void batch_module::state::send_nudge(const node_id& id,
-                                     const wire::job_nudge& nudge)
-{
-    if (id == this->context.settings.id)
-    {
-        this->context.loop.post([this, nudge] { this->handle_nudge(nudge); });
-        return;
-    }
-    const node_info* node = this->context.fleet.find_node(id);
-    if (node == nullptr || node->state == node_state::dead)
-    {
-        return;
-    }
-    this->calls.call(
-        node->peer, wire::message_type::job_nudge, wire::encode(nudge),
-        nudge_timeout,
-        [this](const result<std::string>& answer)
-        {
-            if (answer.has_error())
-            {
-                this->context.metrics.count(
-                    "parsleytrack_job_messages_lost_total",
-                    {{"reason", std::string(to_string(answer.error().code))}});
-            }
-        });
-}
-
 void batch_module::state::handle_nudge(const wire::job_nudge& nudge)
 {
     for (const wire::lot_reference& lot : nudge.lots)
@@ -388,20 +314,6 @@
     node.router.add("", job_path,
                     [&self](const exchange_pointer& exchange)
                     { self.dispatch(exchange); });
-    node.peers.on_call(
-        wire::message_type::job_nudge,
-        [&self](const std::shared_ptr<wire::peer_exchange>& exchange)
-        {
-            const auto nudge =
-                wire::decode<wire::job_nudge>(exchange->request());
-            if (nudge.has_error())
-            {
-                exchange->fail(nudge.error());
-                return;
-            }
-            self.handle_nudge(nudge.value());
-            exchange->finish("");
-        });
 }
 
 batch_module::~batch_module() = default;
--- a/src/daemon/batch_upload.cpp
+++ b/src/daemon/batch_upload.cpp
@@ -1,8 +1,6 @@
 #include "daemon/batch_upload.hpp"
 
 #include "daemon/batch_item_parser.hpp"
-#include "daemon/job_codec.hpp"
-#include "decisions/lot_assignment.hpp"
 #include "logging/log.hpp"
 #include "net/error_response.hpp"
 #include "storage/segment_store.hpp"
@@ -21,11 +19,9 @@
 
 constexpr std::size_t max_lot_bytes = 4 * 1024 * 1024;
 constexpr std::size_t max_puts_in_flight = 2;
-constexpr std::size_t max_problems = 10;
 /// What a line needs beside its item.
 constexpr std::size_t line_overhead_bytes = 4096;
 constexpr duration idle_limit = std::chrono::seconds(60);
-constexpr duration ask_again_after = std::chrono::seconds(5);
 
 } // namespace
 
@@ -45,14 +41,10 @@
           { this->handle_line(number, line); },
           [this](int number)
           {
-              this->add_finding(
-                  number, error{error_code::too_large,
-                                "the item is larger than " +
-                                    std::to_string(this->context.settings.limits
-                                                       .batch_item.count()) +
-                                    " bytes",
-                                ran_state::no,
-                                {}});
+              const auto limit = this->context.settings.limits.batch_item;
+              this->problems.add(number, error_code::too_large,
+                                 "the item is larger than " +
+                                     std::to_string(limit.count()) + " bytes");
           })
 {
     this->record.workspace = this->head.workspace;
@@ -141,7 +133,7 @@
     std::string chained = this->record.fingerprint;
     chained.append(line);
     this->record.fingerprint = storage::checksum_of(chained).str();
-    if (this->problems.size() >= max_problems)
+    if (this->problems.is_full())
     {
         return;
     }
@@ -156,7 +148,7 @@
     }
     if (item.has_error())
     {
-        this->add_finding(number, item.error());
+        this->problems.add(number, item.error().code, item.error().message);
         return;
     }
     this->handle_item(number, std::move(item.value()));
@@ -167,22 +159,18 @@
     const std::size_t hash = std::hash<std::string>()(item.custom_id);
     if (!this->custom_id_hashes.insert(hash).second)
     {
-        this->add_finding(number, error{error_code::bad_request,
-                                        "\"custom_id\" " + item.custom_id +
-                                            " stands on an earlier line, too",
-                                        ran_state::no,
-                                        {}});
+        this->problems.add(number, error_code::bad_request,
+                           "\"custom_id\" " + item.custom_id +
+                               " stands on an earlier line, too");
         return;
     }
     const int limit = this->context.settings.limits.batch_items;
     if (this->record.items == limit)
     {
-        this->add_finding(number, error{error_code::too_large,
-                                        "a job has at most " +
-                                            std::to_string(limit) + " items",
-                                        ran_state::no,
-                                        {}});
-        this->problems.resize(max_problems);
+        this->problems.add(number, error_code::too_large,
+                           "a job has at most " + std::to_string(limit) +
+                               " items");
+        this->problems.set_full();
         return;
     }
     ++this->record.items;
@@ -200,16 +188,6 @@
     }
 }
 
-void batch_upload::add_finding(int number, const error& reason)
-{
-    if (this->problems.empty())
-    {
-        this->first_problem = reason.code;
-    }
-    this->problems.push_back("line " + std::to_string(number) + ": " +
-                             reason.message);
-}
-
 void batch_upload::write_lot()
 {
     const std::size_t place = this->record.lots.size();
@@ -262,13 +240,7 @@
     }
     if (!this->problems.empty())
     {
-        std::string message;
-        for (const std::string& problem : this->problems)
-        {
-            message += (message.empty() || problem.empty() ? "" : "; ");
-            message += problem;
-        }
-        this->fail(error{this->first_problem, message, ran_state::no, {}});
+        this->fail(this->problems.to_error());
         return;
     }
     if (this->put_error)
@@ -295,92 +267,27 @@
         return;
     }
     this->idle_timer.cancel();
-    this->write_open_entry();
-}
-
-std::string batch_upload::open_key() const
-{
-    return open_job_prefix(this->context.settings.region,
-                           job_shard(this->head.job)) +
-           this->head.job.str();
+    this->create_job();
 }
 
-void batch_upload::write_open_entry()
+void batch_upload::create_job()
 {
-    // Before the job's record: an entry without a job does no harm, a job
-    // without an entry would not be found when this node dies.
-    this->context.store.compare_and_swap(
-        this->open_key(), store_revision(),
-        std::to_string(this->record.created_ms), key_value::store_lease(),
-        [self = this->shared_from_this()](
-            const result<key_value::swap_outcome>& answer)
-        {
-            if (self->ended)
-            {
-                return;
-            }
-            if (answer.has_value())
-            {
-                self->write_job();
-            }
-            else if (answer.error().code == error_code::store_outcome_unknown)
-            {
-                self->check_open_entry();
-            }
-            else
-            {
-                self->fail(answer.error());
-            }
-        });
+    const auto begun = std::make_shared<job_creation>(
+        this->context, this->records, this->head.job, this->record,
+        [self = this->shared_from_this()](const result<job_record>& outcome)
+        { self->handle_creation(outcome); });
+    this->creation = begun;
+    begun->start();
 }
 
-void batch_upload::check_open_entry()
+void batch_upload::handle_creation(const result<job_record>& outcome)
 {
-    this->context.store.get(
-        this->open_key(),
-        [self = this->shared_from_this()](
-            const result<std::optional<key_value::versioned_value>>& answer)
-        {
-            if (self->ended)
-            {
-                return;
-            }
-            if (answer.has_value() && answer.value())
-            {
-                self->write_job();
-                return;
-            }
-            self->fail(error{error_code::store_unavailable,
-                             "the platform's store did not take the job",
-                             ran_state::no, ask_again_after});
-        });
-}
-
-void batch_upload::write_job()
-{
-    this->records.swap_job(
-        this->head.job, store_revision(), this->record,
-        [self = this->shared_from_this()](
-            const result<std::optional<seen_job_record>>& answer)
-        { self->handle_job(answer); });
-}
-
-void batch_upload::handle_job(
-    const result<std::optional<seen_job_record>>& answer)
-{
-    if (answer.has_error())
+    if (outcome.has_error())
     {
-        this->fail(answer.error());
+        this->fail(outcome.error());
         return;
     }
-    if (!answer.value())
-    {
-        this->fail(error{error_code::store_outcome_unknown,
-                         "the job's record vanished as it was written",
-                         ran_state::unknown, ask_again_after});
-        return;
-    }
-    const job_record& known = answer.value()->record;
+    const job_record& known = outcome.value();
     if (known == this->record)
     {
         this->accepted(this->head.job, known);
@@ -439,6 +346,10 @@
 {
     this->ended = true;
     this->idle_timer.cancel();
+    if (const auto begun = this->creation.lock())
+    {
+        begun->abandon();
+    }
     if (this->paused)
     {
         // The server reads and drops the rest of the body.
--- a/src/daemon/batch_upload.hpp
+++ b/src/daemon/batch_upload.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "daemon/batch_submission.hpp"
-#include "daemon/job_store.hpp"
+#include "daemon/job_creation.hpp"
+#include "daemon/line_findings.hpp"
 #include "daemon/line_splitter.hpp"
 #include "wire/generated/job_types.h"
 
@@ -10,7 +11,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
-#include <vector>
 
 namespace parsleytrack
 {
@@ -45,19 +45,15 @@
     void handle_piece(std::string_view piece);
     void handle_line(int number, std::string_view line);
     void handle_item(int number, wire::stored_item item);
-    void add_finding(int number, const error& reason);
     void write_lot();
     void handle_placement(std::size_t lot, const result<placement>& where);
     void finish_if_settled();
-    void write_open_entry();
-    void check_open_entry();
-    void write_job();
-    void handle_job(const result<std::optional<seen_job_record>>& answer);
+    void create_job();
+    void handle_creation(const result<job_record>& outcome);
     void respond_job(const job_record& known);
     void fail(const error& reason);
     void end();
     void restart_idle_timer();
-    std::string open_key() const;
 
     node_context& context;
     storage_module& storage;
@@ -71,11 +67,11 @@
     std::size_t lot_bytes = 0;
     std::size_t puts_in_flight = 0;
     std::unordered_set<std::size_t> custom_id_hashes;
-    std::vector<std::string> problems;
-    error_code first_problem = error_code::bad_request;
+    line_findings problems;
     std::optional<error> put_error;
     std::optional<job_record> existing;
     job_record record;
+    std::weak_ptr<job_creation> creation;
     net::timer idle_timer;
     bool body_complete = false;
     bool paused = false;
--- a/src/daemon/job_codec.cpp
+++ b/src/daemon/job_codec.cpp
@@ -1,5 +1,6 @@
 #include "daemon/job_codec.hpp"
 
+#include "decisions/lot_assignment.hpp"
 #include "wire/codec.hpp"
 #include "wire/generated/job_types.h"
 
@@ -193,4 +194,9 @@
            std::to_string(shard) + "/";
 }
 
+std::string open_job_key(const region_name& region, const job_id& job)
+{
+    return open_job_prefix(region, job_shard(job)) + job.str();
+}
+
 } // namespace parsleytrack
--- a/src/daemon/job_codec.hpp
+++ b/src/daemon/job_codec.hpp
@@ -35,4 +35,7 @@
 /// \returns What the keys of the list of open jobs begin with, for one part.
 std::string open_job_prefix(const region_name& region, int shard);
 
+/// \returns The key of a job in the list of open jobs.
+std::string open_job_key(const region_name& region, const job_id& job);
+
 } // namespace parsleytrack
--- a/src/daemon/job_coordinator.cpp
+++ b/src/daemon/job_coordinator.cpp
@@ -234,7 +234,7 @@
 void job_coordinator::erase_open_entry(const job_id& job, bool only_if_old)
 {
     this->context.store.get(
-        this->open_key(job),
+        open_job_key(this->context.settings.region, job),
         [this, job, only_if_old](
             const result<std::optional<key_value::versioned_value>>& answer)
         {
@@ -257,7 +257,8 @@
                 return;
             }
             this->context.store.erase(
-                this->open_key(job), answer.value()->revision,
+                open_job_key(this->context.settings.region, job),
+                answer.value()->revision,
                 [this, job](const result<key_value::swap_outcome>& erased)
                 {
                     if (erased.has_error())
@@ -281,10 +282,4 @@
     found->second.next_check = net::event_loop::now() + wait;
 }
 
-std::string job_coordinator::open_key(const job_id& job) const
-{
-    return open_job_prefix(this->context.settings.region, job_shard(job)) +
-           job.str();
-}
-
 } // namespace parsleytrack
--- a/src/daemon/job_coordinator.hpp
+++ b/src/daemon/job_coordinator.hpp
@@ -64,7 +64,6 @@
     void close(const job_id& job, const seen_job_record& seen);
     void erase_open_entry(const job_id& job, bool only_if_old);
     void check_again(const job_id& job, duration wait);
-    std::string open_key(const job_id& job) const;
 
     node_context& context;
     job_store& records;
--- a/tests/decisions/lot_fleet.hpp
+++ b/tests/decisions/lot_fleet.hpp
@@ -40,6 +40,8 @@
     using time_point = parsleytrack::time_point;
     using duration = parsleytrack::duration;
 
+    static constexpr duration tick_length = std::chrono::milliseconds(20);
+
     struct node
     {
         bool paused = false;
