Make no decision depend on the time of day

Cause: on some instances the time of day jumps. Three decisions used it: - the incarnation of a process, and with it the number that told processes of a node apart for takeovers of jobs; - the age of a job (items given up for good, order of work); - the erasure of results.

A process is now told apart by a random number; at the same incarnation a claim about another process is refuted. The first incarnation stays a hint from the clock; after a step back the process learns the higher one from the others. The age of a job is the age in its record plus the time since by the steady clock (jobs::job_ages), a lower bound, so that nothing is given up early.

membership/clock_step fails without the refutation (8 wrong beliefs where a process starts with the incarnation of its predecessor); the other cases held before and stay as regressions. scripts/check_clock.sh fails when other code reads the time of day.

Ruled out: a number in the store, which may be away at a start.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,7 @@
 scripts/install_packages.sh
 scripts/build.sh
 scripts/check_boundary.sh
+scripts/check_clock.sh
 scripts/check_format.sh
 scripts/check_lint.sh
 scripts/run_tests.sh
--- a/src/daemon/membership_module.cpp
+++ b/src/daemon/membership_module.cpp
@@ -16,7 +16,8 @@
 constexpr duration gauge_interval = std::chrono::seconds(1);
 constexpr duration exchange_timeout = std::chrono::seconds(3);
 
-node_info own_info(const settings::node_settings& settings)
+node_info own_info(const settings::node_settings& settings,
+                   random_source& random)
 {
     node_info own;
     own.id = settings.id;
@@ -27,6 +28,7 @@
     own.entry = settings.entry;
     own.keeper = settings.is_keeper();
     own.incarnation = peering::first_incarnation();
+    own.process = peering::draw_process_number(random);
     return own;
 }
 
@@ -35,8 +37,8 @@
 membership_module::membership_module(node_context& node,
                                      net::http_server& http_server)
     : context(node), server(http_server),
-      members(own_info(node.settings), membership_options(), node.random,
-              node.board),
+      members(own_info(node.settings, node.random), membership_options(),
+              node.random, node.board),
       seeds(node, this->members), bridge(node, this->members),
       driver(node.loop, node.peers, this->members, exchange_timeout,
              {[this] { this->update_fleet(); },
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -14,6 +14,7 @@
 #include "daemon/storage_module.hpp"
 #include "logging/log.hpp"
 #include "net/http_server.hpp"
+#include "units/wall_clock.hpp"
 
 #include <chrono>
 #include <csignal>
@@ -31,22 +32,6 @@
 constexpr duration longest_open_request = std::chrono::seconds(60);
 constexpr duration request_poll_interval = std::chrono::milliseconds(20);
 
-std::uint64_t wall_clock_microseconds()
-{
-    const auto since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-            .count());
-}
-
-std::uint64_t random_seed()
-{
-    std::random_device device;
-    constexpr int bits = 32;
-    return (static_cast<std::uint64_t>(device()) << bits) | device();
-}
-
 } // namespace
 
 struct node::state
@@ -56,7 +41,7 @@
           server(this->loop), http(this->loop), peers(this->loop),
           store(this->loop, this->http, this->settings.store,
                 this->settings.store_calls_per_s, this->random()),
-          board(this->settings.id, wall_clock_microseconds())
+          board(this->settings.id, static_cast<std::uint64_t>(wall_clock_us()))
     {
     }
 
--- a/src/daemon/region_bridge.cpp
+++ b/src/daemon/region_bridge.cpp
@@ -3,6 +3,7 @@
 #include "daemon/region_conversion.hpp"
 #include "daemon/seed_conversion.hpp"
 #include "decisions/seed_list.hpp"
+#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -27,13 +28,6 @@
 constexpr const char* list_prefix = "parsleytrack/nodes/";
 constexpr const char* topic = "regions";
 
-std::int64_t wall_clock_microseconds()
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 region_bridge::region_bridge(node_context& node,
@@ -111,7 +105,7 @@
 {
     region_summary own;
     own.region = this->context.settings.region;
-    own.version = wall_clock_microseconds();
+    own.version = wall_clock_us();
     own.release = this->context.catalogue.current().version;
     // Taken from the view in order, so that all bridges write the same.
     for (const node_info& node : this->members.nodes())
--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -27,9 +27,9 @@
 class membership
 {
 public:
-    /// \param own This node. Its incarnation must be greater than that of any
-    /// earlier process with the same id; for example, the wall clock in
-    /// microseconds.
+    /// \param own This node. If its incarnation is not greater than that of an
+    /// earlier process with the same id, the others see this process only once
+    /// it has learned the higher one from them.
     /// \param options Timeouts, intervals and limits.
     /// \param random_numbers Outlives this object.
     /// \param values The board; outlives this object.
--- a/src/decisions/membership_receive.cpp
+++ b/src/decisions/membership_receive.cpp
@@ -188,6 +188,7 @@
     const bool newer = claim.node.incarnation > node.incarnation;
     const bool same = claim.node.incarnation == node.incarnation;
     const bool wrong = claim.node.state != node_state::alive ||
+                       claim.node.process != node.process ||
                        claim.node.peer != node.peer ||
                        (claim.leaving && !this->own.leaving);
     if (this->gone || !(newer || (same && wrong)))
--- a/src/decisions/node_info.hpp
+++ b/src/decisions/node_info.hpp
@@ -21,11 +21,11 @@
     /// The CPU capacity that the node may use, in thousandths of a core.
     int capacity = 1000;
     node_state state = node_state::alive;
-    /// Increases with each suspicion that the node refutes.
+    /// Orders claims about the node; increases with each claim that the node
+    /// refutes.
     incarnation_number incarnation;
-    /// The incarnation with which its process started; identifies the process
-    /// among all that have run under this id.
-    incarnation_number start_incarnation;
+    /// The process that runs under this id.
+    process_number process;
 
     bool operator==(const node_info&) const = default;
 };
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -78,11 +78,12 @@
     message.job = state.id.str();
     message.route_name = state.route_name;
     message.owner = state.owner.str();
-    message.owner_life = state.owner_incarnation.count();
+    message.owner_life = state.owner_process.count();
     message.cancelled = state.cancelled;
     message.submitted_at_ms = state.submitted_at_ms;
     message.item_count = static_cast<std::int32_t>(state.item_count);
     message.waiting_tokens = state.waiting_tokens.count();
+    message.age_ms = to_milliseconds(state.age);
     for (const item_outcome& outcome : state.outcomes)
     {
         wire::node_job_outcome& entry = message.outcomes.emplace_back();
@@ -108,11 +109,13 @@
     state.id = job_id(read.job);
     state.route_name = read.route_name;
     state.owner = node_id(read.owner);
-    state.owner_incarnation = incarnation_number(read.owner_life);
+    state.owner_process = process_number(read.owner_life);
     state.cancelled = read.cancelled;
     state.submitted_at_ms = read.submitted_at_ms;
     state.item_count = static_cast<std::size_t>(read.item_count);
     state.waiting_tokens = token_count(read.waiting_tokens);
+    state.age = std::max<duration>(duration::zero(),
+                                   std::chrono::milliseconds(read.age_ms));
     for (const wire::node_job_outcome& entry : read.outcomes)
     {
         if (entry.item < 0 || entry.item >= read.item_count)
--- a/src/jobs/job_input.hpp
+++ b/src/jobs/job_input.hpp
@@ -17,7 +17,8 @@
     std::string route_name;
     std::string host;
     std::vector<job_item> items;
-    /// Time of the accepted submission, in Unix milliseconds.
+    /// Time of the accepted submission, in Unix milliseconds; for operators
+    /// only, since the clocks of instances may jump.
     std::int64_t submitted_at_ms = 0;
 };
 
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -2,6 +2,7 @@
 
 #include "units/ids.hpp"
 #include "units/numbers.hpp"
+#include "units/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,12 +29,16 @@
     job_id id;
     std::string route_name;
     node_id owner;
-    /// Incarnation of the owner; see node_info::start_incarnation.
-    incarnation_number owner_incarnation;
+    /// The owner's process.
+    process_number owner_process;
     bool cancelled = false;
     /// In the order in which results are read; append-only.
     std::vector<item_outcome> outcomes;
+    /// Time of the accepted submission, in Unix milliseconds; for operators
+    /// only, since the clocks of instances may jump.
     std::int64_t submitted_at_ms = 0;
+    /// Lower bound of the job's age when this state was written.
+    duration age = duration::zero();
     std::size_t item_count = 0;
     /// Tokens that the route's usage includes for this job; at least those of
     /// the items that have no outcome.
--- a/src/peering/membership_conversion.cpp
+++ b/src/peering/membership_conversion.cpp
@@ -54,7 +54,7 @@
     message.entry_node = node.entry;
     message.keeper = node.keeper;
     message.capacity = node.capacity;
-    message.started_as = node.start_incarnation.count();
+    message.started_as = node.process.count();
     return message;
 }
 
@@ -117,7 +117,7 @@
     record.node.entry = message.entry_node;
     record.node.keeper = message.keeper;
     record.node.capacity = message.capacity;
-    record.node.start_incarnation = incarnation_number(message.started_as);
+    record.node.process = process_number(message.started_as);
     return record;
 }
 
--- a/src/relay/job_acceptor.cpp
+++ b/src/relay/job_acceptor.cpp
@@ -62,7 +62,7 @@
     state.id = entry->input->id;
     state.route_name = entry->input->route_name;
     state.owner = owner.id;
-    state.owner_incarnation = owner.start_incarnation;
+    state.owner_process = owner.process;
     state.submitted_at_ms = entry->input->submitted_at_ms;
     state.item_count = entry->input->items.size();
     state.waiting_tokens = total_tokens(*entry->input);
--- a/src/relay/job_cleaner.cpp
+++ b/src/relay/job_cleaner.cpp
@@ -3,7 +3,6 @@
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
-#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -22,14 +21,18 @@
 
 } // namespace
 
-job_cleaner::job_cleaner(const relay_context& node) : context(node) {}
+job_cleaner::job_cleaner(const relay_context& node,
+                         const jobs::job_ages& ages_of_jobs)
+    : context(node), ages(ages_of_jobs)
+{
+}
 
 void job_cleaner::erase_if_expired(const jobs::job_state& state,
                                    store_revision revision)
 {
-    const std::int64_t age_ms = wall_clock_ms() - state.submitted_at_ms;
     const bool is_expired =
-        age_ms > to_milliseconds(this->context.settings.result_retention);
+        this->ages.age_of(state.id, net::event_loop::now()) >
+        this->context.settings.result_retention;
     if (!is_expired || this->erasing.size() >= max_concurrent_erasures ||
         preferred_owner(this->context.group, state.id).id !=
             this->context.group.own().id ||
--- a/src/relay/job_cleaner.hpp
+++ b/src/relay/job_cleaner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job_ages.hpp"
 #include "jobs/job_state.hpp"
 #include "relay/relay_context.hpp"
 
@@ -16,7 +17,8 @@
 {
 public:
     /// \param node Outlives this object.
-    explicit job_cleaner(const relay_context& node);
+    /// \param ages Outlives this object.
+    job_cleaner(const relay_context& node, const jobs::job_ages& ages);
 
     /// Erases a finished job if it has been kept long enough and this node is
     /// its preferred owner.
@@ -33,6 +35,7 @@
                 std::function<void()> next);
 
     const relay_context& context;
+    const jobs::job_ages& ages;
     std::set<job_id> erasing;
 };
 
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -4,7 +4,6 @@
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_transaction.hpp"
-#include "units/wall_clock.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -45,10 +44,13 @@
 } // namespace
 
 job_owner::job_owner(const relay_context& node, slot_client& slot_source,
-                     usage_tracker& usages_of_routes, jobs::owned_job owned_job,
-                     jobs::job_progress known, std::function<void()> on_lost)
+                     usage_tracker& usages_of_routes,
+                     const jobs::job_ages& ages_of_jobs,
+                     jobs::owned_job owned_job, jobs::job_progress known,
+                     std::function<void()> on_lost)
     : context(node), slots(slot_source), usages(usages_of_routes),
-      owned(std::move(owned_job)), lost_callback(std::move(on_lost)),
+      ages(ages_of_jobs), owned(std::move(owned_job)),
+      lost_callback(std::move(on_lost)),
       progress(this->owned.input().id,
                without_ended(std::move(known), this->owned.state()),
                net::event_loop::now()),
@@ -74,16 +76,15 @@
     }
     const jobs::job_input& input = this->owned.input();
     const routing::route* route = table->find_by_name(input.route_name);
-    const std::int64_t age_ms = wall_clock_ms() - input.submitted_at_ms;
     const bool expired = route != nullptr &&
                          route->retention > duration::zero() &&
-                         age_ms > to_milliseconds(route->retention);
+                         this->age() > route->retention;
     if (route == nullptr || expired)
     {
         log_event(log_level::warning, "job_given_up",
                   {{"job", input.id.str()},
                    {"reason", route == nullptr ? "route_removed" : "expired"},
-                   {"age_ms", age_ms}});
+                   {"age_ms", to_milliseconds(this->age())}});
         this->return_running_items();
         this->owned.abandon_waiting_items();
         this->commit();
@@ -232,6 +233,7 @@
     {
         return;
     }
+    commit->state.age = this->age();
     const token_count remaining =
         std::max(token_count(0), usage.waiting - commit->released_tokens);
     auto transaction = transaction_of(
@@ -272,9 +274,12 @@
 
 duration job_owner::due_in() const
 {
-    return this->run_target -
-           std::chrono::milliseconds(wall_clock_ms() -
-                                     this->owned.input().submitted_at_ms);
+    return this->run_target - this->age();
+}
+
+duration job_owner::age() const
+{
+    return this->ages.age_of(this->owned.input().id, net::event_loop::now());
 }
 
 void job_owner::handle_commit_outcome(
@@ -321,7 +326,7 @@
         }
         const auto state = jobs::decode_state(record.value);
         if (state.has_value() && state.value().owner == commit.state.owner &&
-            state.value().owner_incarnation == commit.state.owner_incarnation &&
+            state.value().owner_process == commit.state.owner_process &&
             state.value().outcomes == commit.state.outcomes)
         {
             // The commit was applied, but its response was lost.
@@ -358,7 +363,7 @@
     const jobs::job_state& now = state.value();
     const bool still_owned =
         now.owner == this->owned.state().owner &&
-        now.owner_incarnation == this->owned.state().owner_incarnation &&
+        now.owner_process == this->owned.state().owner_process &&
         now.outcomes.size() == this->owned.state().outcomes.size();
     if (!still_owned)
     {
@@ -388,7 +393,7 @@
                {"items", state.item_count},
                {"cancelled", state.cancelled ? "yes" : "no"},
                {"revision", this->owned.revision().count()},
-               {"age_ms", wall_clock_ms() - state.submitted_at_ms}});
+               {"age_ms", to_milliseconds(this->age())}});
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job_ages.hpp"
 #include "jobs/owned_job.hpp"
 #include "relay/item_run.hpp"
 #include "relay/progress_tracker.hpp"
@@ -23,12 +24,14 @@
     /// \param node Outlives this object.
     /// \param slot_source Outlives this object.
     /// \param usages Outlives this object.
+    /// \param ages Outlives this object.
     /// \param known Progress of the items that an earlier owner has saved.
     /// \param on_lost Called when another node has taken the job over. This
     /// object may be destroyed once the callback has returned, not earlier.
     job_owner(const relay_context& node, slot_client& slot_source,
-              usage_tracker& usages, jobs::owned_job owned,
-              jobs::job_progress known, std::function<void()> on_lost);
+              usage_tracker& usages, const jobs::job_ages& ages,
+              jobs::owned_job owned, jobs::job_progress known,
+              std::function<void()> on_lost);
     ~job_owner();
     job_owner(const job_owner&) = delete;
     job_owner& operator=(const job_owner&) = delete;
@@ -65,6 +68,7 @@
     void commit_when_due();
     void commit();
     bool must_release_tokens(token_count waiting) const;
+    duration age() const;
     duration due_in() const;
     void save_progress();
     void handle_commit_outcome(
@@ -77,6 +81,7 @@
     const relay_context& context;
     slot_client& slots;
     usage_tracker& usages;
+    const jobs::job_ages& ages;
     jobs::owned_job owned;
     std::function<void()> lost_callback;
     progress_tracker progress;
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -102,7 +102,7 @@
     const node_info& own = this->context.group.own();
     if (input.has_error() || state.has_error() || !this->hooks.accepts_jobs() ||
         state.value().owner != own.id ||
-        state.value().owner_incarnation != own.start_incarnation)
+        state.value().owner_process != own.process)
     {
         exchange->fail(error{error_code::bad_request,
                              "this node cannot accept the job",
--- a/src/relay/job_placement.cpp
+++ b/src/relay/job_placement.cpp
@@ -28,7 +28,7 @@
                    const jobs::job_state& state)
 {
     return !owner || owner->state == node_state::leaving ||
-           owner->start_incarnation != state.owner_incarnation;
+           owner->process != state.owner_process;
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -27,6 +27,9 @@
 constexpr duration periodic_interval = std::chrono::milliseconds(500);
 /// How long the results of a finished job are served from memory.
 constexpr duration memory_retention = std::chrono::seconds(15);
+/// How long the age of a job is remembered after the job was last seen in the
+/// store, which may be unreachable meanwhile.
+constexpr duration unobserved_age_retention = std::chrono::minutes(10);
 
 std::string describe(const result<accepted_job>& accepted)
 {
@@ -41,8 +44,8 @@
 
 job_service::job_service(const relay_context& node, slot_client& slot_source)
     : context(node), slots(slot_source), acceptor(node, this->usages),
-      reader(node), cancellation(node, this->usages), cleaner(node),
-      takeover(node,
+      reader(node), cancellation(node, this->usages), cleaner(node, this->ages),
+      takeover(node, this->ages,
                {[this](const job_id& job) { return this->owned.contains(job); },
                 [this](jobs::owned_job job, jobs::job_progress progress)
                 { this->start_job(std::move(job), std::move(progress)); },
@@ -179,7 +182,7 @@
     }
     const node_info& own = this->context.group.own();
     if (state.owner == own.id &&
-        state.owner_incarnation == own.start_incarnation)
+        state.owner_process == own.process)
     {
         this->start_job(
             jobs::owned_job(*input, state, accepted.value().revision, {}), {});
@@ -321,8 +324,9 @@
     {
         return;
     }
+    this->ages.observe(id, job.state().age, net::event_loop::now());
     auto owner = std::make_unique<job_owner>(
-        this->context, this->slots, this->usages, std::move(job),
+        this->context, this->slots, this->usages, this->ages, std::move(job),
         std::move(progress),
         [this, id]
         { this->context.loop.post([this, id] { this->owned.erase(id); }); });
@@ -344,8 +348,10 @@
 void job_service::run_periodic_tasks()
 {
     const time_point now = net::event_loop::now();
+    this->ages.forget_before(now - unobserved_age_retention);
     for (const auto& [id, owner] : this->owned)
     {
+        this->ages.observe(id, duration::zero(), now);
         owner->start_items();
         if (owner->job().state().is_finished())
         {
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job_ages.hpp"
 #include "net/http_exchange.hpp"
 #include "relay/job_acceptor.hpp"
 #include "relay/job_call.hpp"
@@ -43,6 +44,12 @@
     /// memory.
     std::vector<const jobs::owned_job*> owned_jobs() const;
 
+    /// \returns A lower bound of the job's age.
+    duration age_of(const job_id& job) const
+    {
+        return this->ages.age_of(job, net::event_loop::now());
+    }
+
     /// Releases all jobs for a planned stop.
     void stop();
 
@@ -67,6 +74,7 @@
     const relay_context& context;
     slot_client& slots;
     usage_tracker usages;
+    jobs::job_ages ages;
     job_acceptor acceptor;
     job_reader reader;
     job_cancellation cancellation;
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -25,8 +25,10 @@
 
 } // namespace
 
-job_takeover::job_takeover(const relay_context& node, callbacks listener)
-    : context(node), hooks(std::move(listener)), started(net::event_loop::now())
+job_takeover::job_takeover(const relay_context& node,
+                           jobs::job_ages& ages_of_jobs, callbacks listener)
+    : context(node), ages(ages_of_jobs), hooks(std::move(listener)),
+      started(net::event_loop::now())
 {
     this->context.group.on_change([this]
                                   { this->schedule(change_scan_delay); });
@@ -84,6 +86,7 @@
         return;
     }
     const job_id job = state.value().id;
+    this->ages.observe(job, state.value().age, net::event_loop::now());
     if (this->hooks.is_owned(job))
     {
         this->hooks.on_own_record(record);
@@ -100,7 +103,7 @@
     }
     const node_info& own = this->context.group.own();
     if (state.value().owner == own.id &&
-        state.value().owner_incarnation == own.start_incarnation)
+        state.value().owner_process == own.process)
     {
         // This node wrote the record but lost the response, or could not
         // finish a takeover.
@@ -130,7 +133,8 @@
     this->claims_in_progress.insert(state.id);
     const node_id previous = state.owner;
     state.owner = this->context.group.own().id;
-    state.owner_incarnation = this->context.group.own().start_incarnation;
+    state.owner_process = this->context.group.own().process;
+    state.age = this->ages.age_of(state.id, net::event_loop::now());
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(state.id), revision}};
     transaction.puts = {{job_state_key(state.id), jobs::encode(state)}};
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/item_progress.hpp"
+#include "jobs/job_ages.hpp"
 #include "jobs/owned_job.hpp"
 #include "relay/relay_context.hpp"
 #include "units/ids.hpp"
@@ -30,7 +31,9 @@
     };
 
     /// \param node Outlives this object.
-    job_takeover(const relay_context& node, callbacks hooks);
+    /// \param ages Outlives this object.
+    job_takeover(const relay_context& node, jobs::job_ages& ages,
+                 callbacks hooks);
 
     /// Stops looking for jobs to take over.
     void stop();
@@ -49,6 +52,7 @@
                  const std::string& reason);
 
     const relay_context& context;
+    jobs::job_ages& ages;
     callbacks hooks;
     /// Jobs that are being taken over.
     std::set<job_id> claims_in_progress;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,7 +19,6 @@
 #include <algorithm>
 #include <csignal>
 #include <optional>
-#include <random>
 #include <utility>
 #include <vector>
 
@@ -39,7 +38,8 @@
 constexpr duration store_calls_interval = std::chrono::seconds(10);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
 
-node_info own_info(const settings::relay_settings& settings)
+node_info own_info(const settings::relay_settings& settings,
+                   random_source& random)
 {
     node_info own;
     own.id = settings.id;
@@ -50,17 +50,10 @@
     own.entry = settings.front.has_value();
     own.capacity = settings.capacity_millicores;
     own.incarnation = peering::first_incarnation();
-    own.start_incarnation = own.incarnation;
+    own.process = peering::draw_process_number(random);
     return own;
 }
 
-std::uint64_t random_seed()
-{
-    std::random_device device;
-    constexpr int bits = 32;
-    return (static_cast<std::uint64_t>(device()) << bits) | device();
-}
-
 } // namespace
 
 struct relay_node::state
@@ -74,8 +67,8 @@
           peers(this->loop),
           store(this->loop, this->store_client, this->settings.store,
                 protocol_adapter.records(), this->random),
-          group(this->loop, this->peers, this->random, own_info(this->settings),
-                this->settings.seeds),
+          group(this->loop, this->peers, this->random,
+                own_info(this->settings, this->random), this->settings.seeds),
           configuration(this->loop, this->store, this->random,
                         protocol_adapter),
           replicas(
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -1,7 +1,6 @@
 #include "relay/status_report.hpp"
 
 #include "logging/log.hpp"
-#include "units/wall_clock.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -96,7 +95,8 @@
                         {"items", state.item_count},
                         {"ended", state.outcomes.size()},
                         {"cancelled", state.cancelled},
-                        {"age_ms", wall_clock_ms() - state.submitted_at_ms}});
+                        {"submitted_at_ms", state.submitted_at_ms},
+                        {"age_ms", to_milliseconds(jobs.age_of(state.id))}});
     }
     return list;
 }
--- a/src/units/numbers.hpp
+++ b/src/units/numbers.hpp
@@ -23,6 +23,9 @@
 using item_index = strong_number<struct item_index_tag>;
 /// Attempt at a request or item, from 1.
 using attempt_number = strong_number<struct attempt_number_tag>;
+/// Identifies one run of a node's process; drawn at random when it starts, so
+/// that it is unique whatever the time of day is.
+using process_number = strong_number<struct process_number_tag>;
 /// SWIM incarnation of a node.
 using incarnation_number = strong_number<struct incarnation_number_tag>;
 
--- a/src/units/wall_clock.hpp
+++ b/src/units/wall_clock.hpp
@@ -6,17 +6,24 @@
 namespace parsleytrack
 {
 
-/// \returns Wall-clock time in milliseconds since 1970-01-01 UTC. For times
-/// that are used beyond one process; instances agree on it up to the error of
-/// their clock synchronisation.
-inline std::int64_t wall_clock_ms()
+/// \returns Wall-clock time in microseconds since 1970-01-01 UTC. It may jump
+/// by any amount, in both directions, and differ between instances. The relay
+/// shows it to people only; see docs/design/time.md.
+inline std::int64_t wall_clock_us()
 {
     const auto since_epoch =
         std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+    return std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
         .count();
 }
 
+/// \returns Wall-clock time in milliseconds since 1970-01-01 UTC.
+inline std::int64_t wall_clock_ms()
+{
+    constexpr std::int64_t microseconds_per_millisecond = 1000;
+    return wall_clock_us() / microseconds_per_millisecond;
+}
+
 /// \returns Wall-clock time in seconds since 1970-01-01 UTC.
 inline std::int64_t wall_clock_s()
 {
--- a/src/wire/membership.thrift
+++ b/src/wire/membership.thrift
@@ -22,7 +22,7 @@
   11: bool keeper;
   // Thousandths of a core.
   12: i32 capacity;
-  // The incarnation at which the node's process started.
+  // Identifies the process.
   13: i64 started_as;
 }
 
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -35,7 +35,7 @@
 struct node_job_state {
   1: string job;
   2: string route_name;
-  // Node that runs the job, and its incarnation.
+  // Node that runs the job, and its process.
   3: string owner;
   4: i64 owner_life;
   5: bool cancelled;
@@ -45,6 +45,8 @@
   8: i32 item_count;
   // The job's tokens that count towards the route's usage.
   9: i64 waiting_tokens;
+  // Lower bound of the job's age when this was written.
+  10: i64 age_ms;
 }
 
 // Tokens of accepted items without an outcome, over all jobs of a route.
@@ -92,4 +94,7 @@
 // Request of a node_job_news call: another node changed the job's record.
 struct node_job_news {
   1: string job;
+  // Revision of the record that the sender has seen; 0 for a change whose
+  // revision is not known.
+  2: i64 revision;
 }
--- a/tests/membership/membership_world.cpp
+++ b/tests/membership/membership_world.cpp
@@ -81,6 +81,7 @@
         (this->time + this->clock_error).time_since_epoch().count() +
         first_clock_us;
     own.incarnation = incarnation_number(clock);
+    own.process = process_number(++this->processes_started);
     slot.running = std::make_unique<process>(own, this->options, this->random,
                                              static_cast<std::uint64_t>(clock));
     process* running = slot.running.get();
--- a/tests/membership/membership_world.hpp
+++ b/tests/membership/membership_world.hpp
@@ -56,7 +56,8 @@
     /// \returns The state in which one node sees another; dead if unknown.
     node_state belief(int observer, int subject) const;
     /// \returns For how many pairs of a running observer and another node the
-    /// observer believes a wrong state.
+    /// observer believes a wrong state, or takes an earlier process of the node
+    /// for the running one.
     int wrong_beliefs() const;
     /// \returns The age of the oldest value of a topic that running nodes hold
     /// of each other; the maximum duration if a value is missing.
@@ -122,6 +123,8 @@
     };
 
     static node_id name_of(int node);
+    /// \returns Whether the observer sees the process that the subject runs.
+    bool sees_running_process(int observer, int subject) const;
     void schedule(duration delay, std::function<void()> action);
     void tick(int node, std::int64_t generation);
     /// Runs an action on a node, deferred until the thaw if it is frozen.
@@ -142,6 +145,7 @@
     std::map<std::uint16_t, int> node_by_port;
     std::priority_queue<event> events;
     std::uint64_t next_order = 0;
+    std::int64_t processes_started = 0;
     std::function<int(int)> group_of;
     std::map<std::pair<int, std::string>, std::map<std::uint64_t, time_point>>
         published;
--- a/tests/membership/membership_world_view.cpp
+++ b/tests/membership/membership_world_view.cpp
@@ -20,6 +20,23 @@
     return found == seen.end() ? node_state::dead : found->second.state;
 }
 
+bool membership_world::sees_running_process(int observer, int subject) const
+{
+    if (!this->is_running(subject))
+    {
+        return true;
+    }
+    const auto process_at = [this](int node) -> const process&
+    {
+        return *this->nodes[static_cast<std::size_t>(node)].running;
+    };
+    const auto& seen = process_at(observer).seen;
+    const auto found = seen.find(name_of(subject));
+    return found != seen.end() &&
+           found->second.process ==
+               process_at(subject).members.own_info().process;
+}
+
 int membership_world::wrong_beliefs() const
 {
     int wrong = 0;
@@ -38,7 +55,9 @@
                 truth = this->nodes[index].leaving ? node_state::leaving
                                                    : node_state::alive;
             }
-            wrong += this->belief(observer, subject) == truth ? 0 : 1;
+            const bool right = this->belief(observer, subject) == truth &&
+                               this->sees_running_process(observer, subject);
+            wrong += right ? 0 : 1;
         }
     }
     return wrong;
--- a/tests/relay/job_placement_test.cpp
+++ b/tests/relay/job_placement_test.cpp
@@ -14,9 +14,9 @@
     {
         this->owner.id = node_id("a");
         this->owner.incarnation = incarnation_number(1000);
-        this->owner.start_incarnation = incarnation_number(1000);
+        this->owner.process = process_number(1000);
         this->state.owner = this->owner.id;
-        this->state.owner_incarnation = incarnation_number(1000);
+        this->state.owner_process = process_number(1000);
     }
 };
 
@@ -36,7 +36,15 @@
 TEST(job_placement, a_restarted_owner_loses_its_job)
 {
     this->owner.incarnation = incarnation_number(5000);
-    this->owner.start_incarnation = incarnation_number(5000);
+    this->owner.process = process_number(5000);
+    CHECK(is_owner_gone(this->owner, this->state));
+}
+
+// The clock of the owner was set back before the restart.
+TEST(job_placement, an_owner_restarted_with_a_lower_incarnation_loses_its_job)
+{
+    this->owner.incarnation = incarnation_number(10);
+    this->owner.process = process_number(7);
     CHECK(is_owner_gone(this->owner, this->state));
 }
 
