Let a few nodes scan the records of jobs in a large group

Cause: each node listed all jobs every two seconds, and again after each change in the group; with 165 nodes and rolling restarts the scans alone grew with the square of the group.

In groups over max_direct_followers one node in each availability zone scans now. It notifies the node that has to take a job over, and owners that may have missed a handover or a cancellation (relay::owner_notices); the others scan every 15 s, in case the store rejects all scanners. Erasure of expired jobs is done by one of the scanners.

Ruled out: scans by the owners alone, which would not find orphans; an index of orphans in the store, which is one more write for each job.

--- a/src/relay/job_cleaner.cpp
+++ b/src/relay/job_cleaner.cpp
@@ -2,7 +2,6 @@
 
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
-#include "relay/job_placement.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -34,8 +33,6 @@
         this->ages.age_of(state.id, net::event_loop::now()) >
         this->context.settings.result_retention;
     if (!is_expired || this->erasing.size() >= max_concurrent_erasures ||
-        preferred_owner(this->context.group, state.id).id !=
-            this->context.group.own().id ||
         !this->erasing.insert(state.id).second)
     {
         return;
--- a/src/relay/job_cleaner.hpp
+++ b/src/relay/job_cleaner.hpp
@@ -20,8 +20,7 @@
     /// \param ages Outlives this object.
     job_cleaner(const relay_context& node, const jobs::job_ages& ages);
 
-    /// Erases a finished job if it has been kept long enough and this node is
-    /// its preferred owner.
+    /// Erases a finished job if it has been kept long enough.
     ///
     /// \param revision Revision of the job's state.
     void erase_if_expired(const jobs::job_state& state,
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -51,17 +51,14 @@
                wire::encode(message), "job_handover_lost", input.id);
 }
 
-void job_peers::notify_owner(const jobs::job_state& state)
+void job_peers::notify(const node_info& node, const job_id& job,
+                       store_revision revision)
 {
-    const auto owner = this->context.group.find(state.owner);
-    if (!owner || owner->id == this->context.group.own().id)
-    {
-        return;
-    }
     wire::node_job_news message;
-    message.job = state.id.str();
-    this->call(*owner, wire::message_type::node_job_news, wire::encode(message),
-               "job_news_lost", state.id);
+    message.job = job.str();
+    message.revision = revision.count();
+    this->call(node, wire::message_type::node_job_news, wire::encode(message),
+               "job_news_lost", job);
 }
 
 void job_peers::call(const node_info& owner, wire::message_type type,
@@ -151,7 +148,14 @@
     }
     exchange->finish({});
     const job_id job(message.value().job);
-    if (this->hooks.find(job) != nullptr)
+    const job_owner* owner = this->hooks.find(job);
+    if (owner == nullptr)
+    {
+        this->hooks.on_unowned(job);
+        return;
+    }
+    const store_revision revision(message.value().revision);
+    if (revision == store_revision() || revision > owner->job().revision())
     {
         this->hooks.on_changed(job);
     }
--- a/src/relay/job_peers.hpp
+++ b/src/relay/job_peers.hpp
@@ -29,6 +29,8 @@
         std::function<void(jobs::owned_job)> on_handed_over;
         /// The record of a job that this node runs has changed.
         std::function<void(const job_id&)> on_changed;
+        /// This node may have to take over a job that it does not run.
+        std::function<void(const job_id&)> on_unowned;
     };
 
     /// \param node Outlives this object.
@@ -37,8 +39,11 @@
     /// Hands a job over to the owner named in its state.
     void hand_over(const jobs::job_input& input, const accepted_job& accepted);
 
-    /// Notifies the owner that a job's record has changed.
-    void notify_owner(const jobs::job_state& state);
+    /// Notifies a node that it should look at a job's record.
+    ///
+    /// \param revision Revision of the record; 0 if it is not known.
+    void notify(const node_info& node, const job_id& job,
+                store_revision revision);
 
 private:
     void call(const node_info& owner, wire::message_type type,
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -56,6 +56,11 @@
                     const job_id job(
                         record.key.substr(job_state_prefix.size()));
                     this->owned.at(job)->apply_record(record);
+                },
+                [this](const node_info& target, const job_id& job,
+                       store_revision revision)
+                {
+                    this->peers.notify(target, job, revision);
                 }}),
       peers(node, {[this](const job_id& job)
                    {
@@ -66,9 +71,10 @@
                    [this] { return !this->stopped; },
                    [this](jobs::owned_job job)
                    { this->start_job(std::move(job), {}); },
+                   [this](const job_id& job) { this->refresh(job); },
                    [this](const job_id& job)
                    {
-                       this->refresh(job);
+                       this->takeover.look_up(job);
                    }})
 {
     this->periodic_timer = this->context.loop.call_every(
@@ -181,8 +187,7 @@
         return;
     }
     const node_info& own = this->context.group.own();
-    if (state.owner == own.id &&
-        state.owner_process == own.process)
+    if (state.owner == own.id && state.owner_process == own.process)
     {
         this->start_job(
             jobs::owned_job(*input, state, accepted.value().revision, {}), {});
@@ -289,7 +294,11 @@
                 this->refresh(call.job);
                 return;
             }
-            this->peers.notify_owner(state.value());
+            const auto owner = this->context.group.find(state.value().owner);
+            if (owner && owner->id != this->context.group.own().id)
+            {
+                this->peers.notify(*owner, call.job, store_revision());
+            }
         });
 }
 
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -1,10 +1,14 @@
 #include "relay/job_takeover.hpp"
 
+#include "decisions/rendezvous.hpp"
+#include "feeds/feed_sources.hpp"
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -17,6 +21,16 @@
 /// How long a job may lack an owner, in addition to the time for detecting that
 /// the owner is gone. The scans allow stale reads, which cost the store little.
 constexpr duration scan_interval = std::chrono::seconds(2);
+/// Scan interval of the nodes that rely on the scanners of a large group, in
+/// case the store rejects all of those.
+constexpr duration fallback_scan_interval = std::chrono::seconds(15);
+/// Scan interval while a job lacks an owner; the node that has to take it over
+/// may not have known yet that the owner is gone.
+constexpr duration orphan_scan_interval = std::chrono::milliseconds(500);
+/// All scanners may notify this node of the same job.
+constexpr duration min_look_up_interval = std::chrono::milliseconds(400);
+/// How long a job is remembered that no scan has found.
+constexpr duration notice_retention = std::chrono::minutes(1);
 /// Delay after a change in the group; several nodes may change at once.
 constexpr duration change_scan_delay = std::chrono::milliseconds(150);
 /// A node that has just started does not know yet which nodes are live.
@@ -30,8 +44,18 @@
     : context(node), ages(ages_of_jobs), hooks(std::move(listener)),
       started(net::event_loop::now())
 {
-    this->context.group.on_change([this]
-                                  { this->schedule(change_scan_delay); });
+    this->context.group.on_change(
+        [this]
+        {
+            this->scanners = feeds::feed_sources(
+                this->context.group.live_nodes(), job_state_prefix,
+                static_cast<std::size_t>(
+                    this->context.settings.max_direct_followers));
+            if (this->is_scanner())
+            {
+                this->schedule(change_scan_delay);
+            }
+        });
     this->schedule(startup_delay);
 }
 
@@ -64,18 +88,112 @@
         [this](const result<key_value::record_listing>& listing)
         {
             this->scanning = false;
-            this->schedule(scan_interval);
-            if (listing.has_error() || this->stopped)
+            bool orphans = false;
+            if (listing.has_value() && !this->stopped)
             {
-                return;
+                orphans = this->handle_listing(listing.value());
             }
-            for (const auto& record : listing.value().records)
+            this->schedule(this->next_scan_delay(orphans));
+        });
+}
+
+bool job_takeover::is_scanner() const
+{
+    return this->scanners.empty() ||
+           std::any_of(this->scanners.begin(), this->scanners.end(),
+                       [this](const node_info& node)
+                       { return node.id == this->context.group.own().id; });
+}
+
+duration job_takeover::next_scan_delay(bool orphans) const
+{
+    if (!this->is_scanner())
+    {
+        return fallback_scan_interval;
+    }
+    return orphans ? orphan_scan_interval : scan_interval;
+}
+
+bool job_takeover::handle_listing(const key_value::record_listing& listing)
+{
+    bool orphans = false;
+    for (const auto& record : listing.records)
+    {
+        this->examine(record);
+        if (!this->scanners.empty() && this->is_scanner())
+        {
+            orphans = this->notify(record) || orphans;
+        }
+    }
+    const time_point now = net::event_loop::now();
+    this->notices.forget_before(now - notice_retention);
+    std::erase_if(this->looked_up_at, [now](const auto& entry)
+                  { return now - entry.second >= min_look_up_interval; });
+    return orphans;
+}
+
+void job_takeover::look_up(const job_id& job)
+{
+    const time_point now = net::event_loop::now();
+    const auto [found, inserted] = this->looked_up_at.emplace(job, now);
+    if (this->stopped ||
+        (!inserted && now - found->second < min_look_up_interval))
+    {
+        return;
+    }
+    found->second = now;
+    this->context.store.get(
+        job_state_key(job), key_value::read_freshness::latest,
+        [this](const result<key_value::stored_record>& record)
+        {
+            if (!this->stopped && record.has_value() && record.value().exists())
             {
-                this->examine(record);
+                this->examine(record.value());
             }
         });
 }
 
+bool job_takeover::notify(const key_value::stored_record& record)
+{
+    const auto read = jobs::decode_state(record.value);
+    if (read.has_error() || this->hooks.is_owned(read.value().id))
+    {
+        return false;
+    }
+    const jobs::job_state& state = read.value();
+    const auto owner = this->context.group.find(state.owner);
+    const bool orphaned = !state.is_finished() && is_owner_gone(owner, state);
+    const bool owner_is_due =
+        !orphaned && owner &&
+        this->notices.is_due(state, record.revision, net::event_loop::now());
+    if (!orphaned && !owner_is_due)
+    {
+        return false;
+    }
+    const node_info& target =
+        orphaned ? preferred_owner(this->context.group, state.id) : *owner;
+    if (target.id != this->context.group.own().id)
+    {
+        this->hooks.on_notice_due(target, state.id, record.revision);
+    }
+    return orphaned;
+}
+
+bool job_takeover::is_responsible_for_erasure(const job_id& job) const
+{
+    const node_id& own = this->context.group.own().id;
+    if (this->scanners.empty())
+    {
+        return preferred_owner(this->context.group, job).id == own;
+    }
+    std::vector<std::string> names;
+    for (const node_info& node : this->scanners)
+    {
+        names.push_back(node.id.str());
+    }
+    return names.at(rendezvous_rank(names, job.str(), 1).front()) == own.str();
+}
+
 void job_takeover::examine(const key_value::stored_record& record)
 {
     auto state = jobs::decode_state(record.value);
@@ -94,7 +212,10 @@
     }
     if (state.value().is_finished())
     {
-        this->hooks.on_finished(state.value(), record.revision);
+        if (this->is_responsible_for_erasure(job))
+        {
+            this->hooks.on_finished(state.value(), record.revision);
+        }
         return;
     }
     if (this->claims_in_progress.contains(job))
