Follow the configuration through few nodes, and start without the store

Cause: each node watched the configuration itself, so that every change and every cut watch cost a call a node.

- configuration_follower uses record_feed, with two sources in each zone, so that a large configuration stays within its zone; sources have much capacity.
- A source has 0.7 s to regain the store before its subscribers are told; these ask the store after a random delay, and seldom while it fails.
- A node that neither reaches the store nor a source asks other nodes for newer records: it starts with their configuration and list of replicas, and gets changes while the store rejects it.
It is ready once it knows both.

--- a/src/feeds/feed_codec.cpp
+++ b/src/feeds/feed_codec.cpp
@@ -19,6 +19,8 @@
         return wire::feed_part_kind::changes;
     case feed_message::kind::failing:
         return wire::feed_part_kind::failing;
+    case feed_message::kind::last_known:
+        return wire::feed_part_kind::last_known;
     case feed_message::kind::unchanged:
         break;
     }
@@ -37,6 +39,8 @@
         return feed_message::kind::changes;
     case wire::feed_part_kind::unchanged:
         return feed_message::kind::unchanged;
+    case wire::feed_part_kind::last_known:
+        return feed_message::kind::last_known;
     case wire::feed_part_kind::failing:
         break;
     }
--- a/src/feeds/record_feed.cpp
+++ b/src/feeds/record_feed.cpp
@@ -5,6 +5,7 @@
 #include "logging/log.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace parsleytrack::feeds
@@ -23,10 +24,19 @@
 /// Nodes that need a larger one read from the store until they are up to date.
 constexpr std::size_t max_listing_records = 500;
 /// Delay before resubscribing to a source that was not healthy.
-constexpr duration retry_delay = std::chrono::seconds(3);
+constexpr duration retry_delay = std::chrono::seconds(1);
 /// How long a source must be healthy before this node stops reading from the
 /// store.
-constexpr duration settling_time = std::chrono::seconds(2);
+constexpr duration settling_time = std::chrono::seconds(1);
+/// Time in which a source may regain the store before its subscribers ask the
+/// store themselves. Watches are cut now and then without an outage.
+constexpr duration source_grace = std::chrono::milliseconds(700);
+/// Subscribers that lose their sources together do not ask the store together.
+constexpr duration max_fallback_jitter = std::chrono::milliseconds(500);
+/// Longest delay between two attempts of a node that has sources. They notice
+/// the end of an outage sooner and cost the store less.
+constexpr duration max_retry_delay_with_sources = std::chrono::seconds(4);
+constexpr duration max_retry_delay_alone = std::chrono::seconds(1);
 
 } // namespace
 
@@ -34,15 +44,13 @@
                          key_value::record_client& client,
                          wire::peer_network& network,
                          peering::peer_group& nodes,
-                         random_source& random_numbers, std::string key_prefix,
-                         duration pause_after_changes,
-                         std::size_t direct_follower_limit,
+                         random_source& random_numbers, feed_options chosen,
                          key_value::record_follower::callbacks listener)
-    : loop(event_loop), peers(network), group(nodes),
-      prefix(std::move(key_prefix)),
-      max_direct_followers(direct_follower_limit), hooks(std::move(listener)),
+    : loop(event_loop), peers(network), group(nodes), random(random_numbers),
+      options(std::move(chosen)), hooks(std::move(listener)),
       own_follower(
-          event_loop, client, random_numbers, this->prefix, pause_after_changes,
+          event_loop, client, random_numbers, this->options.prefix,
+          this->options.pause_after_changes,
           {[this](const key_value::record_listing& listing, bool after_failure)
            { this->apply_listing(listing, after_failure); },
            [this](const std::vector<key_value::record_change>& changes)
@@ -53,7 +61,7 @@
            }})
 {
     this->peers.on_call(
-        wire::message_type::record_feed,
+        this->options.call,
         [this](const std::shared_ptr<wire::peer_exchange>& exchange)
         { this->handle_request(exchange); });
 }
@@ -75,7 +83,8 @@
 void record_feed::choose_sources()
 {
     const std::vector<node_info> all = feed_sources(
-        this->group.live_nodes(), this->prefix, this->max_direct_followers);
+        this->group.live_nodes(), this->options.prefix,
+        this->options.max_direct_followers, this->options.sources_per_zone);
     const node_id& self = this->group.own().id;
     const bool is_source =
         std::any_of(all.begin(), all.end(),
@@ -84,6 +93,9 @@
         all.empty() || is_source
             ? std::vector<node_info>()
             : followed_sources(all, this->group.own().availability_zone);
+    this->own_follower.set_max_retry_delay(this->sources.empty()
+                                               ? max_retry_delay_alone
+                                               : max_retry_delay_with_sources);
     std::erase_if(this->subscriptions,
                   [this](const auto& entry)
                   {
@@ -101,7 +113,11 @@
 
 void record_feed::tick()
 {
-    this->publisher.send(feed_message{feed_message::kind::unchanged, {}, {}});
+    if (!this->own_follower.is_failing())
+    {
+        this->publisher.send(
+            feed_message{feed_message::kind::unchanged, {}, {}});
+    }
     for (const node_info& source : this->sources)
     {
         if (!this->subscriptions.contains(source.id) &&
@@ -110,6 +126,7 @@
             this->subscribe(source);
         }
     }
+    this->ask_another_node();
     const time_point now = net::event_loop::now();
     if (!this->has_healthy_source())
     {
@@ -130,8 +147,8 @@
 {
     subscription& entry = this->subscriptions[source.id];
     entry.call = this->peers.call(
-        source.peer, wire::message_type::record_feed,
-        encode(feed_request{this->prefix, this->records.position()}),
+        source.peer, this->options.call,
+        encode(feed_request{this->options.prefix, this->records.position()}),
         source_timeout,
         {[this, id = source.id](const std::string& bytes)
          { this->handle_message(id, bytes); },
@@ -154,7 +171,11 @@
                                              : "no subscription");
         return;
     }
-    this->last_message_at = net::event_loop::now();
+    if (message.value().what != feed_message::kind::failing &&
+        message.value().what != feed_message::kind::last_known)
+    {
+        this->last_message_at = net::event_loop::now();
+    }
     switch (message.value().what)
     {
     case feed_message::kind::all:
@@ -176,6 +197,9 @@
         return;
     case feed_message::kind::unchanged:
         return;
+    case feed_message::kind::last_known:
+        // Only answers a question of ask_another_node().
+        return;
     case feed_message::kind::failing:
         this->source_failed = true;
         this->end_subscription(source, "the source cannot reach the store");
@@ -183,6 +207,77 @@
     }
 }
 
+bool record_feed::lacks_store_and_sources() const
+{
+    const bool reads_store = this->confirmed_at() != time_point() &&
+                             !this->own_follower.is_failing();
+    return !reads_store && !this->has_healthy_source();
+}
+
+void record_feed::ask_another_node()
+{
+    const std::vector<node_info>& nodes = this->group.live_nodes();
+    if (!this->lacks_store_and_sources() || this->question || nodes.empty())
+    {
+        return;
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, nodes.size() - 1);
+    const node_info& node = nodes[draw(this->random)];
+    if (node.id == this->group.own().id)
+    {
+        return;
+    }
+    this->question = this->peers.call(
+        node.peer, this->options.call,
+        encode(feed_request{this->options.prefix, this->records.position()}),
+        source_timeout,
+        {[this, name = node.id](const std::string& bytes)
+         { this->handle_reply(name, bytes); },
+         [this](const result<std::string>&)
+         {
+             this->loop.free_later(std::move(this->question));
+         }});
+}
+
+void record_feed::handle_reply(const node_id& from, const std::string& bytes)
+{
+    // A node that reaches the store would go on sending changes.
+    this->loop.free_later(std::move(this->question));
+    const auto message = decode_message(bytes);
+    if (message.has_error() || !this->lacks_store_and_sources())
+    {
+        return;
+    }
+    if (message.value().what == feed_message::kind::changes)
+    {
+        this->apply_changes(message.value().records);
+        return;
+    }
+    if (message.value().what != feed_message::kind::last_known &&
+        message.value().what != feed_message::kind::all)
+    {
+        return;
+    }
+    key_value::record_listing listing;
+    listing.read_revision = message.value().position;
+    for (const key_value::record_change& change : message.value().records)
+    {
+        listing.records.push_back(change.record);
+    }
+    if (!this->records.apply_listing(listing))
+    {
+        return;
+    }
+    this->log_source("records_learned_unconfirmed", from.str(),
+                     "the store does not respond to this node");
+    this->hooks.on_listing(listing, false);
+    this->failing = true;
+    this->notify_failure(error{error_code::store_unavailable,
+                               "the records come from another node",
+                               ran_state::no,
+                               {}});
+}
+
 void record_feed::end_subscription(const node_id& source,
                                    const std::string& reason)
 {
@@ -204,10 +299,25 @@
     if (!this->has_healthy_source() && !this->own_follower.is_running())
     {
         this->log_source("store_followed_alone", source.str(), reason);
-        this->own_follower.start();
+        this->follow_store_soon();
     }
 }
 
+void record_feed::follow_store_soon()
+{
+    std::uniform_int_distribution<duration::rep> jitter(
+        0, max_fallback_jitter.count());
+    this->fallback_timer =
+        this->loop.call_after(duration(jitter(this->random)),
+                              [this]
+                              {
+                                  if (!this->has_healthy_source())
+                                  {
+                                      this->own_follower.start();
+                                  }
+                              });
+}
+
 bool record_feed::has_healthy_source() const
 {
     return std::any_of(this->subscriptions.begin(), this->subscriptions.end(),
@@ -219,11 +329,20 @@
 {
     const auto request = decode_request(exchange->request());
     const bool can_serve =
-        request.has_value() && request.value().prefix == this->prefix &&
+        request.has_value() && request.value().prefix == this->options.prefix &&
         this->own_follower.is_running() && !this->own_follower.is_failing() &&
-        this->records.position() > store_revision();
+        this->own_follower.confirmed_at() != time_point();
     if (!can_serve)
     {
+        const bool knows_more =
+            request.has_value() &&
+            request.value().prefix == this->options.prefix &&
+            this->records.position() > request.value().position;
+        if (knows_more && this->records.size() <= max_listing_records)
+        {
+            exchange->send_part(
+                encode(this->all_records(feed_message::kind::last_known)));
+        }
         exchange->fail(error{error_code::no_replica,
                              "this node does not follow the store",
                              ran_state::no,
@@ -247,14 +366,20 @@
                   {}});
         return;
     }
-    first.what = feed_message::kind::all;
+    this->publisher.add(exchange, this->all_records(feed_message::kind::all));
+}
+
+feed_message record_feed::all_records(feed_message::kind what) const
+{
     const key_value::record_listing all = this->records.all();
-    first.position = all.read_revision;
+    feed_message message;
+    message.what = what;
+    message.position = all.read_revision;
     for (const key_value::stored_record& record : all.records)
     {
-        first.records.push_back({record, false});
+        message.records.push_back({record, false});
     }
-    this->publisher.add(exchange, first);
+    return message;
 }
 
 void record_feed::apply_listing(const key_value::record_listing& listing,
@@ -300,20 +425,37 @@
 
 void record_feed::handle_failure(const error& reason)
 {
-    this->publisher.send(feed_message{feed_message::kind::failing, {}, {}});
-    this->publisher.close();
+    this->grace_timer =
+        this->loop.call_after(source_grace,
+                              [this]
+                              {
+                                  if (this->own_follower.is_failing())
+                                  {
+                                      this->publisher.send(feed_message{
+                                          feed_message::kind::failing, {}, {}});
+                                      this->publisher.close();
+                                  }
+                              });
     if (this->has_healthy_source() || std::exchange(this->failing, true))
     {
         return;
     }
-    this->hooks.on_failure(reason);
+    this->notify_failure(reason);
+}
+
+void record_feed::notify_failure(const error& reason)
+{
+    if (this->hooks.on_failure)
+    {
+        this->hooks.on_failure(reason);
+    }
 }
 
 void record_feed::log_source(const char* event, const std::string& source,
                              const std::string& reason) const
 {
     log_event(log_level::info, event,
-              {{"prefix", this->prefix},
+              {{"prefix", this->options.prefix},
                {"source", source},
                {"reason", reason},
                {"position", this->records.position().count()},
--- a/src/key_value/backoff.cpp
+++ b/src/key_value/backoff.cpp
@@ -18,4 +18,10 @@
     return duration(draw(random));
 }
 
+void backoff::set_max_delay(duration limit)
+{
+    this->max_delay = limit;
+    this->current_delay = std::min(this->current_delay, limit);
+}
+
 } // namespace parsleytrack::key_value
--- a/src/key_value/backoff.hpp
+++ b/src/key_value/backoff.hpp
@@ -21,6 +21,9 @@
     /// of it.
     duration next_delay(random_source& random);
 
+    /// Changes the upper bound of later delays.
+    void set_max_delay(duration limit);
+
     /// Returns to the initial delay after a success.
     void reset() { this->current_delay = this->initial_delay; }
 
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -49,6 +49,13 @@
 
     bool is_running() const { return this->running; }
 
+    /// Changes the longest delay between two attempts while calls fail; one
+    /// second at first.
+    void set_max_retry_delay(duration limit)
+    {
+        this->retry_backoff.set_max_delay(limit);
+    }
+
     /// \returns Whether the last call has failed.
     bool is_failing() const { return this->failing; }
 
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -1,5 +1,6 @@
 #include "relay/configuration_follower.hpp"
 
+#include "feeds/feed_sources.hpp"
 #include "logging/log.hpp"
 
 #include <utility>
@@ -9,10 +10,15 @@
 
 configuration_follower::configuration_follower(
     net::event_loop& event_loop, key_value::record_client& client,
-    random_source& random_numbers, const relay_adapter& protocol_adapter)
+    wire::peer_network& network, peering::peer_group& nodes,
+    random_source& random_numbers, const relay_adapter& protocol_adapter,
+    std::size_t max_direct_followers)
     : adapter(protocol_adapter),
-      follower(event_loop, client, random_numbers,
-               protocol_adapter.keys().configuration, duration::zero(),
+      follower(event_loop, client, network, nodes, random_numbers,
+               feeds::feed_options{wire::message_type::configuration_feed,
+                                   protocol_adapter.keys().configuration,
+                                   duration::zero(), max_direct_followers,
+                                   feeds::sources_per_node},
                key_value::record_follower::each_record(
                    [this](const key_value::stored_record& record)
                    { this->apply_record(record); }))
--- a/src/relay/configuration_follower.hpp
+++ b/src/relay/configuration_follower.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "key_value/record_follower.hpp"
+#include "feeds/record_feed.hpp"
 #include "relay/relay_adapter.hpp"
 #include "routing/route_table.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -16,10 +17,15 @@
 class configuration_follower
 {
 public:
+    /// \param event_loop Outlives this object, as do the other references.
+    /// \param max_direct_followers See feeds::feed_options.
     configuration_follower(net::event_loop& event_loop,
                            key_value::record_client& client,
+                           wire::peer_network& network,
+                           peering::peer_group& nodes,
                            random_source& random_numbers,
-                           const relay_adapter& protocol_adapter);
+                           const relay_adapter& protocol_adapter,
+                           std::size_t max_direct_followers);
 
     void start() { this->follower.start(); }
 
@@ -29,7 +35,8 @@
         return this->table;
     }
 
-    /// \returns How long ago the store last confirmed the configuration.
+    /// \returns How long ago the store, directly or through another node, last
+    /// confirmed the configuration.
     duration age() const;
 
     /// \param callback Called after each change.
@@ -39,7 +46,7 @@
     void apply_record(const key_value::stored_record& record);
 
     const relay_adapter& adapter;
-    key_value::record_follower follower;
+    feeds::record_feed follower;
     std::shared_ptr<const routing::route_table> table;
     std::vector<std::function<void()>> change_callbacks;
 };
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -69,8 +69,10 @@
                 protocol_adapter.records(), this->random),
           group(this->loop, this->peers, this->random,
                 own_info(this->settings, this->random), this->settings.seeds),
-          configuration(this->loop, this->store, this->random,
-                        protocol_adapter),
+          configuration(
+              this->loop, this->store, this->peers, this->group, this->random,
+              protocol_adapter,
+              static_cast<std::size_t>(this->settings.max_direct_followers)),
           replicas(
               this->loop, this->store, this->peers, this->group, this->random,
               protocol_adapter,
@@ -224,7 +226,8 @@
 void relay_node::state::handle_readiness(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
-    const bool is_ready = !this->stop && this->configuration.current();
+    const bool is_ready = !this->stop && this->configuration.current() &&
+                          this->replicas.is_known();
     exchange->respond(is_ready ? status_ok : status_unavailable, {}, {});
 }
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -27,8 +27,9 @@
                                    std::size_t max_direct_followers)
     : loop(event_loop), adapter(protocol_adapter),
       follower(event_loop, client, network, nodes, random_numbers,
-               protocol_adapter.keys().replica_prefix, change_batch_window,
-               max_direct_followers,
+               feeds::feed_options{wire::message_type::replica_feed,
+                                   protocol_adapter.keys().replica_prefix,
+                                   change_batch_window, max_direct_followers},
                {[this](const key_value::record_listing& listing, bool failed)
                 { this->apply_listing(listing, failed); },
                 [this](const std::vector<key_value::record_change>& changes)
--- a/src/relay/replica_follower.hpp
+++ b/src/relay/replica_follower.hpp
@@ -23,6 +23,9 @@
                      const relay_adapter& protocol_adapter,
                      std::size_t max_direct_followers);
 
+    /// \returns Whether the list of replicas is known.
+    bool is_known() const { return this->follower.is_known(); }
+
     void start() { this->follower.start(); }
 
     const routing::replica_registry& registry() const { return this->replicas; }
--- a/src/wire/feed.thrift
+++ b/src/wire/feed.thrift
@@ -27,6 +27,8 @@
   unchanged = 3,
   // The sender cannot reach the store.
   failing = 4,
+  // All records as the sender last knew them; it cannot reach the store.
+  last_known = 5,
 }
 
 // One part of the response to a feed_question.
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -45,7 +45,8 @@
     node_job_news = 91,
     node_job_handover = 92,
     /// Relay: from a node that follows the store through another node.
-    record_feed = 95
+    replica_feed = 95,
+    configuration_feed = 96
 };
 
 } // namespace parsleytrack::wire
--- a/tests/feeds/feed_sources_test.cpp
+++ b/tests/feeds/feed_sources_test.cpp
@@ -67,3 +67,36 @@
     CHECK_EQUAL(2, chosen.size());
     STRCMP_EQUAL("z2", chosen[0].availability_zone.str().c_str());
 }
+
+TEST(feed_sources, two_sources_in_each_zone_keep_records_within_the_zone)
+{
+    const auto sources =
+        feed_sources(nodes(195, 5), "t", max_direct_followers, 2);
+    CHECK_EQUAL(10, sources.size());
+    for (int zone = 0; zone < 5; ++zone)
+    {
+        const availability_zone_name name("z" + std::to_string(zone));
+        for (const node_info& node : followed_sources(sources, name))
+        {
+            CHECK(node.availability_zone == name);
+        }
+    }
+}
+
+// A large configuration is sent to some thirty nodes at once, over the link of
+// the source.
+TEST(feed_sources, nodes_with_much_capacity_are_preferred_in_each_zone)
+{
+    auto group = nodes(195, 5);
+    for (std::size_t index = 0; index < group.size(); ++index)
+    {
+        const bool only_small = group[index].availability_zone.str() == "z4";
+        group[index].capacity = index < 15 && !only_small ? 500 : 120;
+    }
+    const auto sources = feed_sources(group, "t", max_direct_followers, 2);
+    CHECK_EQUAL(10, sources.size());
+    for (const node_info& node : sources)
+    {
+        CHECK(node.capacity == 500 || node.availability_zone.str() == "z4");
+    }
+}
