Let one slot broker grant for up to 96 replicas

Cause: with pools of 16 replicas a broker reclaimed slots from batch work while other pools had free ones, and requests waited in one pool while others had room.

A slot in use now moves to the broker of its replica when the number of pools changes, and when a node has chosen a replica alone.

--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -287,6 +287,8 @@
                {"replica", best->id.str()}});
     state.granted = true;
     state.request.held_replica = best->id;
+    slot_pool& pool = state.request.pool;
+    pool.index = slots::pool_of(best->id, this->pools_of(pool.service).count);
     ++this->in_flight[best->id];
     const replica_id chosen = best->id;
     this->open(number);
@@ -296,9 +298,14 @@
 void slot_client::move_requests()
 {
     std::vector<std::uint64_t> moved;
-    for (const auto& [number, state] : this->requests)
+    for (auto& [number, state] : this->requests)
     {
-        if (this->broker_of(state.request.pool).id != state.broker)
+        slot_pool& pool = state.request.pool;
+        const int index =
+            slots::pool_after_change(state.request.held_replica, pool.index,
+                                     this->pools_of(pool.service).count);
+        const bool pool_changed = std::exchange(pool.index, index) != index;
+        if (pool_changed || this->broker_of(pool).id != state.broker)
         {
             moved.push_back(number);
         }
--- a/src/slots/replica_pools.cpp
+++ b/src/slots/replica_pools.cpp
@@ -33,4 +33,9 @@
     return best;
 }
 
+int pool_after_change(const replica_id& held, int current, int pools)
+{
+    return held.empty() ? current : pool_of(held, pools);
+}
+
 } // namespace parsleytrack::slots
--- a/src/slots/replica_pools.hpp
+++ b/src/slots/replica_pools.hpp
@@ -7,11 +7,11 @@
 namespace parsleytrack::slots
 {
 
-/// Maximum number of replicas whose slots one broker grants. The largest
-/// deployments have 60 replicas of 7 slots and about 400 slot requests per
-/// second in a burst; with a quarter of them, a broker that has half a core
-/// uses less than a tenth of it.
-constexpr std::size_t max_replicas_per_pool = 16;
+/// Maximum number of replicas whose slots one broker grants. Few large pools
+/// balance the load better than many small ones, whose brokers reclaim slots
+/// from batch work while other pools have free ones; the broker's processor
+/// time bounds their size.
+constexpr std::size_t max_replicas_per_pool = 96;
 
 /// \param replicas Number of replicas of a service.
 /// \returns The number of pools they are divided into; at least 1.
@@ -23,4 +23,11 @@
 /// \returns The index of the replica's pool, below \p pools.
 int pool_of(const replica_id& replica, int pools);
 
+/// \param held The replica whose slot a request holds; empty while it waits.
+/// \param current The pool that the request belongs to.
+/// \param pools The present number of pools.
+/// \returns The pool whose broker must know of the request. A slot in use moves
+/// with its replica; otherwise the new broker would grant it a second time.
+int pool_after_change(const replica_id& held, int current, int pools);
+
 } // namespace parsleytrack::slots
--- a/tests/slots/pool_selector_test.cpp
+++ b/tests/slots/pool_selector_test.cpp
@@ -56,7 +56,7 @@
 
 TEST(pool_selector, replicas_are_divided_evenly_and_few_change_pools)
 {
-    const int before = pool_count(57);
+    const int before = pool_count(4 * max_replicas_per_pool - 7);
     CHECK_EQUAL(4, before);
     std::array<int, 5> sizes{};
     int moved = 0;
@@ -73,3 +73,31 @@
     }
     CHECK(moved < 260);
 }
+
+// A release starts new replicas before old ones leave, so that for a moment
+// there are enough for one more pool.
+TEST(pool_selector, a_slot_in_use_is_known_to_the_broker_of_its_replica)
+{
+    for (int number = 0; number < 50; ++number)
+    {
+        const replica_id replica("replica-" + std::to_string(number));
+        const int before = pool_of(replica, 2);
+        CHECK_EQUAL(before, pool_after_change(replica, before, 2));
+        CHECK_EQUAL(0, pool_after_change(replica, before, 1));
+        CHECK_EQUAL(before, pool_after_change(replica, 0, 2));
+    }
+}
+
+TEST(pool_selector, a_waiting_request_stays_in_its_pool)
+{
+    CHECK_EQUAL(1, pool_after_change(replica_id(), 1, 2));
+    CHECK_EQUAL(1, pool_after_change(replica_id(), 1, 1));
+}
+
+TEST(pool_selector, a_release_of_the_largest_known_service_keeps_one_pool)
+{
+    constexpr std::size_t replicas = 60;
+    constexpr std::size_t started_ahead = 15;
+    CHECK_EQUAL(1, pool_count(replicas));
+    CHECK_EQUAL(1, pool_count(replicas + started_ahead));
+}
