Hand jobs over at a planned stop, and resume own jobs after a restart

A stopping owner now commits its last outcomes together with the next owner's name and notifies that one. A scan is never put off. A node that starts takes up the jobs of its own last process at once; that needs no view of the others.

Both process tests failed with the daemon from before (the record kept its owner; no job one second after the restart).

Left: progress of up to 2.5 s is lost with a kill.

--- a/src/feeds/record_feed.cpp
+++ b/src/feeds/record_feed.cpp
@@ -196,9 +196,8 @@
         this->recover();
         return;
     case feed_message::kind::unchanged:
-        return;
     case feed_message::kind::last_known:
-        // Only answers a question of ask_another_node().
+        // The latter only answers a question of ask_another_node().
         return;
     case feed_message::kind::failing:
         this->source_failed = true;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -29,6 +29,9 @@
 /// Keeps an item without a usable replica from requesting slots in a busy loop.
 constexpr duration interruption_pause = std::chrono::milliseconds(30);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
+/// How long a stopping node tries to name the next owner of a job.
+constexpr duration handover_timeout = std::chrono::seconds(2);
+constexpr int max_handover_attempts = 4;
 
 /// \returns The progress of items that have no outcome.
 jobs::job_progress without_ended(jobs::job_progress known,
@@ -173,10 +176,21 @@
         this->context.loop.call_after(pause, [this] { this->start_items(); });
 }
 
-void job_owner::stop()
+void job_owner::stop(const std::optional<node_info>& next,
+                     handed_over_callback on_handed_over)
 {
     this->end_runs();
-    if (this->owned.has_uncommitted())
+    this->next_owner = next;
+    this->handed_over = std::move(on_handed_over);
+    if (this->owned.state().is_finished())
+    {
+        return;
+    }
+    if (this->next_owner)
+    {
+        this->write_next_owner();
+    }
+    else if (this->owned.has_uncommitted())
     {
         this->commit();
     }
@@ -186,6 +200,75 @@
     }
 }
 
+void job_owner::write_next_owner()
+{
+    if (this->owned.is_committing())
+    {
+        // Called again with its outcome.
+        return;
+    }
+    const usage_tracker::usage usage =
+        this->usages.get(this->owned.input().route_name);
+    jobs::job_commit commit;
+    commit.state = this->owned.state();
+    commit.expected_revision = this->owned.revision();
+    if (auto outcomes =
+            this->owned.begin_commit(this->must_release_tokens(usage.waiting)))
+    {
+        commit = std::move(*outcomes);
+    }
+    commit.state.owner = this->next_owner->id;
+    commit.state.owner_process = this->next_owner->process;
+    commit.state.age = this->age();
+    const token_count remaining =
+        std::max(token_count(0), usage.waiting - commit.released_tokens);
+    auto transaction =
+        transaction_of(commit, usage_tracker::usage{remaining, usage.revision});
+    this->progress.add_to(transaction, net::event_loop::now());
+    this->context.store.commit(
+        std::move(transaction), handover_timeout,
+        [this, observed = this->alive, commit = std::move(commit)](
+            const result<key_value::transaction_outcome>& outcome)
+        {
+            if (*observed)
+            {
+                this->handle_handover_outcome(commit, outcome);
+            }
+        });
+}
+
+void job_owner::handle_handover_outcome(
+    const jobs::job_commit& commit,
+    const result<key_value::transaction_outcome>& outcome)
+{
+    const bool applied = outcome.has_value() && outcome.value().applied;
+    log_event(log_level::info,
+              applied ? "job_handed_over" : "job_handover_failed",
+              {{"job", commit.state.id.str()},
+               {"next_owner", commit.state.owner.str()},
+               {"reason", outcome.has_error() ? outcome.error().message
+                                              : "the store responded"}});
+    if (applied)
+    {
+        this->handed_over(*this->next_owner, outcome.value().revision);
+        return;
+    }
+    if (!commit.results.empty())
+    {
+        this->owned.commit_failed(commit);
+    }
+    // Another node may have changed the usage of the route. If it has changed
+    // the job, the conditions fail again.
+    const bool usage_changed =
+        outcome.has_value() &&
+        this->usages.update_from(commit.state.route_name,
+                                 outcome.value().current);
+    if (usage_changed && ++this->handover_attempts < max_handover_attempts)
+    {
+        this->write_next_owner();
+    }
+}
+
 void job_owner::end_runs()
 {
     this->stopped = true;
@@ -310,6 +393,11 @@
     }
     this->log_state("job_committed");
     this->readers.answer_ready();
+    if (this->next_owner)
+    {
+        this->write_next_owner();
+        return;
+    }
     this->commit_when_due();
 }
 
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -40,9 +41,17 @@
     /// it has expired or its route was removed. To be called periodically.
     void start_items();
 
-    /// Aborts all runs for a planned stop. Their progress is saved for the next
-    /// owner.
-    void stop();
+    /// Called when the next owner of a job is written.
+    using handed_over_callback =
+        std::function<void(const node_info& next, store_revision revision)>;
+
+    /// Aborts all runs for a planned stop and hands the job over: saves the
+    /// progress and names the next owner in the job's record. If that fails,
+    /// the next owner is found by a scan of the records.
+    ///
+    /// \param next The node that goes on with the job; absent if there is none.
+    void stop(const std::optional<node_info>& next,
+              handed_over_callback on_handed_over);
 
     /// Applies the job's record if another node has written a newer one.
     void apply_record(const key_value::stored_record& record);
@@ -71,6 +80,10 @@
     duration age() const;
     duration due_in() const;
     void save_progress();
+    void write_next_owner();
+    void handle_handover_outcome(
+        const jobs::job_commit& commit,
+        const result<key_value::transaction_outcome>& outcome);
     void handle_commit_outcome(
         const jobs::job_commit& commit, token_count usage,
         const result<key_value::transaction_outcome>& outcome);
@@ -94,6 +107,10 @@
     net::timer retry_timer;
     net::timer start_timer;
     bool stopped = false;
+    /// The node to hand the job over to, in a planned stop.
+    std::optional<node_info> next_owner;
+    handed_over_callback handed_over;
+    int handover_attempts = 0;
     /// Shared with callbacks of the store, which may outlive this object.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -385,9 +386,15 @@
 {
     this->stopped = true;
     this->takeover.stop();
-    for (const auto& [id, owner] : this->owned)
+    for (auto& [id, owner] : this->owned)
     {
-        owner->stop();
+        const node_info& next = preferred_owner(this->context.group, id);
+        const bool has_next = next.id != this->context.group.own().id;
+        owner->stop(
+            has_next ? std::optional<node_info>(next) : std::nullopt,
+            [this, id = id](const node_info& target, store_revision revision)
+            { this->peers.notify(target, id, revision); });
+        this->handed_over.push_back(std::move(owner));
     }
     // Other nodes run these jobs now and have their latest results.
     this->owned.clear();
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -82,6 +82,8 @@
     job_takeover takeover;
     job_peers peers;
     std::map<job_id, std::unique_ptr<job_owner>> owned;
+    /// Jobs that this node hands over in a planned stop.
+    std::vector<std::unique_ptr<job_owner>> handed_over;
     /// When to evict a finished job from memory; it stays in the store.
     std::map<job_id, time_point> evict_at;
     net::timer periodic_timer;
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -35,6 +35,8 @@
 constexpr duration change_scan_delay = std::chrono::milliseconds(150);
 /// A node that has just started does not know yet which nodes are live.
 constexpr duration startup_delay = std::chrono::seconds(2);
+/// When a node that has just started looks for the jobs of its last process.
+constexpr duration own_jobs_delay = std::chrono::milliseconds(100);
 constexpr duration commit_timeout = std::chrono::seconds(5);
 
 } // namespace
@@ -56,7 +58,7 @@
                 this->schedule(change_scan_delay);
             }
         });
-    this->schedule(startup_delay);
+    this->schedule(own_jobs_delay);
 }
 
 void job_takeover::stop()
@@ -67,21 +69,21 @@
 
 void job_takeover::schedule(duration delay)
 {
-    if (this->stopped || this->scanning)
+    const time_point when = net::event_loop::now() + delay;
+    // A stream of changes in the group must not postpone a scan for ever.
+    if (this->stopped || this->scanning ||
+        (this->next_scan && *this->next_scan <= when))
     {
         return;
     }
+    this->next_scan = when;
     this->scan_timer =
         this->context.loop.call_after(delay, [this] { this->scan(); });
 }
 
 void job_takeover::scan()
 {
-    if (net::event_loop::now() - this->started < startup_delay)
-    {
-        this->schedule(startup_delay);
-        return;
-    }
+    this->next_scan.reset();
     this->scanning = true;
     this->context.store.list(
         job_state_prefix, key_value::read_freshness::may_be_stale,
@@ -105,8 +107,17 @@
                        { return node.id == this->context.group.own().id; });
 }
 
+bool job_takeover::is_starting() const
+{
+    return net::event_loop::now() - this->started < startup_delay;
+}
+
 duration job_takeover::next_scan_delay(bool orphans) const
 {
+    if (this->is_starting())
+    {
+        return startup_delay;
+    }
     if (!this->is_scanner())
     {
         return fallback_scan_interval;
@@ -120,7 +131,8 @@
     for (const auto& record : listing.records)
     {
         this->examine(record);
-        if (!this->scanners.empty() && this->is_scanner())
+        if (!this->is_starting() && !this->scanners.empty() &&
+            this->is_scanner())
         {
             orphans = this->notify(record) || orphans;
         }
@@ -210,6 +222,12 @@
         this->hooks.on_own_record(record);
         return;
     }
+    const node_info& own = this->context.group.own();
+    const bool owned_here = state.value().owner == own.id;
+    if (this->is_starting() && !owned_here)
+    {
+        return;
+    }
     if (state.value().is_finished())
     {
         if (this->is_responsible_for_erasure(job))
@@ -222,9 +240,7 @@
     {
         return;
     }
-    const node_info& own = this->context.group.own();
-    if (state.value().owner == own.id &&
-        state.value().owner_process == own.process)
+    if (owned_here && state.value().owner_process == own.process)
     {
         // This node wrote the record but lost the response, or could not
         // finish a takeover.
@@ -232,7 +248,8 @@
         this->load(state.value(), record.revision);
         return;
     }
-    if (!this->should_claim(state.value()))
+    // A job of this node's last process needs no view of the other nodes.
+    if (!owned_here && !this->should_claim(state.value()))
     {
         return;
     }
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -53,6 +54,8 @@
 private:
     void schedule(duration delay);
     void scan();
+    /// \returns Whether this node may not know the live nodes yet.
+    bool is_starting() const;
     duration next_scan_delay(bool orphans) const;
     /// \returns Whether a job without an owner was found that another node has
     /// to take over.
@@ -86,6 +89,7 @@
     time_point started;
     bool scanning = false;
     bool stopped = false;
+    std::optional<time_point> next_scan;
     net::timer scan_timer;
 };
 
--- a/tests/relay_process/progress_test.cpp
+++ b/tests/relay_process/progress_test.cpp
@@ -1,9 +1,11 @@
+#include "relay/job_keys.hpp"
 #include "relay_support/expected_output.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <string>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -85,6 +87,57 @@
     check_resumed(fleet, 0);
 }
 
+// Otherwise the job waits for a scan of the records, of which there are few in
+// a large group.
+TEST(relay_progress, a_stopping_owner_names_the_next_one)
+{
+    constexpr int node_count = 3;
+    relay_fleet fleet(node_count);
+    start_items(fleet);
+    int owner = -1;
+    CHECK(fleet.wait(
+        [&]
+        {
+            for (int node = 0; node < node_count && owner < 0; ++node)
+            {
+                owner = fleet.status(node)["jobs"].empty() ? -1 : node;
+            }
+            return owner >= 0;
+        }));
+    const std::string owner_name = "n" + std::to_string(owner);
+    const auto record_names_owner = [&]
+    {
+        const auto records = fleet.store.values(relay::job_state_prefix);
+        return records.at(0).find(owner_name) != std::string::npos;
+    };
+    CHECK(record_names_owner());
+    // The others cannot take the job over.
+    for (int node = 0; node < node_count; ++node)
+    {
+        fleet.store.set_refusing(fleet.store_address(node), node != owner);
+    }
+    fleet.process(owner).signal(SIGTERM);
+    CHECK(fleet.wait([&] { return !record_names_owner(); }));
+    for (int node = 0; node < node_count; ++node)
+    {
+        fleet.store.set_refusing(fleet.store_address(node), false);
+    }
+    check_resumed(fleet, (owner + 1) % node_count);
+}
+
+// After a kill of all nodes the view of the group takes two seconds to form.
+TEST(relay_progress, a_restarted_node_goes_on_with_its_jobs_at_once)
+{
+    relay_fleet fleet(1);
+    start_items(fleet);
+    fleet.process(0).kill();
+    fleet.start(0);
+    fleet.wait_ready(0);
+    fleet.run_for(std::chrono::milliseconds(1000));
+    CHECK_EQUAL(1, fleet.status(0)["jobs"].size());
+    check_resumed(fleet, 0);
+}
+
 TEST(relay_progress, progress_is_erased_once_the_job_has_ended)
 {
     relay_fleet fleet(1);
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -300,9 +300,19 @@
 }
 
 std::string relay_fleet::metrics_text(int number)
+{
+    return this->operator_page(number, "/metrics");
+}
+
+nlohmann::json relay_fleet::status(int number)
+{
+    return nlohmann::json::parse(this->operator_page(number, "/status"));
+}
+
+std::string relay_fleet::operator_page(int number, const std::string& target)
 {
     net::http_request request;
-    request.target = "/metrics";
+    request.target = target;
     request.total_timeout = wait_timeout;
     std::string text;
     bool ended = false;
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -51,6 +51,9 @@
     /// \returns The body of a node's metrics page.
     std::string metrics_text(int node);
 
+    /// \returns A node's status document.
+    nlohmann::json status(int node);
+
     /// Sends a request without waiting; the response is written to \p into.
     void start_call(int node, const std::string& method,
                     const std::string& path, const std::string& id,
@@ -119,6 +122,7 @@
     };
 
     void write_settings(std::size_t number);
+    std::string operator_page(int node, const std::string& target);
 
     net::http_client client{this->loop};
     process_support::temporary_folder folder;
