Bound what a replica can make a node buffer, and end stalled items

Heads and trailers are limited to 64 KB now, and a response that leaves more than 2 MB unparsed is closed. - A replica that sends a byte of an event now and then held the slot of a batch item for ever, since each byte restarted the idle timer. An item that gets no complete event for five seconds runs elsewhere.

Online streams were not affected by the second: their route's time ends them.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -12,6 +12,8 @@
 
 /// Upper bound set in libevent; the timeouts of a request are shorter.
 constexpr int connection_timeout_s = 3600;
+/// Largest response head, and largest trailer, that is accepted.
+constexpr ev_ssize_t max_head_bytes = 64 * 1024;
 
 } // namespace
 
@@ -23,6 +25,7 @@
                     "evhttp_connection_base_new() must succeed");
     evhttp_connection_set_timeout(this->connection, connection_timeout_s);
     evhttp_connection_set_retries(this->connection, 0);
+    evhttp_connection_set_max_headers_size(this->connection, max_head_bytes);
 }
 
 http_connection::~http_connection()
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 
+/// Most bytes of one response that wait to be parsed: twice the largest chunk
+/// that a sound server sends.
+constexpr std::size_t max_unread_bytes = 2 * 1024 * 1024;
+
 evhttp_cmd_type to_command(const std::string& method)
 {
     if (method == "GET")
@@ -92,6 +96,7 @@
     event_loop& loop = this->client.loop();
     this->tcp_keepalive = request.tcp_keepalive;
     this->watch_output();
+    this->watch_input();
     if (request.total_timeout > duration::zero())
     {
         this->total_timer = loop.call_after(request.total_timeout,
@@ -155,16 +160,48 @@
     }
 }
 
-void http_transfer::unwatch_output()
+void http_transfer::watch_input()
 {
+    evbuffer* input = bufferevent_get_input(
+        evhttp_connection_get_bufferevent(this->connection->handle()));
+    this->input_watch = evbuffer_add_cb(
+        input,
+        [](evbuffer* buffer, const evbuffer_cb_info*, void* argument)
+        {
+            auto* transfer = static_cast<http_transfer*>(argument);
+            if (evbuffer_get_length(buffer) <= max_unread_bytes ||
+                std::exchange(transfer->overflowed, true))
+            {
+                return;
+            }
+            // The buffer must not be freed inside its own callback.
+            transfer->client.loop().post(
+                [kept = transfer->self]
+                {
+                    kept->fail(error_code::connection_lost, ran_state::unknown,
+                               "the bytes that " + to_string(kept->target) +
+                                   " sends are no response");
+                });
+        },
+        this);
+}
+
+void http_transfer::unwatch_buffers()
+{
+    bufferevent* link =
+        evhttp_connection_get_bufferevent(this->connection->handle());
     if (this->output_watch != nullptr)
     {
-        evbuffer_remove_cb_entry(
-            bufferevent_get_output(
-                evhttp_connection_get_bufferevent(this->connection->handle())),
-            this->output_watch);
+        evbuffer_remove_cb_entry(bufferevent_get_output(link),
+                                 this->output_watch);
         this->output_watch = nullptr;
     }
+    if (this->input_watch != nullptr)
+    {
+        evbuffer_remove_cb_entry(bufferevent_get_input(link),
+                                 this->input_watch);
+        this->input_watch = nullptr;
+    }
 }
 
 void http_transfer::handle_connect_timeout()
@@ -330,7 +367,7 @@
 
 void http_transfer::release_connection(bool reusable)
 {
-    this->unwatch_output();
+    this->unwatch_buffers();
     this->total_timer.cancel();
     this->connect_timer.cancel();
     this->head_timer.cancel();
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -35,10 +35,13 @@
     void read_body(evhttp_request* request);
     void fail(error_code code, ran_state ran, const std::string& message);
     void end(result<http_response> outcome, bool reusable);
-    void unwatch_output();
+    void unwatch_buffers();
     void release_connection(bool reusable);
     void restart_idle_timer();
     void watch_output();
+    /// Fails the request when libevent buffers more than a response needs, such
+    /// as a chunk or a line without end.
+    void watch_input();
     void handle_first_byte();
     void handle_connect_timeout();
     ran_state current_ran_state() const;
@@ -56,12 +59,14 @@
     timer idle_timer;
     evhttp_request* active = nullptr;
     evbuffer_cb_entry* output_watch = nullptr;
+    evbuffer_cb_entry* input_watch = nullptr;
     /// Whether any byte of the request was written to the connection. libevent
     /// does so only once the connection is open.
     bool sent = false;
     bool tcp_keepalive = false;
     bool head_received = false;
     bool failed = false;
+    bool overflowed = false;
     bool ended = false;
     // libevent refers to this transfer until its last callback.
     std::shared_ptr<http_transfer> self;
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -14,6 +14,9 @@
 /// Longer than for online requests, since no caller waits and prompts are
 /// processed again after a preemption.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(1500);
+/// A replica that completes no event for this long is stalled, also if it sends
+/// a byte now and then. Several times the pauses of a slow replica.
+constexpr duration stall_timeout = std::chrono::seconds(5);
 constexpr int status_ok = 200;
 constexpr int status_impossible = 422;
 
@@ -91,11 +94,25 @@
     {
         this->handle_end(outcome, response, reason);
     };
+    this->restart_stall_timer();
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, names, *entry, std::move(request),
         request_id(this->item.id), std::move(hooks));
 }
 
+void item_run::restart_stall_timer()
+{
+    this->stall_timer = this->context.loop.call_after(
+        stall_timeout,
+        [this]
+        {
+            if (this->attempt)
+            {
+                this->attempt->abort("the replica completes no event");
+            }
+        });
+}
+
 void item_run::handle_chunk(std::string_view chunk)
 {
     if (this->status != status_ok)
@@ -116,6 +133,7 @@
             this->progress.output += '\n';
         }
         this->progress.output += event.data;
+        this->restart_stall_timer();
     }
     if (this->splitter.is_too_long())
     {
@@ -149,6 +167,7 @@
 
 void item_run::finish(item_run_result end, const std::string& reason)
 {
+    this->stall_timer.cancel();
     // This may be called from a callback of the exchange.
     this->context.loop.free_later(std::move(this->attempt));
     this->lease.reset();
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -56,6 +56,7 @@
 private:
     void send(const replica_id& replica);
     void handle_chunk(std::string_view chunk);
+    void restart_stall_timer();
     void handle_end(attempt_outcome outcome, const net::http_response& response,
                     const std::string& reason);
     void finish(item_run_result end, const std::string& reason);
@@ -72,6 +73,7 @@
     event_splitter splitter;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
+    net::timer stall_timer;
 };
 
 } // namespace parsleytrack::relay
--- a/tests/process_support/child_process.cpp
+++ b/tests/process_support/child_process.cpp
@@ -126,6 +126,22 @@
                                      ::sysconf(_SC_CLK_TCK));
 }
 
+std::size_t child_process::peak_memory_bytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    std::string line;
+    const std::string name = "VmHWM:";
+    while (std::getline(status, line))
+    {
+        if (line.starts_with(name))
+        {
+            constexpr std::size_t bytes_per_kilobyte = 1024;
+            return std::stoul(line.substr(name.size())) * bytes_per_kilobyte;
+        }
+    }
+    return 0;
+}
+
 std::string child_process::output() const
 {
     std::ostringstream text;
--- a/tests/process_support/child_process.hpp
+++ b/tests/process_support/child_process.hpp
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
     /// once it has ended.
     duration processor_time() const;
 
+    /// \returns The most memory that it has used, in bytes; zero once it has
+    /// ended.
+    std::size_t peak_memory_bytes() const;
+
     /// \returns All that it has written so far.
     std::string output() const;
 
--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -68,6 +68,9 @@
     int descriptor;
 };
 
+/// Half of the smallest limit of the deployments.
+constexpr std::size_t max_node_bytes = 44 * 1024 * 1024;
+
 const std::string head_fields = "Host: h\r\nParsleytrack-Deadline-Ms: 5000\r\n";
 
 } // namespace
@@ -114,6 +117,40 @@
     CHECK_EQUAL(8, fleet.results(0, "job").size());
 }
 
+// Bytes that are no response may come without end, until the caller closes.
+TEST(relay_replica_protocol, endless_heads_and_chunks_do_not_fill_the_memory)
+{
+    for (const auto fault :
+         {raw_replica::fault::endless_head, raw_replica::fault::endless_chunk})
+    {
+        relay_fleet fleet(1);
+        raw_replica faulty(fleet.loop, "i-endless", fault);
+        fleet.store.put("servers/" + faulty.name(), faulty.record("web"));
+        int sent = 0;
+        CHECK(fleet.wait(
+            [&]
+            {
+                const auto response = fleet.call(0, "POST", "/plain/a",
+                                                 "id" + std::to_string(sent++));
+                CHECK_EQUAL(200, response.status);
+                return !faulty.runs.empty() && sent > 10;
+            }));
+        CHECK(fleet.process(0).peak_memory_bytes() < max_node_bytes);
+    }
+}
+
+// Neither is an item's slot held for ever, nor does the job wait.
+TEST(relay_replica_protocol, an_item_at_a_stalled_replica_runs_elsewhere)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "a-stalled", raw_replica::fault::trickle);
+    fleet.store.put("servers/" + faulty.name(), faulty.record("llm"));
+    fleet.run_for(std::chrono::seconds(1));
+    CHECK_EQUAL(202, fleet.submit(0, "job", 8).status);
+    CHECK_EQUAL(8, fleet.results(0, "job").size());
+    CHECK_FALSE(faulty.runs.empty());
+}
+
 TEST(relay_replica_protocol, a_reset_after_sending_is_not_treated_as_a_refusal)
 {
     relay_fleet fleet(1);
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
+constexpr duration trickle_interval = std::chrono::milliseconds(400);
 
 std::string response_head(const std::string& request, const std::string& length)
 {
@@ -123,6 +124,17 @@
     case fault::endless_event:
         bytes = response_head(request, "Connection: close") + "id: 1\ndata: ";
         break;
+    case fault::endless_head:
+        bytes = "HTTP/1.1 200 OK\r\nPadding: ";
+        break;
+    case fault::endless_chunk:
+        bytes = response_head(request, "Transfer-Encoding: chunked") +
+                "ffffffff\r\n";
+        break;
+    case fault::trickle:
+        bytes = response_head(request, "Connection: close") + "id: 1\ndata: ";
+        this->send_single_bytes();
+        break;
     case fault::reset:
         const linger abortive{1, 0};
         ::setsockopt(bufferevent_getfd(link), SOL_SOCKET, SO_LINGER, &abortive,
@@ -135,13 +147,29 @@
 
 void raw_replica::write_more(bufferevent* link)
 {
-    if (this->behaviour == fault::endless_event && !this->runs.empty())
+    const bool is_endless = this->behaviour == fault::endless_event ||
+                            this->behaviour == fault::endless_head ||
+                            this->behaviour == fault::endless_chunk;
+    if (is_endless && !this->runs.empty())
     {
         const std::string chunk(chunk_bytes, 'x');
         bufferevent_write(link, chunk.data(), chunk.size());
     }
 }
 
+void raw_replica::send_single_bytes()
+{
+    this->trickle_timer = this->loop.call_every(
+        trickle_interval,
+        [this]
+        {
+            for (const auto& [link, text] : this->connections)
+            {
+                bufferevent_write(link, "x", 1);
+            }
+        });
+}
+
 void raw_replica::close(bufferevent* link)
 {
     this->connections.erase(link);
--- a/tests/relay_support/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -22,6 +22,12 @@
         extra_response,
         /// Starts an event and never ends it.
         endless_event,
+        /// Starts a response head and never ends it.
+        endless_head,
+        /// Announces a chunk of four gigabytes and sends it.
+        endless_chunk,
+        /// Sends a byte of an event now and then and never ends it.
+        trickle,
         /// Resets the connection after reading the request.
         reset
     };
@@ -48,6 +54,7 @@
 private:
     void accept(int descriptor);
     void respond(bufferevent* link, const std::string& request);
+    void send_single_bytes();
 
     net::event_loop& loop;
     std::string id;
@@ -55,6 +62,7 @@
     loopback_listener listener;
     std::map<bufferevent*, std::string> connections;
     std::string previous_request = "0";
+    net::timer trickle_timer;
 };
 
 } // namespace parsleytrack::relay_support
