--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -8,7 +8,6 @@
 #include "units/wall_clock.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -18,12 +17,10 @@
 namespace
 {
 
-constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
 /// A submission does not state the caller's timeout; the caller retries after a
 /// few seconds.
 constexpr duration accept_timeout = std::chrono::milliseconds(3500);
-constexpr duration max_wait = std::chrono::milliseconds(1000);
 /// For retrying commits, checking deadlines and evicting finished jobs.
 constexpr duration periodic_interval = std::chrono::milliseconds(500);
 /// How long the results of a finished job are served from memory.
@@ -199,110 +196,6 @@
     }
 }
 
-void job_service::handle_call(
-    const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
-{
-    switch (call.requested)
-    {
-    case job_call::operation::read_results:
-        this->read_results(exchange, call);
-        return;
-    case job_call::operation::read_item_body:
-        this->read_body(exchange, call);
-        return;
-    case job_call::operation::cancel:
-        this->cancel_job(exchange, call);
-        return;
-    }
-}
-
-void job_service::read_results(
-    const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
-{
-    duration wait = duration::zero();
-    const std::string* text =
-        net::find_header(exchange->head().headers,
-                         this->context.adapter.headers().wait_ms.c_str());
-    if (text != nullptr)
-    {
-        std::int64_t count = 0;
-        std::from_chars(text->data(), text->data() + text->size(), count);
-        wait = std::clamp<duration>(std::chrono::milliseconds(count),
-                                    duration::zero(), max_wait);
-    }
-    const auto respond =
-        [this, exchange, after = call.after](const jobs::job_page& page)
-    {
-        exchange->respond_json(
-            status_ok, this->context.adapter.format_results(page, after));
-    };
-    const auto found = this->owned.find(call.job);
-    if (found != this->owned.end())
-    {
-        found->second->read(call.after, wait, respond);
-        return;
-    }
-    this->reader.read(call.job, call.after, wait,
-                      [exchange, respond](const result<jobs::job_page>& page)
-                      {
-                          if (page.has_error())
-                          {
-                              refuse(*exchange, page.error());
-                              return;
-                          }
-                          respond(page.value());
-                      });
-}
-
-void job_service::read_body(const std::shared_ptr<net::http_exchange>& exchange,
-                            const job_call& call)
-{
-    this->reader.read_body(
-        call.job, call.item,
-        [exchange](const result<std::string>& body)
-        {
-            if (body.has_error())
-            {
-                refuse(*exchange, body.error());
-                return;
-            }
-            exchange->respond(status_ok,
-                              {{"Content-Type", "application/octet-stream"}},
-                              body.value());
-        });
-}
-
-void job_service::cancel_job(
-    const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
-{
-    this->cancellation.cancel(
-        call.job,
-        [this, exchange, call](const result<jobs::job_state>& state)
-        {
-            log_event(log_level::info, "job_end_asked",
-                      {{"job", call.job.str()},
-                       {"outcome", state.has_error() ? std::string(to_string(
-                                                           state.error().code))
-                                                     : std::string("ended")}});
-            if (state.has_error())
-            {
-                refuse(*exchange, state.error());
-                return;
-            }
-            exchange->respond_json(status_ok, "{}");
-            if (this->owned.contains(call.job))
-            {
-                this->refresh(call.job);
-                return;
-            }
-            const auto owner = this->context.group.find(state.value().owner);
-            if (owner && owner->id != this->context.group.own().id)
-            {
-                this->peers.notify(*owner, call.job, store_revision());
-            }
-        });
-}
-
 void job_service::refresh(const job_id& job)
 {
     this->context.store.get(
