Defer reloads while starting, and stop cancelled jobs that are being loaded

The test starts a node whose settings are a pipe and reloads it while it reads them; it failed before.

Reading the code for ways in which an item may run after its job was cancelled gave one that is new since the scans are left to few nodes: a node that loads a job it has claimed ignored a cancellation that came meanwhile, and nothing told it again within three seconds. It gives the job up now; a conflict of a progress save makes the owner read the newer record; notices of a cancellation are repeated each second.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon/node.hpp"
 #include "logging/log.hpp"
 #include "logging/log_findings.hpp"
+#include "net/event_loop.hpp"
 #include "platform/run_on_platform.hpp"
 #include "settings/settings_loader.hpp"
 
@@ -24,6 +25,7 @@
 int main(int argc, char** argv)
 {
     using namespace parsleytrack;
+    net::event_loop::defer_signal(SIGHUP);
     gflags::SetUsageMessage("--settings FILE [--relay]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty())
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <utility>
 
 namespace parsleytrack::net
@@ -49,6 +50,16 @@
     (*callback)();
 }
 
+/// \param how SIG_BLOCK or SIG_UNBLOCK.
+void change_signal_mask(int how, int signal_number)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, signal_number);
+    check_invariant(pthread_sigmask(how, &signals, nullptr) == 0,
+                    "pthread_sigmask() must succeed");
+}
+
 timer make_timer(event_base* base, int descriptor, short flags,
                  const timeval* interval, std::function<void()> callback)
 {
@@ -119,11 +130,18 @@
                               std::move(callback));
 }
 
+void event_loop::defer_signal(int signal_number)
+{
+    detail::change_signal_mask(SIG_BLOCK, signal_number);
+}
+
 timer event_loop::on_signal(int signal_number, std::function<void()> callback)
 {
-    return detail::make_timer(this->base(), signal_number,
-                              EV_SIGNAL | EV_PERSIST, nullptr,
-                              std::move(callback));
+    timer registration =
+        detail::make_timer(this->base(), signal_number, EV_SIGNAL | EV_PERSIST,
+                           nullptr, std::move(callback));
+    detail::change_signal_mask(SIG_UNBLOCK, signal_number);
+    return registration;
 }
 
 void event_loop::post(std::function<void()> callback)
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -71,7 +71,12 @@
                    { kept.reset(); });
     }
 
-    /// Calls a function whenever a signal arrives.
+    /// Defers a signal until a function for it is registered with on_signal(),
+    /// so that it does not end a process that is still starting.
+    static void defer_signal(int signal_number);
+
+    /// Calls a function whenever a signal arrives, also for one that was
+    /// deferred.
     ///
     /// \param signal_number Such as SIGTERM.
     /// \returns The registration; destroying it ends the calls.
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -80,6 +81,9 @@
     duration age() const;
     duration due_in() const;
     void save_progress();
+    /// Applies the job's record among those of a conflict.
+    void
+    apply_newer_state(const std::vector<key_value::stored_record>& current);
     void write_next_owner();
     void handle_handover_outcome(
         const jobs::job_commit& commit,
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -128,7 +128,29 @@
     // A commit in progress includes it, and changes the revision.
     if (!this->owned.is_committing() && !this->owned.state().is_finished())
     {
-        this->progress.save(this->context.store, this->owned.revision());
+        this->progress.save(
+            this->context.store, this->owned.revision(),
+            [this, observed = this->alive](
+                const std::vector<key_value::stored_record>& current)
+            {
+                if (*observed)
+                {
+                    this->apply_newer_state(current);
+                }
+            });
+    }
+}
+
+void job_owner::apply_newer_state(
+    const std::vector<key_value::stored_record>& current)
+{
+    for (const key_value::stored_record& record : current)
+    {
+        if (record.key == job_state_key(this->owned.input().id))
+        {
+            this->apply_record(record);
+            return;
+        }
     }
 }
 
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -148,13 +148,13 @@
     }
     exchange->finish({});
     const job_id job(message.value().job);
+    const store_revision revision(message.value().revision);
     const job_owner* owner = this->hooks.find(job);
     if (owner == nullptr)
     {
-        this->hooks.on_unowned(job);
+        this->hooks.on_unowned(job, revision);
         return;
     }
-    const store_revision revision(message.value().revision);
     if (revision == store_revision() || revision > owner->job().revision())
     {
         this->hooks.on_changed(job);
--- a/src/relay/job_peers.hpp
+++ b/src/relay/job_peers.hpp
@@ -30,7 +30,7 @@
         /// The record of a job that this node runs has changed.
         std::function<void(const job_id&)> on_changed;
         /// This node may have to take over a job that it does not run.
-        std::function<void(const job_id&)> on_unowned;
+        std::function<void(const job_id&, store_revision)> on_unowned;
     };
 
     /// \param node Outlives this object.
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -70,9 +70,9 @@
                    [this](jobs::owned_job job)
                    { this->start_job(std::move(job), {}); },
                    [this](const job_id& job) { this->refresh(job); },
-                   [this](const job_id& job)
+                   [this](const job_id& job, store_revision revision)
                    {
-                       this->takeover.look_up(job);
+                       this->takeover.look_up(job, revision);
                    }})
 {
     this->periodic_timer = this->context.loop.call_every(
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -143,12 +143,14 @@
     return orphans;
 }
 
-void job_takeover::look_up(const job_id& job)
+void job_takeover::look_up(const job_id& job, store_revision revision)
 {
     const time_point now = net::event_loop::now();
     const auto [found, inserted] = this->looked_up_at.emplace(job, now);
-    if (this->stopped ||
-        (!inserted && now - found->second < min_look_up_interval))
+    // A change whose revision is not known, such as a cancellation, is news.
+    const bool is_repeated = !inserted && revision > store_revision() &&
+                             now - found->second < min_look_up_interval;
+    if (this->stopped || is_repeated)
     {
         return;
     }
@@ -229,6 +231,10 @@
     }
     if (state.value().is_finished())
     {
+        if (this->claims_in_progress.contains(job))
+        {
+            this->finished_while_loading.insert(job);
+        }
         if (this->is_responsible_for_erasure(job))
         {
             this->hooks.on_finished(state.value(), record.revision);
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -46,7 +46,10 @@
 
     /// Reads the record of a job that this node does not run, after a notice
     /// from another node, and takes the job over if necessary.
-    void look_up(const job_id& job);
+    ///
+    /// \param revision Revision of the record that the other node has seen; 0
+    /// if it is not known.
+    void look_up(const job_id& job, store_revision revision);
 
     /// Stops looking for jobs to take over.
     void stop();
@@ -86,6 +89,8 @@
     std::map<job_id, time_point> looked_up_at;
     /// Jobs that are being taken over.
     std::set<job_id> claims_in_progress;
+    /// Those among them that were found finished or cancelled meanwhile.
+    std::set<job_id> finished_while_loading;
     time_point started;
     bool scanning = false;
     bool stopped = false;
--- a/src/relay/job_takeover_claims.cpp
+++ b/src/relay/job_takeover_claims.cpp
@@ -141,6 +141,12 @@
                 progress = jobs::job_progress();
             }
             this->claims_in_progress.erase(id);
+            if (this->finished_while_loading.erase(id) > 0)
+            {
+                log_event(log_level::info, "job_finished_while_loading",
+                          {{"job", id.str()}});
+                return;
+            }
             this->hooks.on_taken_over(std::move(*job),
                                       std::move(progress.value()));
         });
@@ -150,6 +156,7 @@
                            const std::string& reason)
 {
     this->claims_in_progress.erase(job);
+    this->finished_while_loading.erase(job);
     log_event(log_level::warning, "job_takeover_abandoned",
               {{"job", job.str()}, {"step", step}, {"reason", reason}});
 }
--- a/src/relay/owner_notices.cpp
+++ b/src/relay/owner_notices.cpp
@@ -10,6 +10,8 @@
 constexpr duration unchanged_before_notice = std::chrono::milliseconds(1500);
 /// A notice may be lost.
 constexpr duration repeat_interval = std::chrono::seconds(6);
+/// Items of a cancelled job must not reach a replica for long.
+constexpr duration cancellation_repeat_interval = std::chrono::seconds(1);
 /// How long the owner of a cancelled job is notified again.
 constexpr duration cancellation_period = std::chrono::seconds(15);
 
@@ -37,7 +39,8 @@
     {
         return false;
     }
-    record.next_notice = now + repeat_interval;
+    record.next_notice = now + (state.cancelled ? cancellation_repeat_interval
+                                                : repeat_interval);
     return true;
 }
 
--- a/src/relay/progress_tracker.cpp
+++ b/src/relay/progress_tracker.cpp
@@ -38,8 +38,10 @@
     return this->total_events() != this->saved_events;
 }
 
-void progress_tracker::save(key_value::record_client& store,
-                            store_revision revision)
+void progress_tracker::save(
+    key_value::record_client& store, store_revision revision,
+    std::function<void(const std::vector<key_value::stored_record>&)>
+        on_conflict)
 {
     if (!this->has_unsaved())
     {
@@ -48,19 +50,24 @@
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(this->job), revision}};
     this->add_to(transaction, net::event_loop::now());
-    store.commit(
-        std::move(transaction), save_timeout,
-        [job = this->job](const result<key_value::transaction_outcome>& outcome)
-        {
-            if (outcome.has_error() || !outcome.value().applied)
-            {
-                log_event(log_level::info, "job_progress_not_saved",
-                          {{"job", job.str()},
-                           {"reason", outcome.has_error()
-                                          ? outcome.error().message
-                                          : "the record has changed"}});
-            }
-        });
+    store.commit(std::move(transaction), save_timeout,
+                 [job = this->job, on_conflict = std::move(on_conflict)](
+                     const result<key_value::transaction_outcome>& outcome)
+                 {
+                     if (outcome.has_error() || !outcome.value().applied)
+                     {
+                         log_event(
+                             log_level::info, "job_progress_not_saved",
+                             {{"job", job.str()},
+                              {"reason", outcome.has_error()
+                                             ? outcome.error().message
+                                             : "the record has changed"}});
+                     }
+                     if (outcome.has_value() && !outcome.value().applied)
+                     {
+                         on_conflict(outcome.value().current);
+                     }
+                 });
 }
 
 void progress_tracker::add_to(key_value::record_transaction& transaction,
--- a/src/relay/progress_tracker.hpp
+++ b/src/relay/progress_tracker.hpp
@@ -7,6 +7,8 @@
 #include "units/time.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -34,7 +36,10 @@
     ///
     /// \param store Outlives the call.
     /// \param revision Revision that the job's state must still have.
-    void save(key_value::record_client& store, store_revision revision);
+    /// \param on_conflict Called with the newer records if it has another one.
+    void save(key_value::record_client& store, store_revision revision,
+              std::function<void(const std::vector<key_value::stored_record>&)>
+                  on_conflict);
 
     /// Adds the progress to a transaction, or erases its record if no item
     /// needs it any more. The progress counts as saved from then on.
--- a/tests/relay_process/recovery_test.cpp
+++ b/tests/relay_process/recovery_test.cpp
@@ -1,6 +1,16 @@
+#include "process_support/child_process.hpp"
+#include "process_support/temporary_folder.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -122,3 +132,27 @@
         [&fleet]
         { return fleet.call(0, "POST", "/moved/a", "id2").status == 200; }));
 }
+
+// The settings may change while the process that reads them is starting.
+TEST(relay_configuration, a_reload_while_starting_does_not_end_the_node)
+{
+    using std::chrono::milliseconds;
+    const process_support::temporary_folder folder;
+    const std::string settings = folder.path("settings.json");
+    CHECK_EQUAL(0, ::mkfifo(settings.c_str(), S_IRUSR | S_IWUSR));
+    process_support::child_process node(
+        {DAEMON_PROGRAM, "--relay", "--settings=" + settings},
+        folder.path("log"));
+    // Succeeds once the node waits for its settings.
+    int descriptor = -1;
+    for (int attempt = 0; attempt < 500 && descriptor < 0; ++attempt)
+    {
+        descriptor = ::open(settings.c_str(), O_WRONLY | O_NONBLOCK);
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(descriptor >= 0);
+    node.signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK_FALSE(node.has_ended());
+    ::close(descriptor);
+}
