Wait for a commit's outcome before a newer record is judged

Cause, found by reading: a record that is read while the owner's own commit is under way may be the one that this commit has written. Its outcomes differ from the ones that the owner knows as committed, so the owner took the job for lost and ended its runs. The record is kept until the commit's outcome is known; older revisions are then ignored.

No test provokes the order of the two responses yet: listed as open.

--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -111,6 +111,8 @@
     net::timer retry_timer;
     net::timer start_timer;
     bool stopped = false;
+    /// A newer record that was read while a commit was in progress.
+    std::optional<key_value::stored_record> deferred_record;
     /// The node to hand the job over to, in a planned stop.
     std::optional<node_info> next_owner;
     handed_over_callback handed_over;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -194,6 +194,10 @@
     }
     this->log_state("job_committed");
     this->readers.answer_ready();
+    if (const auto newer = std::exchange(this->deferred_record, std::nullopt))
+    {
+        this->apply_record(*newer);
+    }
     if (this->next_owner)
     {
         this->write_next_owner();
@@ -242,6 +246,12 @@
     {
         return;
     }
+    if (this->owned.is_committing())
+    {
+        // The record may be the one that the commit has written.
+        this->deferred_record = record;
+        return;
+    }
     const auto state = jobs::decode_state(record.value);
     if (state.has_error())
     {
