--- a/src/feeds/record_feed_questions.cpp
+++ b/src/feeds/record_feed_questions.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 
+/// Time that another node has to answer.
 constexpr duration question_timeout = std::chrono::milliseconds(1600);
 /// Largest listing that a source sends as a whole: a few hundred kilobytes.
 /// Nodes that need a larger one read from the store until they are up to date.
