Log how long a follower of the store waited and was unconfirmed

The hypotheses of docs/incidents/late_configuration.md look the same in the logs: a watch that hung on a silent connection and one that the store has forgotten both end without a word of how long they had waited. store_follower_failed now carries waited_ms, the return is logged as store_follower_recovered with unconfirmed_ms, and the age of the configuration is a gauge. No decision changes.

--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -85,6 +85,7 @@
 
 void record_follower::read_all()
 {
+    this->call_started = net::event_loop::now();
     this->store.list(this->prefix, read_freshness::latest,
                      [this, started_generation = this->generation](
                          const result<record_listing>& listing)
@@ -103,8 +104,16 @@
         this->handle_failure(listing.error());
         return;
     }
+    const time_point now = net::event_loop::now();
+    if (this->failing)
+    {
+        log_event(log_level::info, "store_follower_recovered",
+                  {{"prefix", this->prefix},
+                   {"unconfirmed_ms",
+                    to_milliseconds(now - this->confirmed_time)}});
+    }
     this->position = listing.value().read_revision;
-    this->confirmed_time = net::event_loop::now();
+    this->confirmed_time = now;
     this->retry_backoff.reset();
     this->handlers.on_listing(listing.value(),
                               std::exchange(this->failing, false));
@@ -113,6 +122,7 @@
 
 void record_follower::wait_for_changes()
 {
+    this->call_started = net::event_loop::now();
     this->store.watch(this->prefix, this->position,
                       [this, started_generation = this->generation](
                           const result<record_changes>& response)
@@ -156,6 +166,8 @@
         log_event(log_level::warning, "store_follower_failed",
                   {{"prefix", this->prefix},
                    {"reason", reason.message},
+                   {"waited_ms", to_milliseconds(net::event_loop::now() -
+                                                 this->call_started)},
                    {"known_age_ms", to_milliseconds(net::event_loop::now() -
                                                     this->confirmed_time)}});
         if (this->handlers.on_failure)
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -79,6 +79,7 @@
     backoff retry_backoff;
     store_revision position;
     time_point confirmed_time;
+    time_point call_started;
     bool running = false;
     /// A retry is scheduled and no call is pending.
     bool waiting_to_retry = false;
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -158,6 +158,10 @@
     metrics.set_gauge(
         "parsleytrack_configuration_version", {},
         table ? static_cast<double>(table->contents().version.count()) : 0.0);
+    metrics.set_gauge(
+        "parsleytrack_configuration_age_seconds", {},
+        std::chrono::duration<double>(this->context.configuration.age())
+            .count());
     metrics.set_gauge(
         "parsleytrack_replicas_age_seconds", {},
         std::chrono::duration<double>(this->context.replicas.age()).count());
