Show that silent connections and forgotten watches delay a configuration

The proxy drops a connection's packets before TCP sees them, so that a silent connection is one for the kernel, too.

--- a/tests/relay_support/fault_proxy.cpp
+++ b/tests/relay_support/fault_proxy.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -49,6 +50,15 @@
     bufferevent_enable(side.link, EV_READ | EV_WRITE);
 }
 
+/// Drops all packets that arrive at a socket before TCP sees them.
+void drop_incoming_packets(int descriptor)
+{
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop_all};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof(program));
+}
+
 } // namespace
 
 fault_proxy::fault_proxy(net::event_loop& event_loop, endpoint target_address)
@@ -80,6 +90,16 @@
     }
 }
 
+void fault_proxy::silence_open_connections()
+{
+    for (const auto& connection : this->connections)
+    {
+        drop_incoming_packets(bufferevent_getfd(connection->client.link));
+        connection->client.silent = true;
+        connection->server.silent = true;
+    }
+}
+
 void fault_proxy::accept(int descriptor)
 {
     auto connection = std::make_unique<pair>();
@@ -126,7 +146,7 @@
 
 bool fault_proxy::is_blocked(const side& from) const
 {
-    return this->current_fault == fault::blocked ||
+    return from.silent || this->current_fault == fault::blocked ||
            (this->current_fault == fault::blocked_to_server &&
             from.to_server) ||
            (this->current_fault == fault::blocked_to_client && !from.to_server);
--- a/tests/relay_support/fault_proxy.hpp
+++ b/tests/relay_support/fault_proxy.hpp
@@ -43,6 +43,11 @@
 
     void set_fault(fault next);
 
+    /// Makes the open connections silent for good, as when a device on the path
+    /// forgets them: no byte is forwarded, and the callers' packets are not
+    /// acknowledged. New connections work.
+    void silence_open_connections();
+
     /// For the callbacks of libevent only.
 
     /// One of the two connections that make up a forwarded connection.
@@ -53,6 +58,7 @@
         side* other = nullptr;
         bool to_server = false;
         bool ended = false;
+        bool silent = false;
         /// Bytes read here that await forwarding to the other side, each with
         /// the time from which they may be sent.
         std::deque<std::pair<time_point, std::string>> pending;
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -88,6 +88,15 @@
     return found;
 }
 
+void store_stand_in::forget_watches()
+{
+    for (pending_watch& watch : this->watches)
+    {
+        this->forgotten.push_back(std::move(watch.exchange));
+    }
+    this->watches.clear();
+}
+
 void store_stand_in::handle_request(
     const access_point& entry,
     const std::shared_ptr<net::http_exchange>& exchange)
--- a/tests/relay_support/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -46,6 +46,9 @@
     /// \returns The addresses at which watches of a prefix are open.
     std::set<endpoint> watchers(const std::string& prefix) const;
 
+    /// Never responds to the watches that are open now.
+    void forget_watches();
+
     /// Number of following transactions that are processed and whose response
     /// is not sent.
     int lost_responses = 0;
@@ -92,6 +95,7 @@
     std::list<access_point> access_points;
     std::map<std::string, stored> keys;
     std::list<pending_watch> watches;
+    std::vector<std::shared_ptr<net::http_exchange>> forgotten;
     std::int64_t revision = 1;
     int transaction_count = 0;
     int refused_count = 0;
