End waits for the store that nothing would answer any more

Cause: a node's knowledge was as old as a wait that nothing else ended. A connection that had gone silent was noticed after 3 s, and the listing that followed waited up to 1.2 s for each idle connection of the same age. A watch that the store had forgotten while it rejected the node was repeated after 26 s only, although other calls of the node had failed and succeeded again.

Ruled out: a version that the decoder rejects (never logged, and the store takes valid ones only).

Mend: a request that was sent and got no response closes the idle connections to its server; keepalive ends a wait for changes after 2 s; each watch that was waiting when a call failed is repeated once the store responds. No call is added while the store works. The list of replicas is followed by the same code.

Weighed: watches of a second (two calls a second for each node).

--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -155,14 +155,15 @@
         });
 }
 
-void record_client::watch(const std::string& prefix, store_revision after,
-                          watch_callback callback)
+store_call_number record_client::watch(const std::string& prefix,
+                                       store_revision after,
+                                       watch_callback callback)
 {
     net::http_request request =
         this->adapter.watch_request(prefix, after, watch_wait);
     request.tcp_keepalive = true;
     ++this->counts.watches;
-    this->send(
+    return this->send(
         request, watch_timeout,
         [this,
          callback = std::move(callback)](result<net::http_response> response)
@@ -176,6 +177,11 @@
         });
 }
 
+void record_client::cancel(store_call_number call)
+{
+    this->calls.erase(call);
+}
+
 void record_client::commit(record_transaction transaction, duration timeout,
                            commit_callback callback)
 {
@@ -241,11 +247,18 @@
     this->reachability_callbacks.push_back(std::move(callback));
 }
 
-void record_client::send(net::http_request request, duration timeout,
-                         response_callback callback)
+void record_client::on_recovery(std::function<void(time_point)> callback)
+{
+    this->recovery_callbacks.push_back(std::move(callback));
+}
+
+store_call_number record_client::send(net::http_request request,
+                                      duration timeout,
+                                      response_callback callback)
 {
     request.total_timeout = timeout;
-    const std::uint64_t number = this->next_number++;
+    const store_call_number number(
+        static_cast<std::int64_t>(this->next_number++));
     this->calls[number] = this->http.send(
         this->address, request,
         {{},
@@ -274,7 +287,9 @@
              }
              this->record_response();
              callback(std::move(outcome));
+             this->notify_recovery();
          }});
+    return number;
 }
 
 void record_client::call_after(duration delay, std::function<void()> callback)
@@ -310,9 +325,23 @@
     }
 }
 
+void record_client::notify_recovery()
+{
+    const auto failure = std::exchange(this->last_failure, std::nullopt);
+    if (!failure)
+    {
+        return;
+    }
+    for (const auto& callback : this->recovery_callbacks)
+    {
+        callback(*failure);
+    }
+}
+
 void record_client::record_failure(const error& reason)
 {
     ++this->counts.failures;
+    this->last_failure = net::event_loop::now();
     if (this->outage.record_failure(net::event_loop::now(), this->random))
     {
         log_event(log_level::warning, "store_lost",
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -6,13 +6,16 @@
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "units/endpoint.hpp"
+#include "units/numbers.hpp"
 #include "units/random_source.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::key_value
 {
@@ -50,8 +53,13 @@
               list_callback callback);
 
     /// Makes one call that waits for changes after a revision.
-    void watch(const std::string& prefix, store_revision after,
-               watch_callback callback);
+    ///
+    /// \returns The call's number, for cancel().
+    store_call_number watch(const std::string& prefix, store_revision after,
+                            watch_callback callback);
+
+    /// Abandons a call that waits for changes; its callback is not called.
+    void cancel(store_call_number call);
 
     /// Applies a transaction.
     ///
@@ -62,6 +70,11 @@
     /// \param callback Called when an outage begins and when it ends.
     void on_reachability_change(reachability_callback callback);
 
+    /// \param callback Called when the store responds again after a call has
+    /// failed, even if no outage was detected. Gets the time of the last
+    /// failure. The store may have forgotten the calls that were waiting then.
+    void on_recovery(std::function<void(time_point last_failure)> callback);
+
     bool is_reachable() const { return this->outage.is_reachable(); }
     const call_counts& calls_made() const { return this->counts; }
 
@@ -72,8 +85,8 @@
 
     void get(const std::string& key, read_freshness freshness, int retries,
              get_callback callback);
-    void send(net::http_request request, duration timeout,
-              response_callback callback);
+    store_call_number send(net::http_request request, duration timeout,
+                           response_callback callback);
     void send_page(const std::shared_ptr<list_state>& state);
     void send_commit(const std::shared_ptr<commit_state>& state);
     void retry_commit(const std::shared_ptr<commit_state>& state,
@@ -81,6 +94,7 @@
     void call_after(duration delay, std::function<void()> callback);
     void count_read(read_freshness freshness);
     void record_response();
+    void notify_recovery();
     void record_failure(const error& reason);
 
     net::event_loop& loop;
@@ -90,7 +104,10 @@
     random_source& random;
     outage_detector outage;
     std::vector<reachability_callback> reachability_callbacks;
-    std::map<std::uint64_t, std::unique_ptr<net::http_call>> calls;
+    std::vector<std::function<void(time_point)>> recovery_callbacks;
+    /// Set while the last call has failed.
+    std::optional<time_point> last_failure;
+    std::map<store_call_number, std::unique_ptr<net::http_call>> calls;
     std::map<std::uint64_t, net::timer> timers;
     std::uint64_t next_number = 1;
     call_counts counts;
--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -61,6 +61,8 @@
                 this->retry();
             }
         });
+    this->store.on_recovery([this](time_point last_failure)
+                            { this->renew_watch(last_failure); });
 }
 
 void record_follower::start()
@@ -79,6 +81,7 @@
     this->failing = false;
     ++this->generation;
     this->waiting_to_retry = false;
+    this->cancel_watch();
     this->watch_timer.cancel();
     this->retry_timer.cancel();
 }
@@ -123,15 +126,35 @@
 void record_follower::wait_for_changes()
 {
     this->call_started = net::event_loop::now();
-    this->store.watch(this->prefix, this->position,
-                      [this, started_generation = this->generation](
-                          const result<record_changes>& response)
-                      {
-                          if (started_generation == this->generation)
+    this->watch_call =
+        this->store.watch(this->prefix, this->position,
+                          [this](const result<record_changes>& response)
                           {
+                              this->watch_call.reset();
                               this->handle_changes(response);
-                          }
-                      });
+                          });
+}
+
+void record_follower::renew_watch(time_point last_failure)
+{
+    if (!this->watch_call || this->call_started > last_failure)
+    {
+        return;
+    }
+    log_event(log_level::info, "store_watch_renewed",
+              {{"prefix", this->prefix},
+               {"waited_ms", to_milliseconds(net::event_loop::now() -
+                                             this->call_started)}});
+    this->cancel_watch();
+    this->wait_for_changes();
+}
+
+void record_follower::cancel_watch()
+{
+    if (const auto call = std::exchange(this->watch_call, std::nullopt))
+    {
+        this->store.cancel(*call);
+    }
 }
 
 void record_follower::handle_changes(const result<record_changes>& response)
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -6,6 +6,7 @@
 #include "units/random_source.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,9 @@
     void read_all();
     void handle_listing(const result<record_listing>& listing);
     void wait_for_changes();
+    /// Repeats a call for changes that the store may have forgotten.
+    void renew_watch(time_point last_failure);
+    void cancel_watch();
     void handle_changes(const result<record_changes>& response);
     void handle_failure(const error& reason);
     void retry();
@@ -80,6 +84,8 @@
     store_revision position;
     time_point confirmed_time;
     time_point call_started;
+    /// The pending call for changes.
+    std::optional<store_call_number> watch_call;
     bool running = false;
     /// A retry is scheduled and no call is pending.
     bool waiting_to_retry = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -48,6 +48,11 @@
     }
 }
 
+void http_client::close_idle_connections(const endpoint& target)
+{
+    this->idle.erase(target);
+}
+
 std::unique_ptr<detail::http_connection>
 http_client::acquire_connection(const endpoint& target, bool allow_reuse)
 {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -56,6 +56,10 @@
     /// For transfers only. Keeps an idle connection for reuse.
     void return_connection(const endpoint& target,
                            std::unique_ptr<detail::http_connection> connection);
+    /// For transfers only. Closes all idle connections to a server that did not
+    /// respond to a request: what made that connection silent, such as a
+    /// restarted device on the path, affects the others as well.
+    void close_idle_connections(const endpoint& target);
     event_loop& loop() { return this->loop_handle; }
 
 private:
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -270,6 +270,14 @@
 void http_transfer::fail(error_code code, ran_state ran,
                          const std::string& message)
 {
+    if (this->ended)
+    {
+        return;
+    }
+    if (this->sent && !this->head_received)
+    {
+        this->client.close_idle_connections(this->target);
+    }
     this->end(error{code, message, ran, {}}, false);
 }
 
--- a/src/net/http_transfer_buffers.cpp
+++ b/src/net/http_transfer_buffers.cpp
@@ -19,6 +19,11 @@
 /// that a sound server sends.
 constexpr std::size_t max_unread_bytes = 2 * 1024 * 1024;
 
+/// How long the server of a request that waits for data may be unreachable.
+/// With the calls that follow, well below the three seconds after which a node
+/// must be up to date again.
+constexpr std::chrono::seconds unreachable_limit{2};
+
 } // namespace
 
 void http_transfer::watch_output()
@@ -43,8 +48,10 @@
     this->sent = true;
     if (this->tcp_keepalive)
     {
-        enable_tcp_keepalive(bufferevent_getfd(
-            evhttp_connection_get_bufferevent(this->connection->handle())));
+        enable_tcp_keepalive(
+            bufferevent_getfd(
+                evhttp_connection_get_bufferevent(this->connection->handle())),
+            unreachable_limit);
     }
 }
 
--- a/src/net/tcp_keepalive.cpp
+++ b/src/net/tcp_keepalive.cpp
@@ -14,13 +14,9 @@
 namespace
 {
 
-// Idle time before the first probe, time between probes, number of
-// unacknowledged probes that end the connection, and how long sent data may
-// stay unacknowledged.
+// Idle time before the first probe, and time between probes.
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
-constexpr int keepalive_probe_count = 2;
-constexpr int unacknowledged_timeout_ms = 3000;
 
 bool set_option(int descriptor, int level, int name, int value)
 {
@@ -29,15 +25,19 @@
 
 } // namespace
 
-void enable_tcp_keepalive(int descriptor)
+void enable_tcp_keepalive(int descriptor, std::chrono::seconds limit)
 {
+    const int probe_count =
+        (static_cast<int>(limit.count()) - keepalive_idle_s) /
+        keepalive_interval_s;
+    const int unacknowledged_timeout_ms =
+        static_cast<int>(std::chrono::milliseconds(limit).count());
     const bool enabled =
         set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1) &&
         set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s) &&
         set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
                    keepalive_interval_s) &&
-        set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT,
-                   keepalive_probe_count) &&
+        set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probe_count) &&
         set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
                    unacknowledged_timeout_ms);
     if (!enabled)
--- a/src/units/numbers.hpp
+++ b/src/units/numbers.hpp
@@ -17,6 +17,8 @@
 using fencing_number = strong_number<struct fencing_number_tag>;
 /// Revision of one key in the platform's store; 0 means "absent".
 using store_revision = strong_number<struct store_revision_tag>;
+/// Identifies a pending call to the platform's store within this process.
+using store_call_number = strong_number<struct store_call_number_tag>;
 /// Position of a lot within its job, from 0.
 using lot_index = strong_number<struct lot_index_tag>;
 /// Position of an item within its job, from 0.
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::size_t length_prefix_bytes = 4;
 constexpr std::uint32_t max_frame_bytes = 32 * 1024 * 1024;
+/// How long another node may be unreachable before its connection is closed.
+constexpr std::chrono::seconds unreachable_limit{3};
 
 void set_no_delay(int descriptor)
 {
@@ -59,7 +61,7 @@
     if (descriptor >= 0)
     {
         set_no_delay(descriptor);
-        net::enable_tcp_keepalive(descriptor);
+        net::enable_tcp_keepalive(descriptor, unreachable_limit);
     }
 }
 
@@ -167,7 +169,8 @@
     {
         this->connected = true;
         set_no_delay(bufferevent_getfd(this->link.get()));
-        net::enable_tcp_keepalive(bufferevent_getfd(this->link.get()));
+        net::enable_tcp_keepalive(bufferevent_getfd(this->link.get()),
+                                  unreachable_limit);
         return;
     }
     this->close("the connection was lost");
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <optional>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::net;
@@ -233,6 +234,39 @@
     CHECK(this->outcome->error().code == error_code::deadline_exceeded);
 }
 
+// Guards against waiting for each of several connections that a restarted
+// device on the path has made silent together.
+TEST(http, no_idle_connection_is_used_after_one_was_silent)
+{
+    std::vector<std::shared_ptr<http_exchange>> waiting;
+    this->server.set_handler([&waiting](const auto& exchange)
+                             { waiting.push_back(exchange); });
+    http_request request;
+    const auto first = this->send(request);
+    const auto second = this->send(request);
+    while (waiting.size() < 2)
+    {
+        this->loop.run_for(std::chrono::milliseconds(5));
+    }
+    for (const auto& exchange : waiting)
+    {
+        exchange->respond(200, {}, "");
+    }
+    this->wait();
+    this->loop.run_for(std::chrono::milliseconds(50));
+    // Only connections that are open already can be used from here on.
+    this->server.stop_accepting();
+    this->outcome.reset();
+    request.head_timeout = std::chrono::milliseconds(30);
+    const auto silent = this->send(request);
+    this->wait();
+    CHECK(this->outcome->error().code == error_code::deadline_exceeded);
+    this->outcome.reset();
+    const auto last = this->send(request);
+    this->wait();
+    CHECK(this->outcome->error().code == error_code::peer_unreachable);
+}
+
 TEST(http, responses_of_a_closing_server_close_their_connection)
 {
     this->server.set_handler([](const std::shared_ptr<http_exchange>& exchange)
