--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -110,10 +110,10 @@
     const time_point now = net::event_loop::now();
     if (this->failing)
     {
-        log_event(log_level::info, "store_follower_recovered",
-                  {{"prefix", this->prefix},
-                   {"unconfirmed_ms",
-                    to_milliseconds(now - this->confirmed_time)}});
+        log_event(
+            log_level::info, "store_follower_recovered",
+            {{"prefix", this->prefix},
+             {"unconfirmed_ms", to_milliseconds(now - this->confirmed_time)}});
     }
     this->position = listing.value().read_revision;
     this->confirmed_time = now;
@@ -143,8 +143,8 @@
     }
     log_event(log_level::info, "store_watch_renewed",
               {{"prefix", this->prefix},
-               {"waited_ms", to_milliseconds(net::event_loop::now() -
-                                             this->call_started)}});
+               {"waited_ms",
+                to_milliseconds(net::event_loop::now() - this->call_started)}});
     this->cancel_watch();
     this->wait_for_changes();
 }
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -59,6 +59,8 @@
     void restart_stall_timer();
     void handle_end(attempt_outcome outcome, const net::http_response& response,
                     const std::string& reason);
+    /// Reports a run that ended as if its replica had crashed.
+    void report_crash(attempt_outcome outcome);
     void finish(item_run_result end, const std::string& reason);
 
     const relay_context& context;
@@ -70,6 +72,8 @@
     service_name service;
     replica_id replica;
     int status = 0;
+    /// Events that this run has received.
+    int events = 0;
     event_splitter splitter;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -130,6 +130,7 @@
     }
     ++this->sends;
     this->splitter = event_splitter();
+    this->attempt_events = 0;
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
     hooks.on_head = [this](const net::http_response& head)
@@ -186,6 +187,7 @@
          this->splitter.feed_new(chunk, this->last_event))
     {
         ready += event.raw;
+        ++this->attempt_events;
     }
     if (this->splitter.is_too_long())
     {
@@ -229,11 +231,25 @@
     {
         return;
     }
+    this->report_crash(outcome);
     this->slots.report_failure(this->request.id, this->service, this->replica,
                                outcome);
     this->send_again(answered ? "the response is incomplete" : reason);
 }
 
+void online_call::report_crash(attempt_outcome outcome)
+{
+    // A stream without a length that ends early looks like an answer.
+    const bool ended_early = outcome == attempt_outcome::answered &&
+                             is_success(this->collected_status);
+    if ((ended_early || this->attempt->was_cut()) &&
+        this->attempt_events < prompt_guard::surviving_events)
+    {
+        this->context.prompts.handle_lost_replica(
+            this->request.id, this->exchange->head().headers, this->replica);
+    }
+}
+
 bool online_call::handle_response(net::http_response response)
 {
     const int status = response.status;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -47,6 +47,8 @@
     void handle_end(attempt_outcome outcome, net::http_response response,
                     const std::string& reason);
     bool handle_response(net::http_response response);
+    /// Reports an attempt that ended as if its replica had crashed.
+    void report_crash(attempt_outcome outcome);
     bool may_send_again() const;
     void send_again(const std::string& reason);
     void fail(error reason);
@@ -80,6 +82,8 @@
     std::string collected_body;
     event_splitter splitter;
     std::int64_t last_event = 0;
+    /// Events that the current attempt has delivered.
+    int attempt_events = 0;
     bool ended = false;
 };
 
--- a/src/relay/relay_adapter.hpp
+++ b/src/relay/relay_adapter.hpp
@@ -10,6 +10,7 @@
 #include "relay/store_keys.hpp"
 #include "routing/configuration.hpp"
 #include "routing/replica_entry.hpp"
+#include "units/ids.hpp"
 #include "units/result.hpp"
 
 #include <optional>
@@ -40,6 +41,11 @@
     virtual result<routing::replica_entry>
     parse_replica(const std::string& key, std::string_view value) const = 0;
 
+    /// \returns The parts of a request's prompt that other requests may share,
+    /// in their order; empty when the request has no prompt.
+    virtual std::vector<prompt_part_id>
+    parse_prompt_parts(const net::http_header_list& headers) const = 0;
+
     /// \returns The address request; absent when the HTTP request is another
     /// one.
     virtual std::optional<address_request>
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -112,6 +112,9 @@
     if (response.has_error())
     {
         const error& reason = response.error();
+        this->cut = reason.ran == ran_state::unknown &&
+                    (reason.code == error_code::connection_lost ||
+                     reason.code == error_code::peer_unreachable);
         attempt_outcome outcome = reason.ran == ran_state::no
                                       ? attempt_outcome::not_sent
                                       : attempt_outcome::may_have_run;
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -77,6 +77,10 @@
     /// \returns Whether the head of the response was received.
     bool has_head() const { return this->head_seen; }
 
+    /// \returns Whether the connection was lost after the request was sent and
+    /// before the end of the response, as when the replica crashes.
+    bool was_cut() const { return this->cut; }
+
     /// \returns The header fields of the response.
     const net::http_header_list& head_fields() const
     {
@@ -102,6 +106,7 @@
     callbacks hooks;
     response_kind kind = response_kind::none;
     bool head_seen = false;
+    bool cut = false;
     /// Status and header fields, for responses whose body is passed on in
     /// chunks.
     net::http_response head;
