--- /dev/null
+++ b/tests/relay_process/prompt_part_test.cpp
@@ -0,0 +1,164 @@
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+constexpr int node_count = 3;
+constexpr int engine_count = 8;
+/// The platform's bounds: requests that may reach replicas once several have
+/// crashed, how many those are, and how long the nodes have to act.
+constexpr int crash_limit = 5;
+constexpr int late_request_limit = 3;
+constexpr duration reaction_time = std::chrono::seconds(3);
+
+const std::string shared_part = "5c1e07a2:200";
+const std::string bad_part = "bad0bad0:50";
+
+/// A fleet whose replicas crash under a part of a prompt and are back at once
+/// as another process.
+class crashing_fleet
+{
+public:
+    crashing_fleet()
+    {
+        for (auto& engine : this->fleet.engines)
+        {
+            engine->crashing_part = bad_part;
+            engine->on_crash = [this, &engine] { this->restart(*engine); };
+        }
+    }
+
+    /// Sends a request with the bad part.
+    relay_fleet::response send_bad(int node)
+    {
+        return this->send(node, shared_part + "," + bad_part + "," +
+                                    this->own_part());
+    }
+
+    /// Sends a request that shares the other parts.
+    relay_fleet::response send_sound(int node)
+    {
+        return this->send(node, shared_part + "," + this->own_part());
+    }
+
+    int crashes() const
+    {
+        int count = 0;
+        for (const auto& engine : this->fleet.engines)
+        {
+            count += engine->crashes;
+        }
+        return count;
+    }
+
+    /// Sends requests with the bad part until the nodes have had their time.
+    void react()
+    {
+        const time_point limit = net::event_loop::now() + reaction_time;
+        for (int count = 0; net::event_loop::now() < limit; ++count)
+        {
+            this->send_sound(count % node_count);
+            this->send_bad(count % node_count);
+            this->fleet.run_for(std::chrono::milliseconds(50));
+        }
+    }
+
+    relay_fleet fleet{relay_fleet_options{.node_count = node_count,
+                                          .engine_count = engine_count}};
+
+private:
+    relay_fleet::response send(int node, const std::string& parts)
+    {
+        this->fleet.prompt_parts = parts;
+        return this->fleet.call(node, "POST", "/once/a",
+                                "p" + std::to_string(++this->sent));
+    }
+
+    std::string own_part() { return "e" + std::to_string(this->sent) + ":250"; }
+
+    void restart(const replica_stand_in& engine)
+    {
+        auto record = nlohmann::json::parse(engine.record("llm"));
+        record["born"] = ++this->starts;
+        this->fleet.store.put("servers/" + engine.name(), record.dump());
+    }
+
+    int sent = 0;
+    int starts = 1;
+};
+
+} // namespace
+
+TEST_GROUP(relay_prompt_parts){};
+
+// Guards against ending one replica after the other under requests that share
+// one part of their prompts and arrive at any node.
+TEST(relay_prompt_parts, a_part_that_crashes_replicas_is_blocked_everywhere)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    const int before = crashing.crashes();
+    CHECK(before <= crash_limit + late_request_limit);
+    for (int count = 0; count < 30; ++count)
+    {
+        const auto response = crashing.send_bad(count % node_count);
+        CHECK_EQUAL(503, response.status);
+        CHECK(net::find_header(response.headers, "Retry-After") != nullptr);
+        CHECK_EQUAL(200, crashing.send_sound(count % node_count).status);
+    }
+    CHECK_EQUAL(before, crashing.crashes());
+}
+
+// Guards against a node that forgets with its process what the fleet knows.
+TEST(relay_prompt_parts, a_restarted_node_learns_the_blocked_parts)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    const int before = crashing.crashes();
+    crashing.fleet.process(1).kill();
+    crashing.fleet.start(1);
+    crashing.fleet.wait_ready(1);
+    crashing.fleet.run_for(reaction_time);
+    for (int count = 0; count < 10; ++count)
+    {
+        CHECK_EQUAL(503, crashing.send_bad(1).status);
+    }
+    CHECK_EQUAL(before, crashing.crashes());
+    CHECK_EQUAL(200, crashing.send_sound(1).status);
+}
+
+// Guards against blocking what was only in progress when replicas crashed for
+// another reason.
+TEST(relay_prompt_parts, sound_parts_stay_usable_while_replicas_crash)
+{
+    crashing_fleet crashing;
+    for (int count = 0; count < 12; ++count)
+    {
+        CHECK_EQUAL(200, crashing.send_sound(count % node_count).status);
+    }
+    // The parts of these requests crash nothing; the replicas just end.
+    for (auto& engine : crashing.fleet.engines)
+    {
+        engine->crashing_part = shared_part;
+    }
+    for (int count = 0; count < 4; ++count)
+    {
+        CHECK(crashing.send_sound(count % node_count).status != 503);
+    }
+    for (auto& engine : crashing.fleet.engines)
+    {
+        engine->crashing_part.clear();
+    }
+    crashing.fleet.run_for(std::chrono::seconds(1));
+    for (int count = 0; count < 12; ++count)
+    {
+        CHECK_EQUAL(200, crashing.send_sound(count % node_count).status);
+    }
+}
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -265,6 +265,11 @@
         request.headers.emplace_back("Parsleytrack-Request-Id", id);
         request.headers.emplace_back("Parsleytrack-Deadline-Ms", "5000");
     }
+    if (!this->prompt_parts.empty())
+    {
+        request.headers.emplace_back("Parsleytrack-Prompt-Prefix",
+                                     this->prompt_parts);
+    }
     const endpoint& target =
         number < 0 ? this->nodes.front().directory
                    : this->nodes.at(static_cast<std::size_t>(number)).front;
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -59,6 +59,9 @@
                     const std::string& path, const std::string& id,
                     const std::string& body, std::shared_ptr<response> into);
 
+    /// Prompt parts of the requests sent from now on, as callers list them.
+    std::string prompt_parts;
+
     /// Submits a job with a number of items.
     response submit(int node, const std::string& job, int items);
 
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -95,11 +95,33 @@
     net::http_header_list fields = headers;
     fields.emplace_back("Content-Type", "text/event-stream");
     exchange->start_stream(200, fields);
+    const std::string* parts = net::find_header(exchange->head().headers,
+                                                "Parsleytrack-Prompt-Prefix");
+    if (!this->crashing_part.empty() && parts != nullptr &&
+        parts->find(this->crashing_part) != std::string::npos)
+    {
+        this->crash_timer =
+            this->loop.call_after(crash_delay, [this] { this->crash(); });
+        return;
+    }
     entry.event_timer =
         this->loop.call_every(this->event_interval, [this, number]
                               { this->send_next_event(number); });
 }
 
+void replica_stand_in::crash()
+{
+    ++this->crashes;
+    for (auto& [number, entry] : std::exchange(this->streams, {}))
+    {
+        entry.exchange->abort();
+    }
+    if (this->on_crash)
+    {
+        this->on_crash();
+    }
+}
+
 void replica_stand_in::send_next_event(std::uint64_t number)
 {
     stream& entry = this->streams.at(number);
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -5,6 +5,7 @@
 #include "net/http_server.hpp"
 #include "units/endpoint.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -67,6 +68,14 @@
     std::map<std::string, std::pair<int, time_point>> received_deadlines;
     /// Number of runs by request id.
     std::map<std::string, int> runs;
+    /// A part of a prompt under which the replica crashes as it begins to
+    /// answer: it closes all connections. Empty for none.
+    std::string crashing_part;
+    /// Time from the start of a run to the crash.
+    static constexpr duration crash_delay = std::chrono::milliseconds(30);
+    /// Called after a crash. Optional.
+    std::function<void()> on_crash;
+    int crashes = 0;
 
 private:
     struct stream
@@ -79,6 +88,7 @@
     void handle_request(const std::shared_ptr<net::http_exchange>& exchange);
     void start_stream(const std::shared_ptr<net::http_exchange>& exchange,
                       const net::http_header_list& headers);
+    void crash();
     void send_next_event(std::uint64_t number);
 
     net::event_loop& loop;
@@ -88,6 +98,7 @@
     endpoint advertised_address;
     std::map<std::uint64_t, stream> streams;
     std::uint64_t next_stream = 1;
+    net::timer crash_timer;
 };
 
 } // namespace parsleytrack::relay_support
