Test streams that have no length and end with their connection

Three tests show it: a whole stream reaches the caller and a batch item, a broken one is visibly broken off, and one that may be resumed goes on at another replica.

--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -1,3 +1,4 @@
+#include "relay_support/expected_output.hpp"
 #include "relay_support/raw_replica.hpp"
 #include "relay_support/relay_fleet.hpp"
 
@@ -169,6 +170,76 @@
     CHECK_EQUAL(1, faulty.runs["id1"]);
 }
 
+// A stream may have neither a length nor chunks and end with its connection.
+TEST(relay_replica_protocol, a_stream_that_ends_with_its_connection_is_whole)
+{
+    relay_fleet fleet(relay_fleet_options{.engine_count = 0});
+    raw_replica unframed(fleet.loop, "i-unframed",
+                         raw_replica::fault::unframed_stream);
+    fleet.store.put("servers/" + unframed.name(), unframed.record("llm"));
+    for (const char* path : {"/once/a", "/stream/a"})
+    {
+        CHECK(fleet.wait(
+            [&fleet, path] {
+                return fleet.call(0, "POST", path, "id1").body ==
+                       expected_stream();
+            }));
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 4).status);
+    for (const auto& entry : fleet.results(0, "job"))
+    {
+        STRCMP_EQUAL(expected_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
+    }
+}
+
+// Guards against passing on as whole what ended inside an event.
+TEST(relay_replica_protocol, a_stream_that_ends_inside_an_event_is_broken_off)
+{
+    relay_fleet fleet(relay_fleet_options{.engine_count = 1});
+    raw_replica broken(fleet.loop, "a-broken-off",
+                       raw_replica::fault::unframed_broken_stream);
+    fleet.store.put("servers/" + broken.name(), broken.record("llm"));
+    int broken_off = 0;
+    int whole = 0;
+    CHECK(fleet.wait(
+        [&]
+        {
+            const auto response =
+                fleet.call(0, "POST", "/once/a",
+                           "once" + std::to_string(broken_off + whole));
+            if (response.status == 200)
+            {
+                ++whole;
+                STRCMP_EQUAL(expected_stream().c_str(), response.body.c_str());
+            }
+            else
+            {
+                ++broken_off;
+            }
+            return broken_off > 0 && whole > 0;
+        }));
+}
+
+// The same for a stream that may be resumed at another replica.
+TEST(relay_replica_protocol, a_stream_that_ends_inside_an_event_goes_on)
+{
+    relay_fleet fleet(relay_fleet_options{.engine_count = 1});
+    raw_replica broken(fleet.loop, "a-broken-off",
+                       raw_replica::fault::unframed_broken_stream);
+    fleet.store.put("servers/" + broken.name(), broken.record("llm"));
+    int count = 0;
+    CHECK(fleet.wait(
+        [&]
+        {
+            const std::string id = "id" + std::to_string(++count);
+            const auto response = fleet.call(0, "POST", "/stream/a", id);
+            CHECK_EQUAL(200, response.status);
+            STRCMP_EQUAL(expected_stream().c_str(), response.body.c_str());
+            return broken.runs.contains(id);
+        }));
+}
+
 TEST_GROUP(relay_caller_limits){};
 
 TEST(relay_caller_limits, a_head_over_the_limit_is_refused)
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -34,6 +34,18 @@
            body;
 }
 
+/// \returns The first events of a stream, as replica_stand_in sends them.
+std::string events(int count)
+{
+    std::string text;
+    for (int number = 1; number <= count; ++number)
+    {
+        text += "id: " + std::to_string(number) + "\ndata: t" +
+                std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
 /// \returns The value of a header field, empty when it is missing.
 std::string field(const std::string& text, const std::string& name)
 {
@@ -135,6 +147,15 @@
         bytes = response_head(request, "Connection: close") + "id: 1\ndata: ";
         this->send_single_bytes();
         break;
+    case fault::unframed_stream:
+        bytes = response_head(request, "Connection: close") + events(12);
+        this->ending.insert(link);
+        break;
+    case fault::unframed_broken_stream:
+        bytes = response_head(request, "Connection: close") + events(3) +
+                "id: 4\ndata: t";
+        this->ending.insert(link);
+        break;
     case fault::reset:
         const linger abortive{1, 0};
         ::setsockopt(bufferevent_getfd(link), SOL_SOCKET, SO_LINGER, &abortive,
@@ -150,6 +171,11 @@
     const bool is_endless = this->behaviour == fault::endless_event ||
                             this->behaviour == fault::endless_head ||
                             this->behaviour == fault::endless_chunk;
+    if (this->ending.contains(link))
+    {
+        this->close(link);
+        return;
+    }
     if (is_endless && !this->runs.empty())
     {
         const std::string chunk(chunk_bytes, 'x');
@@ -173,6 +199,7 @@
 void raw_replica::close(bufferevent* link)
 {
     this->connections.erase(link);
+    this->ending.erase(link);
     bufferevent_free(link);
 }
 
--- a/tests/relay_support/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -4,6 +4,7 @@
 #include "relay_support/loopback_listener.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 
 struct bufferevent;
@@ -29,7 +30,12 @@
         /// Sends a byte of an event now and then and never ends it.
         trickle,
         /// Resets the connection after reading the request.
-        reset
+        reset,
+        /// Sends a whole stream that has no length and ends with the
+        /// connection.
+        unframed_stream,
+        /// The same, but the connection ends inside an event.
+        unframed_broken_stream
     };
 
     raw_replica(net::event_loop& event_loop, std::string replica_name,
@@ -61,6 +67,8 @@
     fault behaviour;
     loopback_listener listener;
     std::map<bufferevent*, std::string> connections;
+    /// Connections that are closed once their response is written.
+    std::set<bufferevent*> ending;
     std::string previous_request = "0";
     net::timer trickle_timer;
 };
