Block parts of prompts that crash replicas, on all nodes

Cause: failures were counted by replica, never by what the failed requests share, and each node saw a few of the losses only.

Ruled out: repeats by one request; the failed ones were sent once.

Mend: nodes that lose a replica before a request's second event compare the shared parts of the prompts (prompt_guard); find_crashing_parts names the part that explains the losses, and all nodes reject its requests at once, or let items wait. Nodes that start or return learn the verdicts from others.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -17,6 +17,10 @@
 /// A replica that completes no event for this long is stalled, also if it sends
 /// a byte now and then. Several times the pauses of a slow replica.
 constexpr duration stall_timeout = std::chrono::seconds(5);
+/// Interval of checks whether a blocked item may run, and the number of checks
+/// after which other items of the job get their turn.
+constexpr duration block_check_interval = std::chrono::seconds(1);
+constexpr int max_block_checks = 5;
 constexpr int status_ok = 200;
 constexpr int status_impossible = 422;
 
@@ -31,15 +35,46 @@
 {
 }
 
-void item_run::start(const service_name& name, int priority, duration due_in)
+void item_run::start(const service_name& name, int route_priority,
+                     duration due_in)
 {
     this->service = name;
+    this->priority = route_priority;
+    this->due = net::event_loop::now() + due_in;
+    this->wait_until_allowed();
+}
+
+void item_run::wait_until_allowed()
+{
+    if (!this->context.prompts.rejection(request_id(this->item.id),
+                                         this->item.headers))
+    {
+        this->request_slot();
+        return;
+    }
+    const bool gives_way = ++this->block_checks > max_block_checks;
+    this->block_timer = this->context.loop.call_after(
+        block_check_interval,
+        [this, gives_way]
+        {
+            if (gives_way)
+            {
+                this->finish(item_run_result::interrupted,
+                             "replicas crash under a part of the prompt");
+                return;
+            }
+            this->wait_until_allowed();
+        });
+}
+
+void item_run::request_slot()
+{
     slot_request order;
     order.request = request_id(this->item.id);
-    order.pool.service = name;
+    order.pool.service = this->service;
     order.kind = work_class::batch;
-    order.priority = priority;
-    order.useful_for = due_in;
+    order.priority = this->priority;
+    order.useful_for = this->due - net::event_loop::now();
     order.wait_when_late = true;
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
@@ -62,7 +97,15 @@
         this->finish(item_run_result::interrupted, "the replica has left");
         return;
     }
+    if (this->context.prompts.rejection(request_id(this->item.id),
+                                        this->item.headers))
+    {
+        this->finish(item_run_result::interrupted,
+                     "replicas crash under a part of the prompt");
+        return;
+    }
     this->replica = granted;
+    this->replica_process = routing::process_name(*entry);
     const header_names& names = this->context.adapter.headers();
     net::http_request request;
     request.method = "POST";
@@ -134,7 +177,10 @@
         }
         this->progress.output += event.data;
         this->restart_stall_timer();
-        ++this->events;
+        if (++this->events == prompt_guard::surviving_events)
+        {
+            this->context.prompts.handle_survival(this->item.headers);
+        }
     }
     if (this->splitter.is_too_long())
     {
@@ -150,6 +196,7 @@
     if (answered && response.status == status_ok &&
         !this->splitter.has_partial_event() && this->progress.last_event > 0)
     {
+        this->context.prompts.handle_survival(this->item.headers);
         this->finish(item_run_result::completed, reason);
         return;
     }
@@ -174,8 +221,9 @@
     if ((ended_early || this->attempt->was_cut()) &&
         this->events < prompt_guard::surviving_events)
     {
-        this->context.prompts.handle_lost_replica(
-            request_id(this->item.id), this->item.headers, this->replica);
+        this->context.prompts.handle_lost_replica(request_id(this->item.id),
+                                                  this->item.headers,
+                                                  this->replica_process);
     }
 }
 
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -54,6 +54,9 @@
     void start(const service_name& service, int priority, duration due_in);
 
 private:
+    void request_slot();
+    /// Waits while a part of the prompt crashes replicas.
+    void wait_until_allowed();
     void send(const replica_id& replica);
     void handle_chunk(std::string_view chunk);
     void restart_stall_timer();
@@ -70,7 +73,10 @@
     jobs::item_progress& progress;
     end_callback ended_callback;
     service_name service;
+    int priority = 0;
+    time_point due;
     replica_id replica;
+    std::string replica_process;
     int status = 0;
     /// Events that this run has received.
     int events = 0;
@@ -78,6 +84,8 @@
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     net::timer stall_timer;
+    net::timer block_timer;
+    int block_checks = 0;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -77,8 +77,26 @@
     this->request_slot();
 }
 
+bool online_call::reject_if_blocked()
+{
+    const auto retry_after = this->context.prompts.rejection(
+        this->request.id, this->exchange->head().headers);
+    if (!retry_after)
+    {
+        return false;
+    }
+    this->fail(error{error_code::no_replica,
+                     "replicas crash under a part of this prompt",
+                     ran_state::no, *retry_after});
+    return true;
+}
+
 void online_call::request_slot()
 {
+    if (this->reject_if_blocked())
+    {
+        return;
+    }
     slot_request wanted;
     wanted.request = this->request.id;
     wanted.pool.service = this->service;
@@ -111,6 +129,11 @@
 
 void online_call::send(const replica_id& granted)
 {
+    // The part may have been blocked while the request waited for the slot.
+    if (this->reject_if_blocked())
+    {
+        return;
+    }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
     if (entry == nullptr)
@@ -120,6 +143,7 @@
         return;
     }
     this->replica = granted;
+    this->replica_process = routing::process_name(*entry);
     this->sent_at = net::event_loop::now();
     if (this->sends == 0)
     {
@@ -188,6 +212,11 @@
     {
         ready += event.raw;
         ++this->attempt_events;
+        if (this->attempt_events == prompt_guard::surviving_events)
+        {
+            this->context.prompts.handle_survival(
+                this->exchange->head().headers);
+        }
     }
     if (this->splitter.is_too_long())
     {
@@ -246,7 +275,8 @@
         this->attempt_events < prompt_guard::surviving_events)
     {
         this->context.prompts.handle_lost_replica(
-            this->request.id, this->exchange->head().headers, this->replica);
+            this->request.id, this->exchange->head().headers,
+            this->replica_process);
     }
 }
 
@@ -259,6 +289,7 @@
         {
             return false;
         }
+        this->context.prompts.handle_survival(this->exchange->head().headers);
         this->exchange->finish_stream();
         this->finish("served", status);
         return true;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -39,6 +39,10 @@
     void start();
 
 private:
+    /// Rejects the request if a part of its prompt crashes replicas.
+    ///
+    /// \returns Whether it was rejected.
+    bool reject_if_blocked();
     void request_slot();
     duration useful_time() const;
     void send(const replica_id& replica);
@@ -67,6 +71,7 @@
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     replica_id replica;
+    std::string replica_process;
     std::set<replica_id> excluded;
     net::timer deadline_timer;
     time_point sent_at;
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -1,9 +1,10 @@
 #include "relay/prompt_guard.hpp"
 
+#include "decisions/rendezvous.hpp"
 #include "logging/log.hpp"
+#include "routing/crashing_parts.hpp"
 
-#include <string>
-#include <vector>
+#include <algorithm>
 
 namespace parsleytrack::relay
 {
@@ -11,6 +12,21 @@
 namespace
 {
 
+using wire::message_type;
+
+/// Nodes of a region respond within milliseconds. An unresponsive one delays a
+/// verdict by this much.
+constexpr duration inquiry_timeout = std::chrono::milliseconds(300);
+/// Nodes that collect the reports about one part, and that greet one new node.
+/// Up to this number, all do.
+constexpr std::size_t collectors_per_part = 16;
+constexpr duration notice_timeout = std::chrono::milliseconds(500);
+constexpr int notice_attempts = 4;
+constexpr duration shortest_retry_after = std::chrono::seconds(1);
+/// Another request may be tried when a trial has no outcome after this time,
+/// for instance because its caller has left.
+constexpr duration trial_timeout = std::chrono::seconds(20);
+
 std::string join(const std::vector<prompt_part_id>& parts)
 {
     std::string text;
@@ -23,15 +39,84 @@
 
 } // namespace
 
-prompt_guard::prompt_guard(const relay_adapter& protocol_adapter,
+prompt_guard::prompt_guard(net::event_loop& event_loop,
+                           wire::peer_network& network,
+                           peering::peer_group& nodes,
+                           const relay_adapter& protocol_adapter,
                            metrics::registry& counters)
-    : adapter(protocol_adapter), metrics(counters)
+    : loop(event_loop), peers(network), group(nodes), adapter(protocol_adapter),
+      metrics(counters)
 {
+    using exchange_pointer = std::shared_ptr<wire::peer_exchange>;
+    this->peers.on_call(message_type::part_inquiry,
+                        [this](const exchange_pointer& exchange)
+                        { this->handle_inquiry(exchange); });
+    this->peers.on_call(message_type::part_verdicts,
+                        [this](const exchange_pointer& exchange)
+                        { this->handle_verdicts(exchange); });
+    this->group.on_change([this] { this->greet_new_nodes(); });
+}
+
+std::optional<duration>
+prompt_guard::rejection(const request_id& request,
+                        const net::http_header_list& headers)
+{
+    if (this->quarantine.is_empty())
+    {
+        return std::nullopt;
+    }
+    const auto blocked = this->quarantine.blocked_among(
+        this->adapter.parse_prompt_parts(headers));
+    if (blocked.empty())
+    {
+        return std::nullopt;
+    }
+    const time_point now = net::event_loop::now();
+    const routing::part_verdict& verdict = blocked.front();
+    const bool is_tried =
+        this->current_trial && this->current_trial->request == request;
+    if (is_tried)
+    {
+        return std::nullopt;
+    }
+    const bool trial_is_over =
+        !this->current_trial ||
+        now - this->current_trial->started > trial_timeout;
+    const std::vector<std::string> names = this->live_names();
+    const auto winner = rendezvous_rank(names, verdict.part.str(), 1);
+    const bool decides =
+        !winner.empty() && names[winner.front()] == this->group.own().id.str();
+    if (blocked.size() == 1 && now >= verdict.trial_at && trial_is_over &&
+        decides)
+    {
+        log_event(log_level::info, "prompt_part_tried",
+                  {{"part", verdict.part.str()}, {"request", request.str()}});
+        this->current_trial = trial{request, verdict.part, now};
+        return std::nullopt;
+    }
+    return std::max<duration>(shortest_retry_after, verdict.trial_at - now);
+}
+
+void prompt_guard::handle_survival(const net::http_header_list& headers)
+{
+    const std::vector<prompt_part_id> parts =
+        this->adapter.parse_prompt_parts(headers);
+    this->history.record_survival(parts, net::event_loop::now());
+    // Also ends a block that a request from before it has shown to be wrong.
+    for (const routing::part_verdict& blocked :
+         this->quarantine.blocked_among(parts))
+    {
+        if (const auto* verdict = this->quarantine.clear(blocked.part))
+        {
+            this->log_verdict(*verdict, "a replica survived it");
+            this->notify_all(*verdict);
+        }
+    }
 }
 
 void prompt_guard::handle_lost_replica(const request_id& request,
                                        const net::http_header_list& headers,
-                                       const replica_id& replica)
+                                       const std::string& replica_process)
 {
     const std::vector<prompt_part_id> parts =
         this->adapter.parse_prompt_parts(headers);
@@ -39,11 +124,316 @@
     {
         return;
     }
+    const time_point now = net::event_loop::now();
     log_event(log_level::info, "replica_lost_under_prompt",
               {{"request", request.str()},
-               {"replica", replica.str()},
+               {"replica", replica_process},
                {"parts", join(parts)}});
     this->metrics.count("parsleytrack_replicas_lost_under_prompts_total", {});
+    if (this->current_trial && this->current_trial->request == request)
+    {
+        const routing::part_verdict& verdict =
+            this->quarantine.block(this->current_trial->part, now);
+        this->current_trial.reset();
+        this->log_verdict(verdict, "its trial failed");
+        this->notify_all(verdict);
+        return;
+    }
+    if (!this->quarantine.blocked_among(parts).empty())
+    {
+        // The blocked part explains the loss.
+        return;
+    }
+    this->history.add_report(
+        routing::crash_report{request, replica_process, parts, now});
+    this->suspects.insert(parts.begin(), parts.end());
+    this->start_inquiry();
+}
+
+void prompt_guard::start_inquiry()
+{
+    if (this->gathered || this->suspects.empty())
+    {
+        return;
+    }
+    const std::vector<prompt_part_id> parts(this->suspects.begin(),
+                                            this->suspects.end());
+    this->suspects.clear();
+    this->gathered = this->knowledge_of(parts);
+    const std::string question =
+        encode(*this->gathered, net::event_loop::now());
+    const std::set<endpoint> asked = this->collecting_nodes(parts);
+    this->awaited_replies = asked.size() + 1;
+    for (const endpoint& address : asked)
+    {
+        const std::uint64_t number = this->next_number++;
+        this->calls[number] = this->peers.call(
+            address, message_type::part_inquiry, question, inquiry_timeout,
+            {{},
+             [this, number](const result<std::string>& reply)
+             {
+                 this->loop.free_later(std::move(this->calls[number]));
+                 this->calls.erase(number);
+                 this->handle_reply(reply);
+             }});
+    }
+    this->loop.post([this] { this->end_inquiry(); });
+}
+
+void prompt_guard::handle_reply(const result<std::string>& reply)
+{
+    if (reply.has_value())
+    {
+        auto knowledge =
+            decode_part_knowledge(reply.value(), net::event_loop::now());
+        if (knowledge.has_error())
+        {
+            log_event(log_level::warning, "part_reply_refused",
+                      {{"reason", knowledge.error().message}});
+        }
+        else
+        {
+            for (const routing::crash_report& report :
+                 knowledge.value().crashes)
+            {
+                this->history.add_report(report);
+            }
+            for (const auto& [part, when] : knowledge.value().survivals)
+            {
+                this->history.record_survival({part}, when);
+            }
+            this->apply(knowledge.value().verdicts);
+        }
+    }
+    this->end_inquiry();
+}
+
+void prompt_guard::end_inquiry()
+{
+    if (--this->awaited_replies > 0)
+    {
+        return;
+    }
+    const time_point now = net::event_loop::now();
+    const std::vector<prompt_part_id> parts =
+        std::exchange(this->gathered, std::nullopt)->asked;
+    part_knowledge known = this->knowledge_of(parts);
+    for (routing::crash_report& report : known.crashes)
+    {
+        // Nobody was asked about the other parts of other nodes' requests.
+        std::erase_if(report.parts,
+                      [&parts](const prompt_part_id& part) {
+                          return std::find(parts.begin(), parts.end(), part) ==
+                                 parts.end();
+                      });
+    }
+    for (const prompt_part_id& part :
+         routing::find_crashing_parts(known.crashes, known.survivals))
+    {
+        if (!this->quarantine.blocked_among({part}).empty())
+        {
+            continue;
+        }
+        const routing::part_verdict& verdict =
+            this->quarantine.block(part, now);
+        this->log_verdict(verdict, "replicas ended under it");
+        this->notify_all(verdict);
+    }
+    this->start_inquiry();
+}
+
+void prompt_guard::handle_inquiry(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const time_point now = net::event_loop::now();
+    const auto question = decode_part_knowledge(exchange->request(), now);
+    if (question.has_error())
+    {
+        log_event(log_level::warning, "part_inquiry_refused",
+                  {{"reason", question.error().message}});
+        exchange->fail(question.error());
+        return;
+    }
+    for (const routing::crash_report& report : question.value().crashes)
+    {
+        this->history.add_report(report);
+    }
+    part_knowledge known = this->knowledge_of(question.value().asked);
+    known.asked.clear();
+    known.verdicts = this->quarantine.all();
+    exchange->finish(encode(known, now));
+}
+
+void prompt_guard::handle_verdicts(
+    const std::shared_ptr<wire::peer_exchange>& exchange)
+{
+    const auto message =
+        decode_part_knowledge(exchange->request(), net::event_loop::now());
+    if (message.has_error())
+    {
+        log_event(log_level::warning, "part_verdicts_refused",
+                  {{"reason", message.error().message}});
+        exchange->fail(message.error());
+        return;
+    }
+    this->apply(message.value().verdicts);
+    exchange->finish({});
+}
+
+void prompt_guard::apply(const std::vector<routing::part_verdict>& received)
+{
+    for (const routing::part_verdict& verdict : received)
+    {
+        if (this->quarantine.merge(verdict))
+        {
+            this->log_verdict(verdict, "another node");
+        }
+    }
+}
+
+part_knowledge
+prompt_guard::knowledge_of(const std::vector<prompt_part_id>& parts) const
+{
+    part_knowledge known;
+    known.asked = parts;
+    known.crashes = this->history.reports_with(parts, net::event_loop::now());
+    for (const prompt_part_id& part : parts)
+    {
+        if (const auto when = this->history.last_survival(part))
+        {
+            known.survivals[part] = *when;
+        }
+    }
+    return known;
+}
+
+std::set<endpoint>
+prompt_guard::collecting_nodes(const std::vector<prompt_part_id>& parts) const
+{
+    const std::vector<node_info>& nodes = this->group.live_nodes();
+    const std::vector<std::string> names = this->live_names();
+    std::set<endpoint> chosen;
+    for (const prompt_part_id& part : parts)
+    {
+        for (const std::size_t index :
+             rendezvous_rank(names, part.str(), collectors_per_part))
+        {
+            if (nodes[index].id != this->group.own().id)
+            {
+                chosen.insert(nodes[index].peer);
+            }
+        }
+    }
+    return chosen;
+}
+
+void prompt_guard::notify_all(const routing::part_verdict& verdict)
+{
+    part_knowledge news;
+    news.verdicts.push_back(verdict);
+    const std::string message = encode(news, net::event_loop::now());
+    for (const node_info& node : this->group.live_nodes())
+    {
+        if (node.id != this->group.own().id)
+        {
+            this->notify(node, message, notice_attempts);
+        }
+    }
+}
+
+void prompt_guard::notify(const node_info& node, const std::string& message,
+                          int attempts)
+{
+    const std::uint64_t number = this->next_number++;
+    this->calls[number] = this->peers.call(
+        node.peer, message_type::part_verdicts, message, notice_timeout,
+        {{},
+         [this, number, node, message,
+          attempts](const result<std::string>& outcome)
+         {
+             this->loop.free_later(std::move(this->calls[number]));
+             this->calls.erase(number);
+             if (outcome.has_value())
+             {
+                 return;
+             }
+             log_event(log_level::info, "part_verdict_lost",
+                       {{"to", node.id.str()},
+                        {"attempts_left", attempts - 1},
+                        {"reason", outcome.error().message}});
+             if (attempts <= 1)
+             {
+                 // A node that returns is greeted with all verdicts.
+                 return;
+             }
+             this->retries[number] = this->loop.call_after(
+                 notice_timeout,
+                 [this, number, node, message, attempts]
+                 {
+                     const auto timer = std::move(this->retries[number]);
+                     this->retries.erase(number);
+                     this->notify(node, message, attempts - 1);
+                 });
+         }});
+}
+
+void prompt_guard::greet_new_nodes()
+{
+    std::set<std::pair<node_id, process_number>> current;
+    std::vector<node_info> newcomers;
+    for (const node_info& node : this->group.live_nodes())
+    {
+        current.emplace(node.id, node.process);
+        if (node.id != this->group.own().id &&
+            !this->known_processes.contains({node.id, node.process}))
+        {
+            newcomers.push_back(node);
+        }
+    }
+    this->known_processes = std::move(current);
+    if (this->quarantine.is_empty() || newcomers.empty())
+    {
+        return;
+    }
+    part_knowledge news;
+    news.verdicts = this->quarantine.all();
+    const std::string message = encode(news, net::event_loop::now());
+    const std::vector<std::string> names = this->live_names();
+    for (const node_info& node : newcomers)
+    {
+        const auto greeters =
+            rendezvous_rank(names, node.id.str(), collectors_per_part);
+        const bool greets =
+            std::any_of(greeters.begin(), greeters.end(),
+                        [this, &names](std::size_t index)
+                        { return names[index] == this->group.own().id.str(); });
+        if (greets)
+        {
+            this->notify(node, message, notice_attempts);
+        }
+    }
+}
+
+std::vector<std::string> prompt_guard::live_names() const
+{
+    std::vector<std::string> names;
+    for (const node_info& node : this->group.live_nodes())
+    {
+        names.push_back(node.id.str());
+    }
+    return names;
+}
+
+void prompt_guard::log_verdict(const routing::part_verdict& verdict,
+                               const char* learned_from) const
+{
+    log_event(log_level::warning,
+              verdict.blocked ? "prompt_part_blocked" : "prompt_part_cleared",
+              {{"part", verdict.part.str()},
+               {"revision", verdict.revision},
+               {"trial_in_ms",
+                to_milliseconds(verdict.trial_at - net::event_loop::now())},
+               {"learned_from", learned_from}});
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/prompt_guard.hpp
+++ b/src/relay/prompt_guard.hpp
@@ -1,37 +1,115 @@
 #pragma once
 
 #include "metrics/registry.hpp"
+#include "net/event_loop.hpp"
 #include "net/http_header_list.hpp"
+#include "peering/peer_group.hpp"
+#include "relay/part_knowledge.hpp"
 #include "relay/relay_adapter.hpp"
+#include "routing/crash_history.hpp"
+#include "routing/part_quarantine.hpp"
 #include "units/ids.hpp"
+#include "wire/peer_network.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace parsleytrack::relay
 {
 
-/// Watches for prompts under which replicas end.
+/// Keeps requests from replicas whose prompts contain a part that crashes each
+/// replica which begins to answer them. Nodes that lose replicas compare the
+/// prompts, and all nodes block the part that explains the losses.
 class prompt_guard
 {
 public:
     /// Output events after which a replica has survived a prompt.
     static constexpr int surviving_events = 2;
 
-    /// \param protocol_adapter Outlives this object, as do the other
-    /// references.
-    prompt_guard(const relay_adapter& protocol_adapter,
+    /// \param event_loop Outlives this object, as do the other references.
+    prompt_guard(net::event_loop& event_loop, wire::peer_network& network,
+                 peering::peer_group& nodes,
+                 const relay_adapter& protocol_adapter,
                  metrics::registry& counters);
 
+    /// To be asked before a slot is requested, and again before the request is
+    /// sent.
+    ///
+    /// \returns Absent when the request may be sent; otherwise the time until
+    /// the block is tried.
+    std::optional<duration> rejection(const request_id& request,
+                                      const net::http_header_list& headers);
+
+    /// Records that a replica has survived a prompt.
+    void handle_survival(const net::http_header_list& headers);
+
     /// Handles the loss of a replica's connection before surviving_events.
     ///
     /// \param request The request that was running on the replica.
     /// \param headers The request's header fields.
-    /// \param replica The replica, and its process.
+    /// \param replica_process The replica and its process; see crash_report.
     void handle_lost_replica(const request_id& request,
                              const net::http_header_list& headers,
-                             const replica_id& replica);
+                             const std::string& replica_process);
+
+    /// \returns All verdicts, including those on parts no longer blocked.
+    std::vector<routing::part_verdict> verdicts() const
+    {
+        return this->quarantine.all();
+    }
 
 private:
+    /// The one request that may be sent although its part is blocked.
+    struct trial
+    {
+        request_id request;
+        prompt_part_id part;
+        time_point started;
+    };
+
+    void start_inquiry();
+    void handle_reply(const result<std::string>& reply);
+    void end_inquiry();
+    void handle_inquiry(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void handle_verdicts(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void apply(const std::vector<routing::part_verdict>& received);
+    part_knowledge knowledge_of(const std::vector<prompt_part_id>& parts) const;
+    /// \returns The nodes that collect the reports about the parts.
+    std::set<endpoint>
+    collecting_nodes(const std::vector<prompt_part_id>& parts) const;
+    void notify_all(const routing::part_verdict& verdict);
+    void notify(const node_info& node, const std::string& message,
+                int attempts);
+    void greet_new_nodes();
+    std::vector<std::string> live_names() const;
+    void log_verdict(const routing::part_verdict& verdict,
+                     const char* learned_from) const;
+
+    net::event_loop& loop;
+    wire::peer_network& peers;
+    peering::peer_group& group;
     const relay_adapter& adapter;
     metrics::registry& metrics;
+    routing::crash_history history;
+    routing::part_quarantine quarantine;
+    std::optional<trial> current_trial;
+    /// Parts of the requests that have lost replicas since the last inquiry
+    /// began.
+    std::set<prompt_part_id> suspects;
+    /// What the current inquiry has gathered.
+    std::optional<part_knowledge> gathered;
+    std::size_t awaited_replies = 0;
+    std::set<std::pair<node_id, process_number>> known_processes;
+    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
+    std::map<std::uint64_t, net::timer> retries;
+    std::uint64_t next_number = 1;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,7 +97,8 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
-    prompt_guard prompts{this->adapter, this->metrics};
+    prompt_guard prompts{this->loop, this->peers, this->group, this->adapter,
+                         this->metrics};
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -69,6 +70,20 @@
     return list;
 }
 
+json describe_prompt_parts(const prompt_guard& prompts)
+{
+    json list = json::array();
+    for (const routing::part_verdict& verdict : prompts.verdicts())
+    {
+        list.push_back(
+            {{"part", verdict.part.str()},
+             {"blocked", verdict.blocked},
+             {"trial_in_ms",
+              to_milliseconds(verdict.trial_at - net::event_loop::now())}});
+    }
+    return list;
+}
+
 json describe_nodes(const peering::peer_group& group)
 {
     json list = json::array();
@@ -137,6 +152,7 @@
         {"store", describe_store(this->context.store)},
         {"replicas", describe_replicas(this->context.replicas.registry())},
         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())},
+        {"prompt_parts", describe_prompt_parts(this->context.prompts)},
         {"nodes", describe_nodes(this->context.group)},
         {"jobs", describe_jobs(this->jobs)},
         {"pools", describe_pools(this->server)}};
@@ -165,6 +181,12 @@
     metrics.set_gauge(
         "parsleytrack_replicas_age_seconds", {},
         std::chrono::duration<double>(this->context.replicas.age()).count());
+    const auto verdicts = this->context.prompts.verdicts();
+    metrics.set_gauge(
+        "parsleytrack_blocked_prompt_parts", {},
+        static_cast<double>(std::count_if(verdicts.begin(), verdicts.end(),
+                                          [](const routing::part_verdict& known)
+                                          { return known.blocked; })));
     metrics.set_gauge("parsleytrack_open_requests", {},
                       static_cast<double>(open_requests));
 }
--- /dev/null
+++ b/src/routing/crash_report.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+#include <string>
+#include <vector>
+
+namespace parsleytrack::routing
+{
+
+/// A request that lost its replica before its output.
+struct crash_report
+{
+    request_id request;
+    /// Identifies the replica and its process: a replica that has restarted
+    /// counts as another one.
+    std::string replica_process;
+    /// The parts that the prompt shares with others, in their order.
+    std::vector<prompt_part_id> parts;
+    time_point at;
+
+    bool operator==(const crash_report&) const = default;
+};
+
+} // namespace parsleytrack::routing
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -46,7 +46,10 @@
     node_job_handover = 92,
     /// Relay: from a node that follows the store through another node.
     replica_feed = 95,
-    configuration_feed = 96
+    configuration_feed = 96,
+    /// Relay: parts of prompts under which replicas crash.
+    part_inquiry = 97,
+    part_verdicts = 98
 };
 
 } // namespace parsleytrack::wire
--- a/tests/relay_process/prompt_part_test.cpp
+++ b/tests/relay_process/prompt_part_test.cpp
@@ -31,21 +31,25 @@
         for (auto& engine : this->fleet.engines)
         {
             engine->crashing_part = bad_part;
-            engine->on_crash = [this, &engine] { this->restart(*engine); };
+            engine->on_crash = [this, &engine]
+            {
+                this->restart(*engine);
+            };
         }
     }
 
     /// Sends a request with the bad part.
-    relay_fleet::response send_bad(int node)
+    relay_fleet::response send_bad(int node, const char* path = "/once/a")
     {
-        return this->send(node, shared_part + "," + bad_part + "," +
-                                    this->own_part());
+        return this->send(
+            node, path, shared_part + "," + bad_part + "," + this->own_part());
     }
 
     /// Sends a request that shares the other parts.
     relay_fleet::response send_sound(int node)
     {
-        return this->send(node, shared_part + "," + this->own_part());
+        return this->send(node, "/once/a",
+                          shared_part + "," + this->own_part());
     }
 
     int crashes() const
@@ -59,13 +63,13 @@
     }
 
     /// Sends requests with the bad part until the nodes have had their time.
-    void react()
+    void react(const char* path = "/once/a")
     {
         const time_point limit = net::event_loop::now() + reaction_time;
         for (int count = 0; net::event_loop::now() < limit; ++count)
         {
             this->send_sound(count % node_count);
-            this->send_bad(count % node_count);
+            this->send_bad(count % node_count, path);
             this->fleet.run_for(std::chrono::milliseconds(50));
         }
     }
@@ -74,10 +78,11 @@
                                           .engine_count = engine_count}};
 
 private:
-    relay_fleet::response send(int node, const std::string& parts)
+    relay_fleet::response send(int node, const char* path,
+                               const std::string& parts)
     {
         this->fleet.prompt_parts = parts;
-        return this->fleet.call(node, "POST", "/once/a",
+        return this->fleet.call(node, "POST", path,
                                 "p" + std::to_string(++this->sent));
     }
 
@@ -116,6 +121,38 @@
     CHECK_EQUAL(before, crashing.crashes());
 }
 
+// The same for a route whose requests are repeated at other replicas.
+TEST(relay_prompt_parts, repeated_requests_end_no_more_replicas)
+{
+    crashing_fleet crashing;
+    crashing.react("/stream/a");
+    const int before = crashing.crashes();
+    CHECK(before <= crash_limit + late_request_limit);
+    for (int count = 0; count < 10; ++count)
+    {
+        const int node = count % node_count;
+        CHECK_EQUAL(503, crashing.send_bad(node, "/stream/a").status);
+    }
+    CHECK_EQUAL(before, crashing.crashes());
+}
+
+// Guards against batch items that end replicas, and against a job whose blocked
+// items keep those of others from running.
+TEST(relay_prompt_parts, items_with_a_blocked_part_wait)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    const int before = crashing.crashes();
+    relay_fleet& fleet = crashing.fleet;
+    fleet.prompt_parts = shared_part + "," + bad_part + ",e1:250";
+    CHECK_EQUAL(202, fleet.submit(0, "bad", 40).status);
+    fleet.prompt_parts = shared_part + ",e2:250";
+    CHECK_EQUAL(202, fleet.submit(0, "sound", 8).status);
+    CHECK_EQUAL(8, fleet.results(0, "sound").size());
+    fleet.run_for(std::chrono::seconds(7));
+    CHECK_EQUAL(before, crashing.crashes());
+}
+
 // Guards against a node that forgets with its process what the fleet knows.
 TEST(relay_prompt_parts, a_restarted_node_learns_the_blocked_parts)
 {
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -337,12 +337,17 @@
 relay_fleet::response relay_fleet::submit(int number, const std::string& job,
                                           int items)
 {
+    json headers{{"A", "b"}};
+    if (!this->prompt_parts.empty())
+    {
+        headers["Parsleytrack-Prompt-Prefix"] = this->prompt_parts;
+    }
     json body{{"items", json::array()}};
     for (int item = 0; item < items; ++item)
     {
         body["items"].push_back({{"id", job + "-" + std::to_string(item)},
                                  {"path", "/batch/x"},
-                                 {"headers", {{"A", "b"}}},
+                                 {"headers", headers},
                                  {"body", "q83vEjRWeJA="},
                                  {"tokens", 100}});
     }
--- /dev/null
+++ b/tests/routing/crashing_parts_test.cpp
@@ -0,0 +1,166 @@
+#include "routing/crashing_parts.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::routing;
+
+namespace
+{
+
+const prompt_part_id first("first");
+const prompt_part_id bad("bad");
+const prompt_part_id other("other");
+
+time_point at(int milliseconds)
+{
+    return time_point(std::chrono::milliseconds(1000 + milliseconds));
+}
+
+/// The reports of one day, and when parts were last survived.
+struct evidence
+{
+    std::vector<crash_report> reports;
+    std::map<prompt_part_id, time_point> survivals;
+
+    void add(const std::string& replica,
+             const std::vector<prompt_part_id>& parts, int milliseconds)
+    {
+        const std::string request = std::to_string(this->reports.size());
+        this->reports.push_back(crash_report{request_id(request), replica,
+                                             parts, at(milliseconds)});
+    }
+
+    /// \returns The parts found, joined by commas.
+    std::string find() const
+    {
+        std::string joined;
+        for (const prompt_part_id& part :
+             find_crashing_parts(this->reports, this->survivals))
+        {
+            joined += (joined.empty() ? "" : ",") + part.str();
+        }
+        return joined;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(crashing_parts){};
+
+TEST(crashing_parts, three_replicas_that_end_under_an_unknown_part_suffice)
+{
+    evidence seen;
+    seen.survivals[first] = at(400);
+    seen.add("r1", {first, bad}, 0);
+    seen.add("r2", {first, bad}, 100);
+    STRCMP_EQUAL("", seen.find().c_str());
+    seen.add("r3", {first, bad}, 200);
+    STRCMP_EQUAL("bad", seen.find().c_str());
+}
+
+TEST(crashing_parts, several_requests_on_one_replica_count_once)
+{
+    evidence seen;
+    for (int count = 0; count < 10; ++count)
+    {
+        seen.add("r1", {bad}, count);
+    }
+    STRCMP_EQUAL("", seen.find().c_str());
+}
+
+TEST(crashing_parts, the_part_that_explains_all_crashes_is_blamed_alone)
+{
+    // Sound requests that share the first part are lost with the replicas.
+    evidence seen;
+    for (int replica = 0; replica < 4; ++replica)
+    {
+        const std::string name = "r" + std::to_string(replica);
+        seen.add(name, {first, bad}, replica * 100);
+        seen.add(name, {first, prompt_part_id(name)}, replica * 100);
+    }
+    seen.survivals[first] = at(-1000);
+    STRCMP_EQUAL("bad", seen.find().c_str());
+}
+
+TEST(crashing_parts, of_two_unknown_parts_the_more_specific_one_is_blamed)
+{
+    evidence seen;
+    for (int replica = 0; replica < 3; ++replica)
+    {
+        seen.add("r" + std::to_string(replica), {first, bad}, replica * 100);
+    }
+    STRCMP_EQUAL("bad", seen.find().c_str());
+}
+
+TEST(crashing_parts, two_bad_parts_are_both_found)
+{
+    evidence seen;
+    for (int replica = 0; replica < 3; ++replica)
+    {
+        seen.add("a" + std::to_string(replica), {first, bad}, replica * 100);
+        seen.add("b" + std::to_string(replica), {first, other}, replica * 100);
+    }
+    seen.survivals[first] = at(5000);
+    STRCMP_EQUAL("bad,other", seen.find().c_str());
+}
+
+TEST(crashing_parts, a_part_that_was_survived_afterwards_is_sound)
+{
+    evidence seen;
+    for (int replica = 0; replica < 9; ++replica)
+    {
+        seen.add("r" + std::to_string(replica), {bad}, replica * 1000);
+    }
+    seen.survivals[bad] = at(9000);
+    STRCMP_EQUAL("", seen.find().c_str());
+}
+
+TEST(crashing_parts, replicas_that_end_together_prove_nothing_of_a_known_part)
+{
+    evidence seen;
+    seen.survivals[first] = at(-100);
+    for (int replica = 0; replica < 59; ++replica)
+    {
+        seen.add("r" + std::to_string(replica), {first}, replica);
+    }
+    STRCMP_EQUAL("", seen.find().c_str());
+    // Unless replicas go on ending under it.
+    seen.add("later", {first}, 2500);
+    STRCMP_EQUAL("first", seen.find().c_str());
+}
+
+// Replicas crash at random while requests with popular and rare parts run; no
+// part may be blamed.
+TEST(crashing_parts, random_crashes_among_popular_parts_blame_nothing)
+{
+    for (unsigned seed = 0; seed < 200; ++seed)
+    {
+        std::mt19937 random(seed);
+        std::uniform_int_distribution<int> popular(0, 9);
+        std::uniform_int_distribution<int> rare(0, 999);
+        evidence seen;
+        for (int crash = 0; crash < 12; ++crash)
+        {
+            const std::string replica = "r" + std::to_string(crash);
+            for (int request = 0; request < 2; ++request)
+            {
+                const prompt_part_id shared("p" +
+                                            std::to_string(popular(random)));
+                const prompt_part_id session("s" +
+                                             std::to_string(rare(random)));
+                seen.add(replica, {shared, session}, crash * 300);
+            }
+        }
+        // Popular parts are answered by other replicas meanwhile.
+        for (int part = 0; part < 10; ++part)
+        {
+            seen.survivals[prompt_part_id("p" + std::to_string(part))] =
+                at(2800);
+        }
+        STRCMP_EQUAL("", seen.find().c_str());
+    }
+}
