Obey a replica's announcement in its responses that it leaves

Before, a node learned it from the store or from a 421 only, a mark was lost with the replica's entry, so that an old listing brought the replica back, and the broker marked whatever process it knew under the id.

The head of each response is looked at once (replica_exchange); the node marks the replica's process, id and start, and tells the broker of its pool once. The mark outlives the entry and is bounded. Decided: only the value 1 counts, one of several fields suffices, a 421 comes from another replica.

Not done: the soak's replicas do not leave this way yet.

--- a/src/relay/header_names.hpp
+++ b/src/relay/header_names.hpp
@@ -21,6 +21,8 @@
     std::string wait_ms;
     /// In a response: the replica did not run the request.
     std::string not_executed;
+    /// In a response: "1" when the replica is leaving.
+    std::string leaving;
     /// In a response: the replica's proof that the response is its own.
     std::string digest;
 };
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -104,8 +104,7 @@
                      "replicas crash under a part of the prompt");
         return;
     }
-    this->replica = granted;
-    this->replica_process = routing::process_name(*entry);
+    this->replica = *entry;
     const header_names& names = this->context.adapter.headers();
     net::http_request request;
     request.method = "POST";
@@ -123,6 +122,10 @@
     request.head_timeout = unresponsive_timeout;
     request.idle_timeout = unresponsive_timeout;
     replica_exchange::callbacks hooks;
+    hooks.on_leaving = [this]
+    {
+        this->slots.report_leaving(this->service, this->replica);
+    };
     hooks.on_head = [this](const net::http_response& head)
     {
         this->status = head.status;
@@ -221,9 +224,9 @@
     if ((ended_early || this->attempt->was_cut()) &&
         this->events < prompt_guard::surviving_events)
     {
-        this->context.prompts.handle_lost_replica(request_id(this->item.id),
-                                                  this->item.headers,
-                                                  this->replica_process);
+        this->context.prompts.handle_lost_replica(
+            request_id(this->item.id), this->item.headers,
+            routing::process_of(this->replica));
     }
 }
 
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -6,6 +6,7 @@
 #include "relay/relay_context.hpp"
 #include "relay/replica_exchange.hpp"
 #include "relay/slot_client.hpp"
+#include "routing/replica_entry.hpp"
 #include "routing/route.hpp"
 
 #include <cstdint>
@@ -75,8 +76,8 @@
     service_name service;
     int priority = 0;
     time_point due;
-    replica_id replica;
-    std::string replica_process;
+    /// The replica of the current attempt, or else of the last one.
+    routing::replica_entry replica;
     int status = 0;
     /// Events that this run has received.
     int events = 0;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -142,8 +142,7 @@
         this->send_again("the replica is no longer usable");
         return;
     }
-    this->replica = granted;
-    this->replica_process = routing::process_name(*entry);
+    this->replica = *entry;
     this->sent_at = net::event_loop::now();
     if (this->sends == 0)
     {
@@ -157,6 +156,10 @@
     this->attempt_events = 0;
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
+    hooks.on_leaving = [this]
+    {
+        this->slots.report_leaving(this->service, this->replica);
+    };
     hooks.on_head = [this](const net::http_response& head)
     {
         this->collected_status = head.status;
@@ -276,7 +279,7 @@
     {
         this->context.prompts.handle_lost_replica(
             this->request.id, this->exchange->head().headers,
-            this->replica_process);
+            routing::process_of(this->replica));
     }
 }
 
@@ -323,7 +326,7 @@
 
 void online_call::send_again(const std::string& reason)
 {
-    this->excluded.insert(this->replica);
+    this->excluded.insert(this->replica.id);
     // Freed later, since this may run inside a callback of the exchange.
     this->context.loop.free_later(std::move(this->attempt));
     this->lease.reset();
@@ -332,14 +335,14 @@
         const bool ran = this->runs > 0;
         this->fail(error{
             ran ? error_code::backend_failed : error_code::no_replica,
-            "replica " + this->replica.str() +
+            "replica " + this->replica.id.str() +
                 " did not complete the request: " + reason,
             ran ? ran_state::unknown : ran_state::no, retry_after_refused});
         return;
     }
     log_event(log_level::info, "request_sent_again",
               {{"request", this->request.id.str()},
-               {"replica", this->replica.str()},
+               {"replica", this->replica.id.str()},
                {"sends", this->sends},
                {"runs", this->runs},
                {"after_event", this->last_event},
@@ -414,7 +417,7 @@
          {"status", status},
          {"route", this->request.route->name},
          {"configuration", this->request.table->contents().version.count()},
-         {"replica", this->replica.str()},
+         {"replica", this->replica.id.str()},
          {"sends", this->sends},
          {"runs", this->runs},
          {"sent_after_ms",
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -6,6 +6,7 @@
 #include "relay/relay_context.hpp"
 #include "relay/replica_exchange.hpp"
 #include "relay/slot_client.hpp"
+#include "routing/replica_entry.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -70,8 +71,8 @@
 
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
-    replica_id replica;
-    std::string replica_process;
+    /// The replica of the current attempt, or else of the last one.
+    routing::replica_entry replica;
     std::set<replica_id> excluded;
     net::timer deadline_timer;
     time_point sent_at;
--- a/src/relay/part_knowledge.cpp
+++ b/src/relay/part_knowledge.cpp
@@ -48,7 +48,7 @@
     {
         wire::part_crash& crash = message.crashes.emplace_back();
         crash.request = report.request.str();
-        crash.replica_process = report.replica_process;
+        crash.replica_process = report.replica_process.str();
         crash.parts = to_text(report.parts);
         crash.age_ms = to_milliseconds(now - report.at);
     }
@@ -83,8 +83,9 @@
     for (const wire::part_crash& crash : message.value().crashes)
     {
         knowledge.crashes.push_back(routing::crash_report{
-            request_id(crash.request), crash.replica_process,
-            to_parts(crash.parts), time_of(crash.age_ms, now)});
+            request_id(crash.request),
+            replica_process_id(crash.replica_process), to_parts(crash.parts),
+            time_of(crash.age_ms, now)});
     }
     for (const wire::part_survival& survival : message.value().survivals)
     {
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -114,9 +114,9 @@
     }
 }
 
-void prompt_guard::handle_lost_replica(const request_id& request,
-                                       const net::http_header_list& headers,
-                                       const std::string& replica_process)
+void prompt_guard::handle_lost_replica(
+    const request_id& request, const net::http_header_list& headers,
+    const replica_process_id& replica_process)
 {
     const std::vector<prompt_part_id> parts =
         this->adapter.parse_prompt_parts(headers);
@@ -127,7 +127,7 @@
     const time_point now = net::event_loop::now();
     log_event(log_level::info, "replica_lost_under_prompt",
               {{"request", request.str()},
-               {"replica", replica_process},
+               {"replica", replica_process.str()},
                {"parts", join(parts)}});
     this->metrics.count("parsleytrack_replicas_lost_under_prompts_total", {});
     if (this->current_trial && this->current_trial->request == request)
--- a/src/relay/prompt_guard.hpp
+++ b/src/relay/prompt_guard.hpp
@@ -54,10 +54,10 @@
     ///
     /// \param request The request that was running on the replica.
     /// \param headers The request's header fields.
-    /// \param replica_process The replica and its process; see crash_report.
+    /// \param replica_process The process that is lost.
     void handle_lost_replica(const request_id& request,
                              const net::http_header_list& headers,
-                             const std::string& replica_process);
+                             const replica_process_id& replica_process);
 
     /// \returns All verdicts, including those on parts no longer blocked.
     std::vector<routing::part_verdict> verdicts() const
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -1,5 +1,8 @@
 #include "relay/replica_exchange.hpp"
 
+#include <strings.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -67,12 +70,31 @@
     this->head_seen = true;
     this->head = response;
     this->kind = this->classify(response);
+    // A misdirected request was answered by another replica.
+    if (this->kind != response_kind::wrong_replica && this->hooks.on_leaving &&
+        this->says_leaving(response))
+    {
+        this->hooks.on_leaving();
+    }
     if (this->kind == response_kind::matching && this->hooks.on_head)
     {
         this->hooks.on_head(response);
     }
 }
 
+bool replica_exchange::says_leaving(const net::http_response& response) const
+{
+    // Other values say nothing. Of repeated fields, one suffices: a replica
+    // that is used too long costs more than one that is left too soon.
+    return std::any_of(response.headers.begin(), response.headers.end(),
+                       [this](const auto& field)
+                       {
+                           return field.second == "1" &&
+                                  strcasecmp(field.first.c_str(),
+                                             this->names.leaving.c_str()) == 0;
+                       });
+}
+
 void replica_exchange::abort(const std::string& reason)
 {
     this->call.reset();
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -51,6 +51,9 @@
         std::function<void(const net::http_response&)> on_head;
         /// Gets its body in chunks. If not set, the body is collected.
         std::function<void(std::string_view)> on_chunk;
+        /// Called when the head of a response says that the replica is leaving,
+        /// whatever the response is. Optional.
+        std::function<void()> on_leaving;
         /// Called at the end. The response is complete for answered, and may
         /// have a status and header fields for not_run; reason says what was
         /// observed.
@@ -98,6 +101,7 @@
     };
 
     void handle_head(const net::http_response& response);
+    bool says_leaving(const net::http_response& response) const;
     response_kind classify(const net::http_response& response) const;
     void handle_end(result<net::http_response> response);
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -49,16 +49,19 @@
         this->loop.call_every(expiry_interval, [this] { this->expire(); });
 }
 
-void replica_follower::mark_leaving(const replica_id& id, const char* reason)
+bool replica_follower::mark_leaving(const replica_process_id& process,
+                                    const char* reason)
 {
-    if (this->replicas.find_usable(id) == nullptr)
+    if (!this->replicas.mark_leaving(process))
     {
-        return;
+        return false;
     }
     log_event(log_level::info, "replica_leaving",
-              {{"replica", id.str()}, {"learned_from", reason}});
-    this->replicas.mark_leaving(id);
+              {{"replica", process.str()},
+               {"learned_from", reason},
+               {"list_age_ms", to_milliseconds(this->age())}});
     this->notify_if_changed();
+    return true;
 }
 
 duration replica_follower::age() const
--- a/src/relay/replica_follower.hpp
+++ b/src/relay/replica_follower.hpp
@@ -30,11 +30,12 @@
 
     const routing::replica_registry& registry() const { return this->replicas; }
 
-    /// Marks a replica as leaving because it said so, or because another
-    /// replica responded at its address.
+    /// Marks a process of a replica as leaving because it said so, or because
+    /// another replica responded at its address.
     ///
     /// \param reason How this became known, for the log.
-    void mark_leaving(const replica_id& id, const char* reason);
+    /// \returns Whether this was not known before.
+    bool mark_leaving(const replica_process_id& process, const char* reason);
 
     /// \returns How long ago the store last confirmed the list.
     duration age() const;
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -90,7 +90,7 @@
 
 void slot_client::report_failure(const request_id& request,
                                  const service_name& service,
-                                 const replica_id& replica,
+                                 const routing::replica_entry& replica,
                                  attempt_outcome outcome)
 {
     if (outcome == attempt_outcome::not_run)
@@ -98,11 +98,25 @@
         return;
     }
     const bool leaving = outcome == attempt_outcome::wrong_replica;
+    const replica_process_id process = routing::process_of(replica);
     if (leaving)
     {
-        this->context.replicas.mark_leaving(replica, "refused_request");
+        this->context.replicas.mark_leaving(process, "refused_request");
     }
-    this->report(replica_report{request, service, replica, leaving});
+    this->report(
+        replica_report{request, service, replica.id, process, leaving});
+}
+
+void slot_client::report_leaving(const service_name& service,
+                                 const routing::replica_entry& replica)
+{
+    const replica_process_id process = routing::process_of(replica);
+    if (!this->context.replicas.mark_leaving(process, "its_response"))
+    {
+        return;
+    }
+    this->context.metrics.count("parsleytrack_replicas_leaving_total", {});
+    this->report(replica_report{{}, service, replica.id, process, true});
 }
 
 void slot_client::release(std::uint64_t number)
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -66,7 +66,13 @@
     ///
     /// \param outcome The outcome of the request at the replica.
     void report_failure(const request_id& request, const service_name& service,
-                        const replica_id& replica, attempt_outcome outcome);
+                        const routing::replica_entry& replica,
+                        attempt_outcome outcome);
+
+    /// Handles a replica's announcement that it is leaving: marks it here and
+    /// tells the broker, which stops granting its slots to all nodes.
+    void report_leaving(const service_name& service,
+                        const routing::replica_entry& replica);
 
     /// Withdraws a request or returns its slot; called by leases only.
     void release(std::uint64_t number);
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -120,6 +120,7 @@
     message.service_name = report.service.str();
     message.replica = report.replica.str();
     message.leaving = report.leaving;
+    message.process = report.process.str();
     return wire::encode(message);
 }
 
@@ -135,6 +136,7 @@
     report.service = service_name(message.value().service_name);
     report.replica = replica_id(message.value().replica);
     report.leaving = message.value().leaving;
+    report.process = replica_process_id(message.value().process);
     return report;
 }
 
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -112,7 +112,7 @@
     }
     if (report.leaving)
     {
-        this->context.replicas.mark_leaving(report.replica, "another_node");
+        this->context.replicas.mark_leaving(report.process, "another_node");
         return;
     }
     const std::size_t replicas =
--- a/src/routing/crash_report.hpp
+++ b/src/routing/crash_report.hpp
@@ -3,7 +3,6 @@
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
-#include <string>
 #include <vector>
 
 namespace parsleytrack::routing
@@ -13,9 +12,8 @@
 struct crash_report
 {
     request_id request;
-    /// Identifies the replica and its process: a replica that has restarted
-    /// counts as another one.
-    std::string replica_process;
+    /// A replica that has restarted counts as another one.
+    replica_process_id replica_process;
     /// The parts that the prompt shares with others, in their order.
     std::vector<prompt_part_id> parts;
     time_point at;
--- a/src/routing/crashing_parts.cpp
+++ b/src/routing/crashing_parts.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <optional>
 #include <set>
-#include <string>
 
 namespace parsleytrack::routing
 {
@@ -14,7 +13,7 @@
 /// The evidence against one part.
 struct suspect
 {
-    std::set<std::string> replicas;
+    std::set<replica_process_id> replicas;
     time_point first = time_point::max();
     time_point last = time_point::min();
     /// Greatest position in a prompt; later parts are shared by fewer requests.
--- a/src/routing/replica_entry.hpp
+++ b/src/routing/replica_entry.hpp
@@ -29,11 +29,11 @@
     bool operator==(const replica_entry&) const = default;
 };
 
-/// \returns A text that identifies the replica and its process.
-inline std::string process_name(const replica_entry& entry)
+/// \returns The process that the entry describes.
+inline replica_process_id process_of(const replica_entry& entry)
 {
-    return entry.id.str() + "/" +
-           std::to_string(entry.started_at_ms.value_or(0));
+    return replica_process_id(entry.id.str() + "/" +
+                              std::to_string(entry.started_at_ms.value_or(0)));
 }
 
 } // namespace parsleytrack::routing
--- a/src/routing/replica_registry.cpp
+++ b/src/routing/replica_registry.cpp
@@ -34,12 +34,6 @@
 {
     ++this->change_count;
     this->missing_until.erase(entry.id);
-    const auto known = this->entries.find(entry.id);
-    if (known != this->entries.end() &&
-        known->second.started_at_ms != entry.started_at_ms)
-    {
-        this->leaving.erase(entry.id);
-    }
     this->entries[entry.id] = entry;
 }
 
@@ -56,16 +50,23 @@
         return;
     }
     this->entries.erase(id);
-    this->leaving.erase(id);
     this->missing_until.erase(id);
 }
 
-void replica_registry::mark_leaving(const replica_id& id)
+bool replica_registry::mark_leaving(const replica_process_id& process)
 {
-    if (this->entries.contains(id) && this->leaving.insert(id).second)
+    if (!this->leaving.insert(process).second)
     {
-        ++this->change_count;
+        return false;
     }
+    this->leaving_order.push_back(process);
+    if (this->leaving_order.size() > max_leaving_marks)
+    {
+        this->leaving.erase(this->leaving_order.front());
+        this->leaving_order.pop_front();
+    }
+    ++this->change_count;
+    return true;
 }
 
 std::vector<replica_id> replica_registry::expire(time_point now)
@@ -79,7 +80,6 @@
     {
         gone.push_back(id);
         this->entries.erase(id);
-        this->leaving.erase(id);
     }
     this->missing_until.clear();
     if (!gone.empty())
@@ -113,7 +113,7 @@
 
 bool replica_registry::is_usable(const replica_entry& entry) const
 {
-    return !entry.draining && !this->leaving.contains(entry.id);
+    return !entry.draining && !this->leaving.contains(process_of(entry));
 }
 
 } // namespace parsleytrack::routing
--- a/src/routing/replica_registry.hpp
+++ b/src/routing/replica_registry.hpp
@@ -3,6 +3,8 @@
 #include "routing/replica_entry.hpp"
 #include "units/time.hpp"
 
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,9 +42,18 @@
     /// leases expired.
     void mark_store_unreachable() { this->store_reachable = false; }
 
-    /// Stops using a replica that announced that it is shutting down, or whose
-    /// address now belongs to another one. Holds until the replica restarts.
-    void mark_leaving(const replica_id& id);
+    /// Processes of replicas that are remembered as leaving; the oldest marks
+    /// are dropped first. Several times the replicas that leave the largest
+    /// fleet during a release.
+    static constexpr std::size_t max_leaving_marks = 4000;
+
+    /// Stops using a process of a replica that announced that it is shutting
+    /// down, or whose address now belongs to another one. Holds whatever the
+    /// store says of this process later, also when its entry is gone and comes
+    /// back from an old listing.
+    ///
+    /// \returns Whether this was not known before.
+    bool mark_leaving(const replica_process_id& process);
 
     /// Removes missing entries once the grace period has ended.
     ///
@@ -68,7 +79,8 @@
     bool is_usable(const replica_entry& entry) const;
 
     std::map<replica_id, replica_entry> entries;
-    std::set<replica_id> leaving;
+    std::set<replica_process_id> leaving;
+    std::deque<replica_process_id> leaving_order;
     /// Entries that went missing during or after an outage, and until when
     /// they may be restored.
     std::map<replica_id, time_point> missing_until;
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -49,4 +49,6 @@
   3: string replica;
   // The replica reported that it is leaving or is a different replica.
   4: bool leaving;
+  // Identifies the replica and its process.
+  5: string process;
 }
--- a/tests/relay/part_knowledge_test.cpp
+++ b/tests/relay/part_knowledge_test.cpp
@@ -18,7 +18,7 @@
     sent.asked = {this->part};
     sent.crashes.push_back(
         routing::crash_report{request_id("q"),
-                              "r/1",
+                              replica_process_id("r/1"),
                               {this->part, prompt_part_id("b")},
                               this->senders_time - std::chrono::seconds(3)});
     sent.survivals[this->part] = this->senders_time - std::chrono::seconds(7);
@@ -30,7 +30,7 @@
     const routing::crash_report& crash = received.value().crashes.at(0);
     CHECK(crash.at == this->receivers_time - std::chrono::seconds(3));
     CHECK(crash.parts == sent.crashes[0].parts);
-    STRCMP_EQUAL("r/1", crash.replica_process.c_str());
+    STRCMP_EQUAL("r/1", crash.replica_process.str().c_str());
     CHECK(received.value().survivals.at(this->part) ==
           this->receivers_time - std::chrono::seconds(7));
     const routing::part_verdict& verdict = received.value().verdicts.at(0);
@@ -43,8 +43,11 @@
 TEST(part_knowledge, bounds_the_times_of_a_strange_message)
 {
     part_knowledge sent;
-    sent.crashes.push_back(routing::crash_report{
-        request_id("q"), "r", {}, this->senders_time + std::chrono::hours(9)});
+    sent.crashes.push_back(
+        routing::crash_report{request_id("q"),
+                              replica_process_id("r"),
+                              {},
+                              this->senders_time + std::chrono::hours(9)});
     routing::part_verdict strange;
     strange.part = this->part;
     strange.trial_at = this->senders_time + std::chrono::hours(900);
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -49,10 +49,10 @@
     }
     if (this->behaviour == fault::full)
     {
-        exchange->respond(503,
-                          {{"Parsleytrack-Not-Executed", "1"},
-                           {"Parsleytrack-Request-Id", *request}},
-                          "");
+        net::http_header_list fields = this->extra_headers;
+        fields.emplace_back("Parsleytrack-Not-Executed", "1");
+        fields.emplace_back("Parsleytrack-Request-Id", *request);
+        exchange->respond(503, fields, "");
         return;
     }
     ++this->runs[*request];
@@ -63,9 +63,10 @@
         this->received_deadlines[*request] = {std::stoi(*remaining_ms),
                                               net::event_loop::now()};
     }
-    const net::http_header_list response_headers{
-        {"Parsleytrack-Request-Id", *request},
-        {"Parsleytrack-Response-Seal", "seal-" + *request}};
+    net::http_header_list response_headers = this->extra_headers;
+    response_headers.emplace_back("Parsleytrack-Request-Id", *request);
+    response_headers.emplace_back("Parsleytrack-Response-Seal",
+                                  "seal-" + *request);
     if (this->behaviour == fault::failing)
     {
         exchange->respond(500, response_headers, "failed");
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -56,6 +56,8 @@
     static constexpr int stream_events = 12;
 
     fault behaviour = fault::none;
+    /// Header fields that each response gets in addition.
+    net::http_header_list extra_headers;
     /// Number of events after which a stream ends.
     int event_count = stream_events;
     /// Interval between the events of streams that start from now on.
--- a/tests/routing/crash_history_test.cpp
+++ b/tests/routing/crash_history_test.cpp
@@ -13,7 +13,7 @@
 crash_report report(int number, const char* part, time_point when)
 {
     return crash_report{request_id(std::to_string(number)),
-                        "r" + std::to_string(number),
+                        replica_process_id("r" + std::to_string(number)),
                         {prompt_part_id(part)},
                         when};
 }
--- a/tests/routing/crashing_parts_test.cpp
+++ b/tests/routing/crashing_parts_test.cpp
@@ -30,8 +30,9 @@
              const std::vector<prompt_part_id>& parts, int milliseconds)
     {
         const std::string request = std::to_string(this->reports.size());
-        this->reports.push_back(crash_report{request_id(request), replica,
-                                             parts, at(milliseconds)});
+        this->reports.push_back(crash_report{request_id(request),
+                                             replica_process_id(replica), parts,
+                                             at(milliseconds)});
     }
 
     /// \returns The parts found, joined by commas.
--- a/tests/routing/replica_registry_test.cpp
+++ b/tests/routing/replica_registry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 using namespace parsleytrack;
 using namespace parsleytrack::routing;
 
@@ -53,13 +55,52 @@
 TEST(replica_registry, a_leaving_mark_holds_until_the_replica_restarts)
 {
     this->registry.update(entry("a", 1));
-    this->registry.mark_leaving(replica_id("a"));
+    CHECK(this->registry.mark_leaving(process_of(entry("a", 1))));
+    CHECK_FALSE(this->registry.mark_leaving(process_of(entry("a", 1))));
     this->registry.update(entry("a", 1));
     CHECK_EQUAL(0, this->usable());
     this->registry.update(entry("a", 2));
     CHECK_EQUAL(1, this->usable());
 }
 
+// Guards against using a replica again that has left, because an old listing or
+// a lagging node brings its entry back.
+TEST(replica_registry, a_leaving_mark_outlives_the_entry)
+{
+    this->registry.update(entry("a", 2));
+    this->registry.mark_leaving(process_of(entry("a", 2)));
+    this->registry.remove(replica_id("a"), this->now);
+    this->registry.replace_all(listing({entry("a", 2)}), false, this->now);
+    CHECK_EQUAL(0, this->usable());
+    // A process that started since is another one.
+    this->registry.update(entry("a", 3));
+    CHECK_EQUAL(1, this->usable());
+    this->registry.update(entry("a", 2));
+    CHECK_EQUAL(0, this->usable());
+}
+
+TEST(replica_registry, a_process_may_be_marked_before_it_is_listed)
+{
+    this->registry.mark_leaving(process_of(entry("a")));
+    this->registry.replace_all(listing({entry("a"), entry("b")}), false,
+                               this->now);
+    CHECK_EQUAL(1, this->usable());
+}
+
+TEST(replica_registry, the_number_of_leaving_marks_is_bounded)
+{
+    const std::size_t limit = replica_registry::max_leaving_marks;
+    for (std::size_t count = 0; count <= limit; ++count)
+    {
+        const std::string id = "r" + std::to_string(count);
+        this->registry.mark_leaving(process_of(entry(id.c_str())));
+    }
+    // Only the oldest mark was dropped.
+    this->registry.update(entry("r0"));
+    this->registry.update(entry("r1"));
+    CHECK_EQUAL(1, this->usable());
+}
+
 TEST(replica_registry, entries_survive_a_store_outage_and_the_grace_period)
 {
     this->registry.replace_all(listing({entry("a"), entry("b")}), false, now);
