Bound the age of an owner's knowledge that its job is not cancelled

Cause: nothing bounded how old an owner's knowledge was when it sent an item. Shown in two ways on the code as it was: an owner that learns of a cancellation while one of its commits waits for the store put the record aside until the commit had ended, up to 10 s, and went on (all 150 items of the test's job ran); an owner that wakes from a freeze sent 8 to 12 items before it read anything. Both tests failed in three of three plays with the two changes taken out.

Mend: an item is sent only while the state was confirmed by a read or commit sent at most a second ago; otherwise the record is read once for all items that wait. A cancellation that arrives during a commit ends the runs at once. The age is a constant, not a setting yet.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -28,10 +28,11 @@
 
 item_run::item_run(const relay_context& node, slot_client& slot_source,
                    const jobs::job_item& run_item, std::string run_host,
-                   jobs::item_progress& known_progress, end_callback on_end)
+                   jobs::item_progress& known_progress, send_check check,
+                   end_callback on_end)
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), progress(known_progress),
-      ended_callback(std::move(on_end))
+      may_send(std::move(check)), ended_callback(std::move(on_end))
 {
 }
 
@@ -78,14 +79,42 @@
     order.wait_when_late = true;
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
-        order, {[this](const replica_id& granted) { this->send(granted); },
-                [this](duration)
-                { this->finish(item_run_result::interrupted, "no slot"); },
-                [this]
-                {
-                    this->finish(item_run_result::interrupted,
-                                 "slot reclaimed");
-                }});
+        order,
+        {[this](const replica_id& granted) { this->handle_grant(granted); },
+         [this](duration)
+         { this->finish(item_run_result::interrupted, "no slot"); },
+         [this]
+         {
+             this->finish(item_run_result::interrupted, "slot reclaimed");
+         }});
+}
+
+void item_run::handle_grant(const replica_id& granted)
+{
+    if (this->may_send())
+    {
+        this->send(granted);
+        return;
+    }
+    this->granted_replica = granted;
+}
+
+void item_run::handle_confirmation(bool confirmed)
+{
+    const replica_id granted =
+        std::exchange(this->granted_replica, replica_id());
+    if (granted.empty())
+    {
+        // The run that asked has ended, and this one has no slot yet.
+        return;
+    }
+    if (!confirmed)
+    {
+        this->finish(item_run_result::interrupted,
+                     "the state of the job is not confirmed");
+        return;
+    }
+    this->send(granted);
 }
 
 void item_run::send(const replica_id& granted)
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -36,6 +36,11 @@
 public:
     using end_callback =
         std::function<void(item_run_result end, const std::string& reason)>;
+    /// Asked at the last moment before the item is sent.
+    ///
+    /// \returns Whether it may be sent now. If not, handle_confirmation() is
+    /// called once that is known.
+    using send_check = std::function<bool()>;
 
     /// \param node Outlives this object.
     /// \param slot_source Outlives this object.
@@ -43,21 +48,29 @@
     /// \param host Value of the request's Host header.
     /// \param progress Progress to resume from, extended by this run; outlives
     /// this object.
+    /// \param may_send Asked before the item is sent.
     /// \param on_end Called once, never from the constructor; may destroy this
     /// object.
     item_run(const relay_context& node, slot_client& slot_source,
              const jobs::job_item& run_item, std::string host,
-             jobs::item_progress& progress, end_callback on_end);
+             jobs::item_progress& progress, send_check may_send,
+             end_callback on_end);
 
     /// \param service Service whose replicas may run the item.
     /// \param priority Priority among all work of the service.
     /// \param due_in Time until the result is due.
     void start(const service_name& service, int priority, duration due_in);
 
+    /// Goes on after a send_check that could not be answered at once.
+    ///
+    /// \param confirmed Whether the item may be sent.
+    void handle_confirmation(bool confirmed);
+
 private:
     void request_slot();
     /// Waits while a part of the prompt crashes replicas.
     void wait_until_allowed();
+    void handle_grant(const replica_id& replica);
     void send(const replica_id& replica);
     void handle_chunk(std::string_view chunk);
     void restart_stall_timer();
@@ -72,7 +85,10 @@
     const jobs::job_item& item;
     std::string host;
     jobs::item_progress& progress;
+    send_check may_send;
     end_callback ended_callback;
+    /// The granted replica while the item must not be sent yet.
+    replica_id granted_replica;
     service_name service;
     int priority = 0;
     time_point due;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -108,6 +108,7 @@
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
         this->progress.progress_of(item),
+        [this, item] { return this->may_send(item); },
         [this, item, max_failures = route.max_attempts](
             item_run_result end, const std::string& reason)
         { this->handle_item_end(item, end, reason, max_failures); });
@@ -158,6 +159,9 @@
               {{"job", this->owned.input().id.str()},
                {"item", id},
                {"outcome", outcome},
+               {"state_age_ms",
+                to_milliseconds(this->confirmation.age(net::event_loop::now())
+                                    .value_or(duration(-1)))},
                {"reason", reason}});
     this->context.metrics.count("parsleytrack_item_runs_total",
                                 {{"outcome", outcome}});
@@ -209,6 +213,18 @@
     }
 }
 
+bool job_owner::may_send(std::size_t item)
+{
+    if (this->confirmation.allows_start(net::event_loop::now(),
+                                        this->context.store.is_reachable()))
+    {
+        return true;
+    }
+    this->unconfirmed_items.push_back(item);
+    this->confirm_state();
+    return false;
+}
+
 void job_owner::commit_when_due()
 {
     if (!this->owned.has_uncommitted())
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -7,6 +7,7 @@
 #include "relay/relay_context.hpp"
 #include "relay/result_readers.hpp"
 #include "relay/slot_client.hpp"
+#include "relay/state_confirmation.hpp"
 #include "relay/usage_tracker.hpp"
 
 #include <functional>
@@ -75,6 +76,13 @@
     void start_item(std::size_t item, const routing::route& route);
     void handle_item_end(std::size_t item, item_run_result end,
                          const std::string& reason, int max_failures);
+    /// \returns Whether the item may be sent to a replica now; if not, its run
+    /// is notified once the job's state has been read.
+    bool may_send(std::size_t item);
+    void confirm_state();
+    /// \returns Whether the job still runs, on this node.
+    bool is_unchanged(const key_value::stored_record& record) const;
+    void handle_state(const result<key_value::stored_record>& record);
     void commit_when_due();
     void commit();
     bool must_release_tokens(token_count waiting) const;
@@ -104,6 +112,10 @@
     progress_tracker progress;
     result_readers readers;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
+    state_confirmation confirmation;
+    /// Items with a slot that wait for the job's state.
+    std::vector<std::size_t> unconfirmed_items;
+    bool is_reading_state = false;
     /// Time from submission until the job is due, from the newest route seen.
     duration run_target = duration::zero();
     bool commit_is_scheduled = false;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -113,16 +113,75 @@
     this->progress.add_to(transaction, net::event_loop::now());
     this->context.store.commit(
         std::move(transaction), commit_timeout,
-        [this, observed = this->alive, commit = std::move(*commit),
-         remaining](const result<key_value::transaction_outcome>& outcome)
+        [this, observed = this->alive, commit = std::move(*commit), remaining,
+         sent = net::event_loop::now()](
+            const result<key_value::transaction_outcome>& outcome)
         {
             if (*observed)
             {
+                if (outcome.has_value() && outcome.value().applied)
+                {
+                    this->confirmation.confirm(sent);
+                }
                 this->handle_commit_outcome(commit, remaining, outcome);
             }
         });
 }
 
+void job_owner::confirm_state()
+{
+    if (std::exchange(this->is_reading_state, true))
+    {
+        return;
+    }
+    this->context.store.get(
+        job_state_key(this->owned.input().id),
+        key_value::read_freshness::latest,
+        [this, observed = this->alive, sent = net::event_loop::now()](
+            const result<key_value::stored_record>& record)
+        {
+            if (!*observed)
+            {
+                return;
+            }
+            this->is_reading_state = false;
+            if (record.has_value() && this->is_unchanged(record.value()))
+            {
+                this->confirmation.confirm(sent);
+            }
+            this->handle_state(record);
+        });
+}
+
+bool job_owner::is_unchanged(const key_value::stored_record& record) const
+{
+    const auto state = jobs::decode_state(record.value);
+    return state.has_value() && !state.value().cancelled &&
+           state.value().owner == this->owned.state().owner &&
+           state.value().owner_process == this->owned.state().owner_process;
+}
+
+void job_owner::handle_state(const result<key_value::stored_record>& record)
+{
+    const std::vector<std::size_t> waiting =
+        std::exchange(this->unconfirmed_items, {});
+    if (record.has_value())
+    {
+        // Ends the runs of a job that is cancelled or has another owner.
+        this->apply_record(record.value());
+    }
+    const bool may_start = this->confirmation.allows_start(
+        net::event_loop::now(), this->context.store.is_reachable());
+    for (const std::size_t item : waiting)
+    {
+        const auto run = this->runs.find(item);
+        if (run != this->runs.end())
+        {
+            run->second->handle_confirmation(may_start);
+        }
+    }
+}
+
 void job_owner::save_progress()
 {
     // A commit in progress includes it, and changes the revision.
@@ -246,13 +305,18 @@
     {
         return;
     }
+    const auto state = jobs::decode_state(record.value);
     if (this->owned.is_committing())
     {
-        // The record may be the one that the commit has written.
+        // The record may be the one that the commit has written. Cancellations
+        // are final.
         this->deferred_record = record;
+        if (state.has_value() && state.value().cancelled)
+        {
+            this->end_runs();
+        }
         return;
     }
-    const auto state = jobs::decode_state(record.value);
     if (state.has_error())
     {
         log_event(log_level::error, "job_record_damaged",
--- /dev/null
+++ b/tests/relay/state_confirmation_test.cpp
@@ -0,0 +1,52 @@
+#include "relay/state_confirmation.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay;
+
+TEST_GROUP(state_confirmation)
+{
+    state_confirmation confirmation;
+    time_point now{std::chrono::hours(1)};
+};
+
+TEST(state_confirmation, an_unconfirmed_state_allows_no_start)
+{
+    CHECK_FALSE(this->confirmation.allows_start(this->now, true));
+}
+
+TEST(state_confirmation, the_age_counts_from_when_the_call_was_sent)
+{
+    // The response took most of the allowed time.
+    this->confirmation.confirm(this->now);
+    const time_point received = this->now + std::chrono::milliseconds(900);
+    CHECK(this->confirmation.allows_start(received, true));
+    CHECK_FALSE(this->confirmation.allows_start(
+        received + std::chrono::milliseconds(101), true));
+}
+
+TEST(state_confirmation, a_call_that_was_overtaken_changes_nothing)
+{
+    this->confirmation.confirm(this->now);
+    this->confirmation.confirm(this->now - std::chrono::seconds(5));
+    CHECK(this->confirmation.age(this->now) == duration::zero());
+}
+
+// A process that was stopped must not go by what it knew before.
+TEST(state_confirmation, a_freeze_makes_the_knowledge_too_old)
+{
+    this->confirmation.confirm(this->now);
+    this->now += std::chrono::seconds(4);
+    CHECK_FALSE(this->confirmation.allows_start(this->now, true));
+    this->confirmation.confirm(this->now);
+    CHECK(this->confirmation.allows_start(this->now, true));
+}
+
+TEST(state_confirmation, work_goes_on_during_an_outage_of_the_store)
+{
+    this->confirmation.confirm(this->now);
+    this->now += std::chrono::minutes(1);
+    CHECK(this->confirmation.allows_start(this->now, false));
+    CHECK_FALSE(this->confirmation.allows_start(this->now, true));
+}
--- /dev/null
+++ b/tests/relay_process/cancelled_job_test.cpp
@@ -0,0 +1,105 @@
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <csignal>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+constexpr int node_count = 3;
+
+void set_behaviour(relay_fleet& fleet, replica_stand_in::fault behaviour)
+{
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = behaviour;
+    }
+}
+
+/// \returns The node that runs a job.
+int wait_for_owner(relay_fleet& fleet, const std::string& job)
+{
+    int owner = -1;
+    CHECK(fleet.wait(
+        [&]
+        {
+            for (int node = 0; node < node_count; ++node)
+            {
+                const auto jobs = fleet.status(node)["jobs"];
+                const bool owns = std::any_of(jobs.begin(), jobs.end(),
+                                              [&job](const auto& entry)
+                                              { return entry["id"] == job; });
+                owner = owns ? node : owner;
+            }
+            return owner >= 0;
+        }));
+    return owner;
+}
+
+int item_runs(const relay_fleet& fleet)
+{
+    int count = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& [request, runs] : engine->runs)
+        {
+            count += request.starts_with("job") ? runs : 0;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_GROUP(relay_cancelled_job){};
+
+// Guards against an owner that wakes from a freeze with items about to start
+// and does not know yet that their job was cancelled meanwhile.
+TEST(relay_cancelled_job, items_do_not_start_after_the_owner_was_frozen)
+{
+    relay_fleet fleet(node_count);
+    set_behaviour(fleet, replica_stand_in::fault::full);
+    CHECK_EQUAL(202, fleet.submit(0, "job", 20).status);
+    const int owner = wait_for_owner(fleet, "job");
+    fleet.process(owner).signal(SIGSTOP);
+    const auto cancelled =
+        fleet.call((owner + 1) % node_count, "DELETE", "/v1/lots/job");
+    CHECK_EQUAL(200, cancelled.status);
+    // The platform's bound is three seconds.
+    fleet.run_for(std::chrono::seconds(3));
+    set_behaviour(fleet, replica_stand_in::fault::none);
+    fleet.process(owner).signal(SIGCONT);
+    fleet.run_for(std::chrono::seconds(3));
+    CHECK_EQUAL(0, item_runs(fleet));
+}
+
+// Guards against an owner that learns of a cancellation while one of its
+// commits waits for the store, and goes on until that commit has ended.
+TEST(relay_cancelled_job, items_do_not_start_while_a_commit_waits)
+{
+    relay_fleet fleet(node_count);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(40);
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 150).status);
+    const int owner = wait_for_owner(fleet, "job");
+    CHECK(fleet.wait([&fleet] { return item_runs(fleet) > 30; }));
+    fleet.store.hold_transactions_of(fleet.store_address(owner), true);
+    // Until the owner has a commit that waits.
+    fleet.run_for(std::chrono::seconds(2));
+    const auto cancelled =
+        fleet.call((owner + 1) % node_count, "DELETE", "/v1/lots/job");
+    CHECK_EQUAL(200, cancelled.status);
+    fleet.run_for(std::chrono::seconds(3));
+    const int runs = item_runs(fleet);
+    fleet.run_for(std::chrono::seconds(3));
+    CHECK_EQUAL(runs, item_runs(fleet));
+    CHECK(runs < 150);
+}
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -75,6 +75,17 @@
     }
 }
 
+void store_stand_in::hold_transactions_of(const endpoint& address, bool held)
+{
+    for (access_point& entry : this->access_points)
+    {
+        if (entry.address == address)
+        {
+            entry.holding_transactions = held;
+        }
+    }
+}
+
 std::set<endpoint> store_stand_in::watchers(const std::string& prefix) const
 {
     std::set<endpoint> found;
@@ -120,6 +131,10 @@
     {
         this->watch(entry, exchange);
     }
+    else if (path == "/v1/kv-txn" && entry.holding_transactions)
+    {
+        this->forgotten.push_back(exchange);
+    }
     else if (path == "/v1/kv-txn")
     {
         exchange->on_body(max_body_bytes,
--- a/tests/relay_support/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -46,6 +46,10 @@
     /// \returns The addresses at which watches of a prefix are open.
     std::set<endpoint> watchers(const std::string& prefix) const;
 
+    /// Sets whether the transactions sent to an address get no response and are
+    /// not applied.
+    void hold_transactions_of(const endpoint& address, bool held);
+
     /// Never responds to the watches that are open now.
     void forget_watches();
 
@@ -77,6 +81,7 @@
         net::http_server server;
         endpoint address;
         bool refusing = false;
+        bool holding_transactions = false;
     };
 
     void handle_request(const access_point& entry,
@@ -95,6 +100,7 @@
     std::list<access_point> access_points;
     std::map<std::string, stored> keys;
     std::list<pending_watch> watches;
+    /// Calls that never get a response.
     std::vector<std::shared_ptr<net::http_exchange>> forgotten;
     std::int64_t revision = 1;
     int transaction_count = 0;
