Bound what prompts make nodes remember, and give up jobs without a record

A trial that succeeded ends at once, and an answer is noted once.

Tests: prompt_parts_decoder (bounds), relay_cancelled_job (record gone).

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -228,7 +228,10 @@
     if (answered && response.status == status_ok &&
         !this->splitter.has_partial_event() && this->progress.last_event > 0)
     {
-        this->context.prompts.handle_survival(this->item.headers);
+        if (this->events < prompt_guard::surviving_events)
+        {
+            this->context.prompts.handle_survival(this->item.headers);
+        }
         this->finish(item_run_result::completed, reason);
         return;
     }
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -169,6 +169,15 @@
     {
         // Ends the runs of a job that is cancelled or has another owner.
         this->apply_record(record.value());
+        if (!jobs::decode_state(record.value().value).has_value())
+        {
+            log_event(log_level::error, "job_record_missing",
+                      {{"job", this->owned.input().id.str()},
+                       {"revision", record.value().revision.count()}});
+            this->end_runs();
+            this->lost_callback();
+            return;
+        }
     }
     const bool may_start = this->confirmation.allows_start(
         net::event_loop::now(), this->context.store.is_reachable());
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -292,7 +292,11 @@
         {
             return false;
         }
-        this->context.prompts.handle_survival(this->exchange->head().headers);
+        if (this->attempt_events < prompt_guard::surviving_events)
+        {
+            this->context.prompts.handle_survival(
+                this->exchange->head().headers);
+        }
         this->exchange->finish_stream();
         this->finish("served", status);
         return true;
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -110,6 +110,11 @@
         {
             this->log_verdict(*verdict, "a replica survived it");
             this->notify_all(*verdict);
+            if (this->current_trial &&
+                this->current_trial->part == blocked.part)
+            {
+                this->current_trial.reset();
+            }
         }
     }
 }
--- a/tests/platform/prompt_parts_decoder_test.cpp
+++ b/tests/platform/prompt_parts_decoder_test.cpp
@@ -47,6 +47,22 @@
                             .c_str());
 }
 
+TEST(prompt_parts_decoder, bounds_what_a_strange_request_makes_nodes_remember)
+{
+    std::string many;
+    for (int count = 0; count < 5000; ++count)
+    {
+        many += std::to_string(count) + ":1,";
+    }
+    const auto parts =
+        decode_prompt_parts({{"Parsleytrack-Prompt-Prefix", many}});
+    CHECK(parts.size() <= 64);
+    const auto long_ids = decode_prompt_parts(
+        {{"Parsleytrack-Prompt-Prefix", std::string(10'000, 'a') + ",b"}});
+    LONGS_EQUAL(1, long_ids.size());
+    CHECK(long_ids[0].str().size() <= 64);
+}
+
 TEST(prompt_parts_decoder, accepts_any_text)
 {
     STRCMP_EQUAL("", decode({}).c_str());
--- a/tests/relay_process/cancelled_job_test.cpp
+++ b/tests/relay_process/cancelled_job_test.cpp
@@ -79,6 +79,22 @@
     CHECK_EQUAL(0, item_runs(fleet));
 }
 
+// Guards against reading a record that is gone again and again.
+TEST(relay_cancelled_job, a_job_whose_record_is_gone_is_given_up)
+{
+    relay_fleet fleet(node_count);
+    set_behaviour(fleet, replica_stand_in::fault::full);
+    CHECK_EQUAL(202, fleet.submit(0, "job", 20).status);
+    const int owner = wait_for_owner(fleet, "job");
+    fleet.store.erase("parsleytrack/jobs/state/job");
+    CHECK(fleet.wait([&fleet, owner]
+                     { return fleet.status(owner)["jobs"].empty(); }));
+    set_behaviour(fleet, replica_stand_in::fault::none);
+    const int runs = item_runs(fleet);
+    fleet.run_for(std::chrono::seconds(2));
+    CHECK_EQUAL(runs, item_runs(fleet));
+}
+
 // Guards against an owner that learns of a cancellation while one of its
 // commits waits for the store, and goes on until that commit has ended.
 TEST(relay_cancelled_job, items_do_not_start_while_a_commit_waits)
