--- a/tests/relay_process/leaving_header_test.cpp
+++ b/tests/relay_process/leaving_header_test.cpp
@@ -124,10 +124,9 @@
     leaving_fleet leaving;
     leaving.announce();
     leaving.leaving().extra_headers.clear();
-    auto record = nlohmann::json::parse(leaving.leaving().record("llm"));
-    record["born"] = 2;
+    leaving.leaving().restart();
     leaving.fleet.store.put("servers/" + leaving.leaving().name(),
-                            record.dump());
+                            leaving.leaving().record("llm"));
     leaving.fleet.run_for(std::chrono::seconds(1));
     CHECK(leaving.reached() > 0);
 }
@@ -172,9 +171,8 @@
     for (const auto& engine : fleet.engines)
     {
         engine->extra_headers.clear();
-        auto record = nlohmann::json::parse(engine->record("llm"));
-        record["born"] = 2;
-        fleet.store.put("servers/" + engine->name(), record.dump());
+        engine->restart();
+        fleet.store.put("servers/" + engine->name(), engine->record("llm"));
     }
     CHECK(fleet.wait([&leaving] { return leaving.send(0) == 200; }));
     CHECK(leaving.reached() > 0);
--- a/tests/relay_process/prompt_part_test.cpp
+++ b/tests/relay_process/prompt_part_test.cpp
@@ -88,15 +88,13 @@
 
     std::string own_part() { return "e" + std::to_string(this->sent) + ":250"; }
 
-    void restart(const replica_stand_in& engine)
+    void restart(replica_stand_in& engine)
     {
-        auto record = nlohmann::json::parse(engine.record("llm"));
-        record["born"] = ++this->starts;
-        this->fleet.store.put("servers/" + engine.name(), record.dump());
+        engine.restart();
+        this->fleet.store.put("servers/" + engine.name(), engine.record("llm"));
     }
 
     int sent = 0;
-    int starts = 1;
 };
 
 } // namespace
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -31,7 +31,9 @@
 std::string replica_stand_in::record(const std::string& service,
                                      const std::string& state) const
 {
-    return replica_record(service, this->advertised_address, state);
+    constexpr int slots = 4;
+    return replica_record(service, this->advertised_address, state, slots,
+                          this->started);
 }
 
 void replica_stand_in::handle_request(
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -41,6 +41,9 @@
     /// advertises.
     const endpoint& listen_address() const { return this->address; }
 
+    /// Makes record() describe another process of the replica.
+    void restart() { ++this->started; }
+
     /// Sets the address that record() contains.
     void advertise(const endpoint& advertised)
     {
@@ -95,6 +98,7 @@
 
     net::event_loop& loop;
     std::string id;
+    int started = 1;
     net::http_server server;
     endpoint address{"127.0.0.1", 0};
     endpoint advertised_address;
--- /dev/null
+++ b/tests/soak/fault_kinds.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace parsleytrack::soak
+{
+
+/// Which faults a run draws from. A seed fixes a run for one of these only, so
+/// new faults get a value of their own.
+enum class fault_kinds
+{
+    basic,
+    /// In addition, connections to the store go silent for good, and replicas
+    /// announce in their responses that they leave.
+    with_silence_and_announcements
+};
+
+} // namespace parsleytrack::soak
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -23,6 +23,14 @@
     std::pair{fault_proxy::fault::blocked, "silent"},
     std::pair{fault_proxy::fault::blocked_to_server, "cut to the server"},
     std::pair{fault_proxy::fault::blocked_to_client, "cut to the client"}};
+/// \returns The end of a process's output, which says why it has aborted.
+std::string last_lines(const std::string& output)
+{
+    constexpr std::size_t length = 600;
+    return output.size() > length ? output.substr(output.size() - length)
+                                  : output;
+}
+
 constexpr std::array behaviours = {
     std::pair{replica_stand_in::fault::full, "full"},
     std::pair{replica_stand_in::fault::truncating, "cuts streams"},
@@ -31,9 +39,10 @@
 } // namespace
 
 fault_plan::fault_plan(relay_support::relay_fleet& test_fleet, int node_count,
-                       random_source& random_numbers, violations& found,
-                       std::ostream& log)
-    : fleet(test_fleet), random(random_numbers), problems(found), out(log),
+                       fault_kinds chosen_kinds, random_source& random_numbers,
+                       violations& found, std::ostream& log)
+    : fleet(test_fleet), kinds(chosen_kinds), random(random_numbers),
+      problems(found), out(log),
       modes(static_cast<std::size_t>(node_count), node_mode::up),
       began(net::event_loop::now()), impaired_at(this->began)
 {
@@ -64,6 +73,10 @@
     for (const auto& engine : this->fleet.engines)
     {
         engine->behaviour = replica_stand_in::fault::none;
+        if (!std::exchange(engine->extra_headers, {}).empty())
+        {
+            engine->restart();
+        }
         this->fleet.store.put("servers/" + engine->name(),
                               engine->record("llm"));
     }
@@ -210,8 +223,12 @@
         *this->fleet.store_proxies[static_cast<std::size_t>(node)];
     const duration span = this->draw_span(300, 4000);
     const std::string name = "node " + std::to_string(node);
-    switch (this->draw(4))
+    switch (this->draw(this->has_all_kinds() ? 5 : 4))
     {
+    case 4:
+        this->note(name + "'s open connections to the store go silent");
+        proxy.silence_open_connections();
+        return;
     case 0:
         this->note("the store loses answers");
         this->fleet.store.lost_responses += static_cast<int>(1 + this->draw(4));
@@ -258,7 +275,7 @@
     replica_stand_in& replica = *this->fleet.engines[chosen];
     fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
     const duration span = this->draw_span(300, 3000);
-    switch (this->draw(3))
+    switch (this->draw(this->has_all_kinds() ? 4 : 3))
     {
     case 0:
     {
@@ -274,6 +291,12 @@
         replica.behaviour = fault;
         break;
     }
+    case 3:
+        // Its record stays as it is until another process takes its place.
+        this->note("replica " + replica.name() + " leaves by its responses",
+                   true);
+        replica.extra_headers = {{"Server-Leaving", "1"}};
+        break;
     default:
         this->note("replica " + replica.name() + " leaves", true);
         this->fleet.store.put("servers/" + replica.name(),
@@ -285,6 +308,10 @@
                 {
                     proxy.set_fault(fault_proxy::fault::none);
                     replica.behaviour = replica_stand_in::fault::none;
+                    if (!std::exchange(replica.extra_headers, {}).empty())
+                    {
+                        replica.restart();
+                    }
                     this->fleet.store.put("servers/" + replica.name(),
                                           replica.record("llm"));
                     this->note("replica " + replica.name() + ": well");
@@ -327,9 +354,11 @@
         const int code = this->fleet.process(number).exit_code();
         if (this->modes[node] != node_mode::stopping || code != 0)
         {
-            this->problems.add("a process ends only when it is told to",
-                               "node " + std::to_string(node) + " ended with " +
-                                   std::to_string(code));
+            this->problems.add(
+                "a process ends only when it is told to",
+                "node " + std::to_string(node) + " ended with " +
+                    std::to_string(code) + ": " +
+                    last_lines(this->fleet.process(number).output()));
         }
         this->modes[node] = node_mode::up;
         this->fleet.start(number);
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -2,6 +2,7 @@
 
 #include "net/timer.hpp"
 #include "relay_support/relay_fleet.hpp"
+#include "soak/fault_kinds.hpp"
 #include "soak/violations.hpp"
 #include "units/random_source.hpp"
 
@@ -23,8 +24,8 @@
     /// \param test_fleet Outlives this object, as do the others.
     /// \param log Gets a line for each fault.
     fault_plan(relay_support::relay_fleet& test_fleet, int node_count,
-               random_source& random_numbers, violations& found,
-               std::ostream& log);
+               fault_kinds chosen_kinds, random_source& random_numbers,
+               violations& found, std::ostream& log);
 
     /// Begins to apply faults.
     void start();
@@ -65,7 +66,13 @@
     std::size_t draw(std::size_t count);
     duration draw_span(std::int64_t least_ms, std::int64_t most_ms);
 
+    bool has_all_kinds() const
+    {
+        return this->kinds == fault_kinds::with_silence_and_announcements;
+    }
+
     relay_support::relay_fleet& fleet;
+    fault_kinds kinds;
     random_source& random;
     violations& problems;
     std::ostream& out;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,9 @@
 DEFINE_int32(seeds, 1, "how many runs, with seeds that follow one another");
 DEFINE_int32(seconds, 10, "how long faults come in each run");
 DEFINE_int32(nodes, 4, "nodes of the fleet");
+DEFINE_bool(silence_and_announcements, false,
+            "whether connections also go silent for good and replicas announce "
+            "in their responses that they leave");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -20,6 +23,10 @@
 
 int run_all()
 {
+    using parsleytrack::soak::fault_kinds;
+    const fault_kinds kinds = FLAGS_silence_and_announcements
+                                  ? fault_kinds::with_silence_and_announcements
+                                  : fault_kinds::basic;
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
@@ -27,7 +34,8 @@
     {
         std::ostringstream faults;
         const auto outcome = parsleytrack::soak::run_soak(
-            seed, FLAGS_nodes, std::chrono::seconds(FLAGS_seconds), faults);
+            seed, FLAGS_nodes, std::chrono::seconds(FLAGS_seconds), kinds,
+            faults);
         std::cout << "seed " << seed << ": " << outcome.requests
                   << " requests, " << outcome.served << " served, "
                   << outcome.jobs << " jobs, " << outcome.violations.size()
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -65,7 +65,7 @@
 } // namespace
 
 soak_outcome run_soak(std::uint64_t seed, int node_count, duration span,
-                      std::ostream& log)
+                      fault_kinds kinds, std::ostream& log)
 {
     random_source random(seed);
     violations found;
@@ -77,7 +77,7 @@
     {
         engine->event_interval = event_interval;
     }
-    fault_plan plan(fleet, node_count, random, found, log);
+    fault_plan plan(fleet, node_count, kinds, random, found, log);
     callers online(fleet, node_count, plan, random, found);
     job_callers jobs(fleet, node_count, random, found);
     online.start();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/fault_kinds.hpp"
 #include "units/time.hpp"
 
 #include <cstdint>
@@ -24,9 +25,10 @@
 /// \param seed Faults and callers are drawn from it.
 /// \param node_count How many nodes.
 /// \param span How long faults come.
+/// \param kinds Which faults come.
 /// \param log Gets a line for each fault.
 /// \returns What was seen.
 soak_outcome run_soak(std::uint64_t seed, int node_count, duration span,
-                      std::ostream& log);
+                      fault_kinds kinds, std::ostream& log);
 
 } // namespace parsleytrack::soak
