Ignore what a run's exchange still receives after the run has ended

Cause: a run that ends in one event of the loop frees its exchange in a later turn, and a response that is already waiting in the same turn was still handled: the run ended a second time.

Mend: replica_exchange::cancel() ends its callbacks at once, and runs and online calls use it wherever they let an exchange go.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -265,8 +265,12 @@
 void item_run::finish(item_run_result end, const std::string& reason)
 {
     this->stall_timer.cancel();
-    // This may be called from a callback of the exchange.
-    this->context.loop.free_later(std::move(this->attempt));
+    if (this->attempt)
+    {
+        this->attempt->cancel();
+        // This may be called from a callback of the exchange.
+        this->context.loop.free_later(std::move(this->attempt));
+    }
     this->lease.reset();
     const auto callback = std::move(this->ended_callback);
     callback(end, reason);
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -331,8 +331,7 @@
 void online_call::send_again(const std::string& reason)
 {
     this->excluded.insert(this->replica.id);
-    // Freed later, since this may run inside a callback of the exchange.
-    this->context.loop.free_later(std::move(this->attempt));
+    this->release_attempt();
     this->lease.reset();
     if (!this->may_send_again())
     {
@@ -354,6 +353,18 @@
     this->request_slot();
 }
 
+void online_call::release_attempt()
+{
+    if (!this->attempt)
+    {
+        return;
+    }
+    this->attempt->cancel();
+    // Closes the connection to the replica; deferred, since this may run inside
+    // a callback of the exchange.
+    this->context.loop.free_later(std::move(this->attempt));
+}
+
 void online_call::fail(error reason)
 {
     if (this->ended)
@@ -398,9 +409,7 @@
     }
     this->deadline_timer.cancel();
     this->report_end(outcome, status);
-    // Closes the connection to the replica; deferred, since this may run inside
-    // its callback.
-    this->context.loop.free_later(std::move(this->attempt));
+    this->release_attempt();
     this->lease.reset();
     const auto callback = std::move(this->ended_callback);
     callback();
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -56,6 +56,8 @@
     void report_crash(attempt_outcome outcome);
     bool may_send_again() const;
     void send_again(const std::string& reason);
+    /// Ends the current attempt without any further callback of it.
+    void release_attempt();
     void fail(error reason);
     void expire();
     void finish(const char* outcome, int status);
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -52,7 +52,7 @@
     {
         client_hooks.on_piece = [this](std::string_view chunk)
         {
-            if (this->kind == response_kind::matching)
+            if (!this->cancelled && this->kind == response_kind::matching)
             {
                 this->hooks.on_chunk(chunk);
             }
@@ -67,6 +67,10 @@
 
 void replica_exchange::handle_head(const net::http_response& response)
 {
+    if (this->cancelled)
+    {
+        return;
+    }
     this->head_seen = true;
     this->head = response;
     this->kind = this->classify(response);
@@ -129,6 +133,10 @@
 
 void replica_exchange::handle_end(result<net::http_response> response)
 {
+    if (this->cancelled)
+    {
+        return;
+    }
     // The callback may destroy this object.
     const auto callback = this->hooks.on_end;
     if (response.has_error())
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -73,6 +73,11 @@
                      const routing::replica_entry& replica,
                      net::http_request request, request_id id, callbacks hooks);
 
+    /// Calls no callback any more. The connection is closed when this object is
+    /// destroyed, which may be in a later turn of the loop than the events that
+    /// wait now.
+    void cancel() { this->cancelled = true; }
+
     /// Ends the exchange because the response is unusable; the replica may have
     /// run the request. Calls on_end, which may destroy this object.
     void abort(const std::string& reason);
@@ -109,6 +114,7 @@
     request_id id;
     callbacks hooks;
     response_kind kind = response_kind::none;
+    bool cancelled = false;
     bool head_seen = false;
     bool cut = false;
     /// Status and header fields, for responses whose body is passed on in
