Do not let batch items wait for a store that does not answer

An item with a slot waited for the read that confirms its job's state up to 2.4 s, twice the timeout of a call, and was given back when the read failed, until the outage was detected after four failures.

A read that fails, or has not been answered after 400 ms, now counts as the store being away for this node, in which items start as before; a late answer that shows a cancellation still ends them. The tests of relay_cancelled_job pass unchanged.

--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -215,8 +215,9 @@
 
 bool job_owner::may_send(std::size_t item)
 {
-    if (this->confirmation.allows_start(net::event_loop::now(),
-                                        this->context.store.is_reachable()))
+    const bool store_responds =
+        this->context.store.is_reachable() && !this->is_state_overdue;
+    if (this->confirmation.allows_start(net::event_loop::now(), store_responds))
     {
         return true;
     }
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -83,6 +83,8 @@
     /// \returns Whether the job still runs, on this node.
     bool is_unchanged(const key_value::stored_record& record) const;
     void handle_state(const result<key_value::stored_record>& record);
+    /// Lets the items go on that wait for the job's state.
+    void resume_items(bool confirmed);
     void commit_when_due();
     void commit();
     bool must_release_tokens(token_count waiting) const;
@@ -116,6 +118,9 @@
     /// Items with a slot that wait for the job's state.
     std::vector<std::size_t> unconfirmed_items;
     bool is_reading_state = false;
+    /// The read has not been answered in time.
+    bool is_state_overdue = false;
+    net::timer state_timer;
     /// Time from submission until the job is due, from the newest route seen.
     duration run_target = duration::zero();
     bool commit_is_scheduled = false;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -18,6 +18,9 @@
 /// How long to look up the outcome of a commit whose response was lost, before
 /// its results are written by a new transaction.
 constexpr duration commit_timeout = std::chrono::seconds(10);
+/// A store that has not answered a read by then counts as away for this node:
+/// twice the slowest answers of a store that works, which take 200 ms.
+constexpr duration state_timeout = std::chrono::milliseconds(400);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
 /// How long a stopping node tries to name the next owner of a job.
 constexpr duration handover_timeout = std::chrono::seconds(2);
@@ -134,6 +137,13 @@
     {
         return;
     }
+    this->state_timer =
+        this->context.loop.call_after(state_timeout,
+                                      [this]
+                                      {
+                                          this->is_state_overdue = true;
+                                          this->resume_items(true);
+                                      });
     this->context.store.get(
         job_state_key(this->owned.input().id),
         key_value::read_freshness::latest,
@@ -144,7 +154,9 @@
             {
                 return;
             }
+            this->state_timer.cancel();
             this->is_reading_state = false;
+            this->is_state_overdue = false;
             if (record.has_value() && this->is_unchanged(record.value()))
             {
                 this->confirmation.confirm(sent);
@@ -163,30 +175,34 @@
 
 void job_owner::handle_state(const result<key_value::stored_record>& record)
 {
-    const std::vector<std::size_t> waiting =
-        std::exchange(this->unconfirmed_items, {});
-    if (record.has_value())
+    if (record.has_error())
     {
-        // Ends the runs of a job that is cancelled or has another owner.
-        this->apply_record(record.value());
-        if (!jobs::decode_state(record.value().value).has_value())
-        {
-            log_event(log_level::error, "job_record_missing",
-                      {{"job", this->owned.input().id.str()},
-                       {"revision", record.value().revision.count()}});
-            this->end_runs();
-            this->lost_callback();
-            return;
-        }
+        this->resume_items(true);
+        return;
     }
-    const bool may_start = this->confirmation.allows_start(
-        net::event_loop::now(), this->context.store.is_reachable());
-    for (const std::size_t item : waiting)
+    // Ends the runs of a job that is cancelled or has another owner.
+    this->apply_record(record.value());
+    if (!jobs::decode_state(record.value().value).has_value())
+    {
+        log_event(log_level::error, "job_record_missing",
+                  {{"job", this->owned.input().id.str()},
+                   {"revision", record.value().revision.count()}});
+        this->end_runs();
+        this->lost_callback();
+        return;
+    }
+    this->resume_items(
+        this->confirmation.allows_start(net::event_loop::now(), true));
+}
+
+void job_owner::resume_items(bool confirmed)
+{
+    for (const std::size_t item : std::exchange(this->unconfirmed_items, {}))
     {
         const auto run = this->runs.find(item);
         if (run != this->runs.end())
         {
-            run->second->handle_confirmation(may_start);
+            run->second->handle_confirmation(confirmed);
         }
     }
 }
