--- a/src/net/http_response.hpp
+++ b/src/net/http_response.hpp
@@ -16,4 +16,12 @@
     std::string body;
 };
 
+/// \returns Whether a status code reports success.
+constexpr bool is_success(int status)
+{
+    constexpr int first_success = 200;
+    constexpr int first_redirection = 300;
+    return status >= first_success && status < first_redirection;
+}
+
 } // namespace parsleytrack::net
--- /dev/null
+++ b/src/relay/online_call_ends.cpp
@@ -0,0 +1,222 @@
+// How an attempt at a replica and the whole call end.
+
+#include "logging/log.hpp"
+#include "relay/hop_headers.hpp"
+#include "relay/online_call.hpp"
+#include "relay/refusal.hpp"
+
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Most replicas tried for one request, including those that did not run it.
+constexpr int max_sends = 5;
+constexpr duration retry_after_refused = std::chrono::milliseconds(300);
+constexpr int first_error_status = 500;
+
+} // namespace
+
+void online_call::handle_end(attempt_outcome outcome,
+                             net::http_response response,
+                             const std::string& reason)
+{
+    this->context.metrics.count("parsleytrack_replica_verdicts_total",
+                                {{"verdict", to_string(outcome)}});
+    const bool answered = outcome == attempt_outcome::answered;
+    if (answered || outcome == attempt_outcome::may_have_run)
+    {
+        ++this->runs;
+    }
+    if (answered && this->handle_response(std::move(response)))
+    {
+        return;
+    }
+    this->report_crash(outcome);
+    this->slots.report_failure(this->request.id, this->service, this->replica,
+                               outcome);
+    this->send_again(answered ? "the response is incomplete" : reason);
+}
+
+void online_call::report_crash(attempt_outcome outcome)
+{
+    // A stream without a length that ends early looks like an answer.
+    const bool ended_early = outcome == attempt_outcome::answered &&
+                             net::is_success(this->collected_status);
+    if ((ended_early || this->attempt->was_cut()) &&
+        this->attempt_events < prompt_guard::surviving_events)
+    {
+        this->context.prompts.handle_lost_replica(
+            this->request.id, this->exchange->head().headers,
+            routing::process_of(this->replica));
+    }
+}
+
+bool online_call::handle_response(net::http_response response)
+{
+    const int status = response.status;
+    if (this->response_started)
+    {
+        if (!net::is_success(status) || this->splitter.has_partial_event())
+        {
+            return false;
+        }
+        if (this->attempt_events < prompt_guard::surviving_events)
+        {
+            this->context.prompts.handle_survival(
+                this->exchange->head().headers);
+        }
+        this->exchange->finish_stream();
+        this->finish("served", status);
+        return true;
+    }
+    if (this->request.route->kind == routing::request_kind::streaming &&
+        net::is_success(status))
+    {
+        // The stream ended without a single event.
+        return false;
+    }
+    const std::string& body =
+        this->collected_body.empty() ? response.body : this->collected_body;
+    if (status >= first_error_status && this->may_send_again())
+    {
+        return false;
+    }
+    this->exchange->respond(status, end_to_end_headers(response.headers), body);
+    this->finish(net::is_success(status) ? "served" : "replica_failed", status);
+    return true;
+}
+
+bool online_call::may_send_again() const
+{
+    if (this->sends >= max_sends ||
+        this->runs >= this->request.route->max_attempts)
+    {
+        return false;
+    }
+    return this->runs == 0 || this->request.route->is_repeatable();
+}
+
+void online_call::send_again(const std::string& reason)
+{
+    this->excluded.insert(this->replica.id);
+    this->release_attempt();
+    this->lease.reset();
+    if (!this->may_send_again())
+    {
+        const bool ran = this->runs > 0;
+        this->fail(error{
+            ran ? error_code::backend_failed : error_code::no_replica,
+            "replica " + this->replica.id.str() +
+                " did not complete the request: " + reason,
+            ran ? ran_state::unknown : ran_state::no, retry_after_refused});
+        return;
+    }
+    log_event(log_level::info, "request_sent_again",
+              {{"request", this->request.id.str()},
+               {"replica", this->replica.id.str()},
+               {"sends", this->sends},
+               {"runs", this->runs},
+               {"after_event", this->last_event},
+               {"reason", reason}});
+    this->request_slot();
+}
+
+void online_call::release_attempt()
+{
+    if (!this->attempt)
+    {
+        return;
+    }
+    this->attempt->cancel();
+    // Closes the connection to the replica; deferred, since this may run inside
+    // a callback of the exchange.
+    this->context.loop.free_later(std::move(this->attempt));
+}
+
+void online_call::fail(error reason)
+{
+    if (this->ended)
+    {
+        return;
+    }
+    if (this->response_started)
+    {
+        this->exchange->abort();
+        this->finish("stream_broken_off", 0);
+        return;
+    }
+    if (this->runs > 0)
+    {
+        reason.ran = ran_state::unknown;
+    }
+    const int status = refuse(*this->exchange, reason);
+    const std::string outcome =
+        "refused_" + std::string(to_string(reason.code));
+    this->finish(outcome.c_str(), status);
+}
+
+void online_call::expire()
+{
+    if (this->attempt)
+    {
+        // The replica may be running the request.
+        ++this->runs;
+    }
+    const bool ran = this->runs > 0;
+    this->fail(
+        error{ran ? error_code::deadline_exceeded : error_code::no_replica,
+              "the deadline of the request has passed",
+              ran ? ran_state::unknown : ran_state::no, retry_after_refused});
+}
+
+void online_call::finish(const char* outcome, int status)
+{
+    if (std::exchange(this->ended, true))
+    {
+        return;
+    }
+    this->deadline_timer.cancel();
+    this->report_end(outcome, status);
+    this->release_attempt();
+    this->lease.reset();
+    const auto callback = std::move(this->ended_callback);
+    callback();
+}
+
+void online_call::report_end(const char* outcome, int status) const
+{
+    const auto since_arrival = [this](time_point when)
+    {
+        return when - this->request.received;
+    };
+    const time_point now = net::event_loop::now();
+    const char* kind = to_string(this->request.route->kind);
+    log_event(
+        log_level::info, "request_ended",
+        {{"request", this->request.id.str()},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", this->request.route->name},
+         {"configuration", this->request.table->contents().version.count()},
+         {"replica", this->replica.id.str()},
+         {"sends", this->sends},
+         {"runs", this->runs},
+         {"sent_after_ms",
+          this->sends > 0 ? to_milliseconds(since_arrival(this->sent_at)) : -1},
+         {"first_ms", this->first_output_at ? to_milliseconds(since_arrival(
+                                                  *this->first_output_at))
+                                            : -1},
+         {"total_ms", to_milliseconds(since_arrival(now))},
+         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
+    this->context.metrics.count("parsleytrack_requests_total",
+                                {{"outcome", outcome}, {"kind", kind}});
+    this->context.metrics.observe(
+        "parsleytrack_first_output_seconds", {{"kind", kind}},
+        since_arrival(this->first_output_at.value_or(now)));
+}
+
+} // namespace parsleytrack::relay
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -17,11 +17,8 @@
 /// Nodes of a region respond within milliseconds. An unresponsive one delays a
 /// verdict by this much.
 constexpr duration inquiry_timeout = std::chrono::milliseconds(300);
-/// Nodes that collect the reports about one part, and that greet one new node.
-/// Up to this number, all do.
+/// Nodes that collect the reports about one part. Up to this number, all do.
 constexpr std::size_t collectors_per_part = 16;
-constexpr duration notice_timeout = std::chrono::milliseconds(500);
-constexpr int notice_attempts = 4;
 constexpr duration shortest_retry_after = std::chrono::seconds(1);
 /// Another request may be tried when a trial has no outcome after this time,
 /// for instance because its caller has left.
@@ -247,55 +244,6 @@
     this->start_inquiry();
 }
 
-void prompt_guard::handle_inquiry(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const time_point now = net::event_loop::now();
-    const auto question = decode_part_knowledge(exchange->request(), now);
-    if (question.has_error())
-    {
-        log_event(log_level::warning, "part_inquiry_refused",
-                  {{"reason", question.error().message}});
-        exchange->fail(question.error());
-        return;
-    }
-    for (const routing::crash_report& report : question.value().crashes)
-    {
-        this->history.add_report(report);
-    }
-    part_knowledge known = this->knowledge_of(question.value().asked);
-    known.asked.clear();
-    known.verdicts = this->quarantine.all();
-    exchange->finish(encode(known, now));
-}
-
-void prompt_guard::handle_verdicts(
-    const std::shared_ptr<wire::peer_exchange>& exchange)
-{
-    const auto message =
-        decode_part_knowledge(exchange->request(), net::event_loop::now());
-    if (message.has_error())
-    {
-        log_event(log_level::warning, "part_verdicts_refused",
-                  {{"reason", message.error().message}});
-        exchange->fail(message.error());
-        return;
-    }
-    this->apply(message.value().verdicts);
-    exchange->finish({});
-}
-
-void prompt_guard::apply(const std::vector<routing::part_verdict>& received)
-{
-    for (const routing::part_verdict& verdict : received)
-    {
-        if (this->quarantine.merge(verdict))
-        {
-            this->log_verdict(verdict, "another node");
-        }
-    }
-}
-
 part_knowledge
 prompt_guard::knowledge_of(const std::vector<prompt_part_id>& parts) const
 {
@@ -332,93 +280,6 @@
     return chosen;
 }
 
-void prompt_guard::notify_all(const routing::part_verdict& verdict)
-{
-    part_knowledge news;
-    news.verdicts.push_back(verdict);
-    const std::string message = encode(news, net::event_loop::now());
-    for (const node_info& node : this->group.live_nodes())
-    {
-        if (node.id != this->group.own().id)
-        {
-            this->notify(node, message, notice_attempts);
-        }
-    }
-}
-
-void prompt_guard::notify(const node_info& node, const std::string& message,
-                          int attempts)
-{
-    const std::uint64_t number = this->next_number++;
-    this->calls[number] = this->peers.call(
-        node.peer, message_type::part_verdicts, message, notice_timeout,
-        {{},
-         [this, number, node, message,
-          attempts](const result<std::string>& outcome)
-         {
-             this->loop.free_later(std::move(this->calls[number]));
-             this->calls.erase(number);
-             if (outcome.has_value())
-             {
-                 return;
-             }
-             log_event(log_level::info, "part_verdict_lost",
-                       {{"to", node.id.str()},
-                        {"attempts_left", attempts - 1},
-                        {"reason", outcome.error().message}});
-             if (attempts <= 1)
-             {
-                 // A node that returns is greeted with all verdicts.
-                 return;
-             }
-             this->retries[number] = this->loop.call_after(
-                 notice_timeout,
-                 [this, number, node, message, attempts]
-                 {
-                     const auto timer = std::move(this->retries[number]);
-                     this->retries.erase(number);
-                     this->notify(node, message, attempts - 1);
-                 });
-         }});
-}
-
-void prompt_guard::greet_new_nodes()
-{
-    std::set<std::pair<node_id, process_number>> current;
-    std::vector<node_info> newcomers;
-    for (const node_info& node : this->group.live_nodes())
-    {
-        current.emplace(node.id, node.process);
-        if (node.id != this->group.own().id &&
-            !this->known_processes.contains({node.id, node.process}))
-        {
-            newcomers.push_back(node);
-        }
-    }
-    this->known_processes = std::move(current);
-    if (this->quarantine.is_empty() || newcomers.empty())
-    {
-        return;
-    }
-    part_knowledge news;
-    news.verdicts = this->quarantine.all();
-    const std::string message = encode(news, net::event_loop::now());
-    const std::vector<std::string> names = this->live_names();
-    for (const node_info& node : newcomers)
-    {
-        const auto greeters =
-            rendezvous_rank(names, node.id.str(), collectors_per_part);
-        const bool greets =
-            std::any_of(greeters.begin(), greeters.end(),
-                        [this, &names](std::size_t index)
-                        { return names[index] == this->group.own().id.str(); });
-        if (greets)
-        {
-            this->notify(node, message, notice_attempts);
-        }
-    }
-}
-
 std::vector<std::string> prompt_guard::live_names() const
 {
     std::vector<std::string> names;
