Let an owner rely on an outage of the store only while it is recent

Cause: lets items start when the store does not answer, and a process that wakes takes much for an outage that is none: both idle connections that a read and its retry took were closed during the freeze (trace: read sent 0.1 ms after SIGCONT, failed, 8 items sent 0.4 ms later); a read sent before the freeze is overdue by its timer at once; an outage that was known before stays known though it has ended. The class: a timer that ran out while the process stood still is taken for silence of the other side.

Mend: the knowledge of an outage has an age as the confirmation has, 2.5 s, counted from when a call that failed was sent, or from a check that found a read overdue. Waits for reads are measured by checks every 100 ms, and what passes between two checks more than 300 ms apart does not count (running_wait). A read that fails is sent again at the next check instead of letting items start.

--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -3,6 +3,7 @@
 #include "key_value/backoff.hpp"
 #include "logging/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::key_value
@@ -263,14 +264,14 @@
         this->address, request,
         {{},
          {},
-         [this, number,
+         [this, number, sent = net::event_loop::now(),
           callback = std::move(callback)](result<net::http_response> outcome)
          {
              const auto call = std::move(this->calls[number]);
              this->calls.erase(number);
              if (outcome.has_error())
              {
-                 this->record_failure(outcome.error());
+                 this->record_failure(outcome.error(), sent);
                  callback(outcome.error());
                  return;
              }
@@ -281,7 +282,7 @@
                                          std::to_string(outcome.value().status),
                                      ran_state::no,
                                      {}};
-                 this->record_failure(refused);
+                 this->record_failure(refused, sent);
                  callback(refused);
                  return;
              }
@@ -338,9 +339,11 @@
     }
 }
 
-void record_client::record_failure(const error& reason)
+void record_client::record_failure(const error& reason, time_point sent)
 {
     ++this->counts.failures;
+    this->failed_call_sent =
+        std::max(this->failed_call_sent, std::optional(sent));
     this->last_failure = net::event_loop::now();
     if (this->outage.record_failure(net::event_loop::now(), this->random))
     {
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -76,6 +76,14 @@
     void on_recovery(std::function<void(time_point last_failure)> callback);
 
     bool is_reachable() const { return this->outage.is_reachable(); }
+
+    /// \returns During an outage, when the call was sent that failed last;
+    /// otherwise absent.
+    std::optional<time_point> last_call_in_outage() const
+    {
+        return this->is_reachable() ? std::nullopt : this->failed_call_sent;
+    }
+
     const call_counts& calls_made() const { return this->counts; }
 
 private:
@@ -95,7 +103,7 @@
     void count_read(read_freshness freshness);
     void record_response();
     void notify_recovery();
-    void record_failure(const error& reason);
+    void record_failure(const error& reason, time_point sent);
 
     net::event_loop& loop;
     net::http_client& http;
@@ -107,6 +115,8 @@
     std::vector<std::function<void(time_point)>> recovery_callbacks;
     /// Set while the last call has failed.
     std::optional<time_point> last_failure;
+    /// When the call that failed last was sent.
+    std::optional<time_point> failed_call_sent;
     std::map<store_call_number, std::unique_ptr<net::http_call>> calls;
     std::map<std::uint64_t, net::timer> timers;
     std::uint64_t next_number = 1;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -25,6 +25,9 @@
 constexpr duration urgent_before_due = std::chrono::seconds(4);
 /// Keeps an item without a usable replica from requesting slots in a busy loop.
 constexpr duration interruption_pause = std::chrono::milliseconds(30);
+/// A store that has not answered reads for this long counts as away for this
+/// node: twice the slowest answers of a store that works, which take 200 ms.
+constexpr duration state_timeout = std::chrono::milliseconds(400);
 
 /// \returns The progress of items that have no outcome.
 jobs::job_progress without_ended(jobs::job_progress known,
@@ -50,7 +53,7 @@
       progress(this->owned.input().id,
                without_ended(std::move(known), this->owned.state()),
                net::event_loop::now()),
-      readers(node.loop, this->owned)
+      readers(node.loop, this->owned), state_wait(state_timeout)
 {
 }
 
@@ -207,6 +210,7 @@
 
 void job_owner::return_running_items()
 {
+    this->unconfirmed_items.clear();
     for (const auto& [item, run] : std::exchange(this->runs, {}))
     {
         this->owned.return_item(item);
@@ -215,9 +219,7 @@
 
 bool job_owner::may_send(std::size_t item)
 {
-    const bool store_responds =
-        this->context.store.is_reachable() && !this->is_state_overdue;
-    if (this->confirmation.allows_start(net::event_loop::now(), store_responds))
+    if (this->is_start_allowed())
     {
         return true;
     }
@@ -226,6 +228,15 @@
     return false;
 }
 
+bool job_owner::is_start_allowed()
+{
+    if (const auto failed_call = this->context.store.last_call_in_outage())
+    {
+        this->confirmation.record_outage(*failed_call);
+    }
+    return this->confirmation.allows_start(net::event_loop::now());
+}
+
 void job_owner::commit_when_due()
 {
     if (!this->owned.has_uncommitted())
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -6,6 +6,7 @@
 #include "relay/progress_tracker.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/result_readers.hpp"
+#include "relay/running_wait.hpp"
 #include "relay/slot_client.hpp"
 #include "relay/state_confirmation.hpp"
 #include "relay/usage_tracker.hpp"
@@ -79,10 +80,14 @@
     /// \returns Whether the item may be sent to a replica now; if not, its run
     /// is notified once the job's state has been read.
     bool may_send(std::size_t item);
+    bool is_start_allowed();
+    /// Reads the job's state until it is known or the store counts as away.
     void confirm_state();
+    void check_state_wait();
+    void read_state();
     /// \returns Whether the job still runs, on this node.
     bool is_unchanged(const key_value::stored_record& record) const;
-    void handle_state(const result<key_value::stored_record>& record);
+    void handle_state(const key_value::stored_record& record);
     /// Lets the items go on that wait for the job's state.
     void resume_items(bool confirmed);
     void commit_when_due();
@@ -118,8 +123,8 @@
     /// Items with a slot that wait for the job's state.
     std::vector<std::size_t> unconfirmed_items;
     bool is_reading_state = false;
-    /// The read has not been answered in time.
-    bool is_state_overdue = false;
+    running_wait state_wait;
+    /// Runs while items wait for the job's state.
     net::timer state_timer;
     /// Time from submission until the job is due, from the newest route seen.
     duration run_target = duration::zero();
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -18,9 +18,6 @@
 /// How long to look up the outcome of a commit whose response was lost, before
 /// its results are written by a new transaction.
 constexpr duration commit_timeout = std::chrono::seconds(10);
-/// A store that has not answered a read by then counts as away for this node:
-/// twice the slowest answers of a store that works, which take 200 ms.
-constexpr duration state_timeout = std::chrono::milliseconds(400);
 constexpr duration retry_pause = std::chrono::milliseconds(300);
 /// How long a stopping node tries to name the next owner of a job.
 constexpr duration handover_timeout = std::chrono::seconds(2);
@@ -132,18 +129,43 @@
 }
 
 void job_owner::confirm_state()
+{
+    if (this->unconfirmed_items.size() == 1)
+    {
+        this->state_wait.start(net::event_loop::now());
+        this->state_timer = this->context.loop.call_every(
+            running_wait::check_interval, [this] { this->check_state_wait(); });
+    }
+    this->read_state();
+}
+
+void job_owner::check_state_wait()
+{
+    if (this->unconfirmed_items.empty())
+    {
+        this->state_timer.cancel();
+        return;
+    }
+    const time_point now = net::event_loop::now();
+    if (this->state_wait.check(now))
+    {
+        this->confirmation.record_outage(now);
+    }
+    if (this->is_start_allowed())
+    {
+        this->state_timer.cancel();
+        this->resume_items(true);
+        return;
+    }
+    this->read_state();
+}
+
+void job_owner::read_state()
 {
     if (std::exchange(this->is_reading_state, true))
     {
         return;
     }
-    this->state_timer =
-        this->context.loop.call_after(state_timeout,
-                                      [this]
-                                      {
-                                          this->is_state_overdue = true;
-                                          this->resume_items(true);
-                                      });
     this->context.store.get(
         job_state_key(this->owned.input().id),
         key_value::read_freshness::latest,
@@ -154,14 +176,17 @@
             {
                 return;
             }
-            this->state_timer.cancel();
             this->is_reading_state = false;
-            this->is_state_overdue = false;
-            if (record.has_value() && this->is_unchanged(record.value()))
+            if (record.has_error())
+            {
+                // Read again at the next check while items wait.
+                return;
+            }
+            if (this->is_unchanged(record.value()))
             {
                 this->confirmation.confirm(sent);
             }
-            this->handle_state(record);
+            this->handle_state(record.value());
         });
 }
 
@@ -173,26 +198,20 @@
            state.value().owner_process == this->owned.state().owner_process;
 }
 
-void job_owner::handle_state(const result<key_value::stored_record>& record)
+void job_owner::handle_state(const key_value::stored_record& record)
 {
-    if (record.has_error())
-    {
-        this->resume_items(true);
-        return;
-    }
     // Ends the runs of a job that is cancelled or has another owner.
-    this->apply_record(record.value());
-    if (!jobs::decode_state(record.value().value).has_value())
+    this->apply_record(record);
+    if (!jobs::decode_state(record.value).has_value())
     {
         log_event(log_level::error, "job_record_missing",
                   {{"job", this->owned.input().id.str()},
-                   {"revision", record.value().revision.count()}});
+                   {"revision", record.revision.count()}});
         this->end_runs();
         this->lost_callback();
         return;
     }
-    this->resume_items(
-        this->confirmation.allows_start(net::event_loop::now(), true));
+    this->resume_items(this->confirmation.allows_start(net::event_loop::now()));
 }
 
 void job_owner::resume_items(bool confirmed)
--- a/src/relay/state_confirmation.hpp
+++ b/src/relay/state_confirmation.hpp
@@ -8,8 +8,9 @@
 namespace parsleytrack::relay
 {
 
-/// Bounds the age of an owner's knowledge that its job is not cancelled. Items
-/// start only while it is recent, whatever notices were lost or late.
+/// Bounds the age of an owner's knowledge that its job is not cancelled, or
+/// that the store cannot say so. Items start only while it is recent, whatever
+/// notices were lost or late and however long the process stood still.
 class state_confirmation
 {
 public:
@@ -17,6 +18,10 @@
     /// start; the rest covers the read that confirms the state, the connection
     /// and delays of the process.
     static constexpr duration max_age = std::chrono::seconds(1);
+    /// How long an observed outage of the store counts. Longer than the pauses
+    /// between two calls of a node during an outage, and within the same three
+    /// seconds.
+    static constexpr duration max_outage_age = std::chrono::milliseconds(2500);
 
     /// Records that the store has confirmed the job's state.
     ///
@@ -24,15 +29,27 @@
     void confirm(time_point sent)
     {
         this->confirmed_at = std::max(this->confirmed_at, std::optional(sent));
+        if (this->outage_at && *this->outage_at <= sent)
+        {
+            this->outage_at.reset();
+        }
+    }
+
+    /// Records that the store does not respond to this node. It acknowledges no
+    /// cancellation of this node's callers then, and work goes on.
+    ///
+    /// \param observed The latest time at which a call is known to have waited
+    /// in vain; when a call that failed was sent.
+    void record_outage(time_point observed)
+    {
+        this->outage_at = std::max(this->outage_at, std::optional(observed));
     }
 
-    /// \param store_reachable During an outage the store acknowledges no
-    /// cancellation of this node's callers, and work goes on.
     /// \returns Whether an item may be sent to a replica now.
-    bool allows_start(time_point now, bool store_reachable) const
+    bool allows_start(time_point now) const
     {
-        return !store_reachable ||
-               (this->confirmed_at && now - *this->confirmed_at <= max_age);
+        return (this->confirmed_at && now - *this->confirmed_at <= max_age) ||
+               (this->outage_at && now - *this->outage_at <= max_outage_age);
     }
 
     /// \returns The age of the knowledge; absent before the first confirmation.
@@ -44,6 +61,7 @@
 
 private:
     std::optional<time_point> confirmed_at;
+    std::optional<time_point> outage_at;
 };
 
 } // namespace parsleytrack::relay
--- a/tests/relay_process/cancelled_job_test.cpp
+++ b/tests/relay_process/cancelled_job_test.cpp
@@ -55,18 +55,20 @@
     return count;
 }
 
-} // namespace
-
-TEST_GROUP(relay_cancelled_job){};
-
-// Guards against an owner that wakes from a freeze with items about to start
-// and does not know yet that their job was cancelled meanwhile.
-TEST(relay_cancelled_job, items_do_not_start_after_the_owner_was_frozen)
+/// Submits a job of which no item can run yet.
+///
+/// \returns The node that owns it.
+int submit_to_full_replicas(relay_fleet& fleet)
 {
-    relay_fleet fleet(node_count);
     set_behaviour(fleet, replica_stand_in::fault::full);
     CHECK_EQUAL(202, fleet.submit(0, "job", 20).status);
-    const int owner = wait_for_owner(fleet, "job");
+    return wait_for_owner(fleet, "job");
+}
+
+/// Freezes the owner of a job, cancels the job and wakes the owner again, to
+/// replicas and a store that work.
+void cancel_while_frozen(relay_fleet& fleet, int owner)
+{
     fleet.process(owner).signal(SIGSTOP);
     const auto cancelled =
         fleet.call((owner + 1) % node_count, "DELETE", "/v1/lots/job");
@@ -74,18 +76,73 @@
     // The platform's bound is three seconds.
     fleet.run_for(std::chrono::seconds(3));
     set_behaviour(fleet, replica_stand_in::fault::none);
+    fleet.store.set_refusing(fleet.store_address(owner), false);
+    fleet.store.hold_reads_of(fleet.store_address(owner), false);
     fleet.process(owner).signal(SIGCONT);
     fleet.run_for(std::chrono::seconds(3));
+}
+
+} // namespace
+
+TEST_GROUP(relay_cancelled_job){};
+
+// Guards against an owner that wakes from a freeze with items about to start
+// and does not know yet that their job was cancelled meanwhile.
+TEST(relay_cancelled_job, items_do_not_start_after_the_owner_was_frozen)
+{
+    relay_fleet fleet(node_count);
+    const int owner = submit_to_full_replicas(fleet);
+    cancel_while_frozen(fleet, owner);
     CHECK_EQUAL(0, item_runs(fleet));
 }
 
+// Guards against an owner that wakes from a freeze and takes a read of the
+// job's state that it had sent before for unanswered, and so the store for
+// away.
+TEST(relay_cancelled_job, items_do_not_start_when_a_freeze_delays_a_read)
+{
+    relay_fleet fleet(node_count);
+    const int owner = submit_to_full_replicas(fleet);
+    fleet.store.hold_reads_of(fleet.store_address(owner), true);
+    CHECK(fleet.wait([&fleet] { return fleet.store.held_reads() > 0; }));
+    cancel_while_frozen(fleet, owner);
+    CHECK_EQUAL(0, item_runs(fleet));
+}
+
+// Guards against an owner that still goes by an outage that has ended while it
+// was frozen.
+TEST(relay_cancelled_job, items_do_not_start_after_a_freeze_in_an_outage)
+{
+    relay_fleet fleet(node_count);
+    const int owner = submit_to_full_replicas(fleet);
+    fleet.store.set_refusing(fleet.store_address(owner), true);
+    CHECK(fleet.wait(
+        [&fleet, owner]
+        {
+            return fleet.process(owner).output().find("event=store_lost") !=
+                   std::string::npos;
+        }));
+    cancel_while_frozen(fleet, owner);
+    CHECK_EQUAL(0, item_runs(fleet));
+}
+
+// Guards against items that wait for a store which does not answer.
+TEST(relay_cancelled_job, items_start_while_the_store_does_not_answer_reads)
+{
+    relay_fleet fleet(node_count);
+    const int owner = submit_to_full_replicas(fleet);
+    fleet.store.hold_reads_of(fleet.store_address(owner), true);
+    CHECK(fleet.wait([&fleet] { return fleet.store.held_reads() > 0; }));
+    set_behaviour(fleet, replica_stand_in::fault::none);
+    fleet.run_for(std::chrono::seconds(2));
+    CHECK(item_runs(fleet) > 0);
+}
+
 // Guards against reading a record that is gone again and again.
 TEST(relay_cancelled_job, a_job_whose_record_is_gone_is_given_up)
 {
     relay_fleet fleet(node_count);
-    set_behaviour(fleet, replica_stand_in::fault::full);
-    CHECK_EQUAL(202, fleet.submit(0, "job", 20).status);
-    const int owner = wait_for_owner(fleet, "job");
+    const int owner = submit_to_full_replicas(fleet);
     fleet.store.erase("parsleytrack/jobs/state/job");
     CHECK(fleet.wait([&fleet, owner]
                      { return fleet.status(owner)["jobs"].empty(); }));
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -2,6 +2,7 @@
 
 #include "key_value/base64.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::relay_support
@@ -64,26 +65,26 @@
     return found;
 }
 
+store_stand_in::access_point& store_stand_in::find(const endpoint& address)
+{
+    return *std::find_if(this->access_points.begin(), this->access_points.end(),
+                         [&address](const access_point& entry)
+                         { return entry.address == address; });
+}
+
 void store_stand_in::set_refusing(const endpoint& address, bool refusing)
 {
-    for (access_point& entry : this->access_points)
-    {
-        if (entry.address == address)
-        {
-            entry.refusing = refusing;
-        }
-    }
+    this->find(address).refusing = refusing;
 }
 
 void store_stand_in::hold_transactions_of(const endpoint& address, bool held)
 {
-    for (access_point& entry : this->access_points)
-    {
-        if (entry.address == address)
-        {
-            entry.holding_transactions = held;
-        }
-    }
+    this->find(address).holding_transactions = held;
+}
+
+void store_stand_in::hold_reads_of(const endpoint& address, bool held)
+{
+    this->find(address).holding_reads = held;
 }
 
 std::set<endpoint> store_stand_in::watchers(const std::string& prefix) const
@@ -119,7 +120,12 @@
         return;
     }
     const std::string& path = exchange->head().path;
-    if (path == "/v1/kv-key")
+    if (path == "/v1/kv-key" && entry.holding_reads)
+    {
+        ++this->held_read_count;
+        this->forgotten.push_back(exchange);
+    }
+    else if (path == "/v1/kv-key")
     {
         this->get(*exchange);
     }
--- a/tests/relay_support/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -50,6 +50,14 @@
     /// not applied.
     void hold_transactions_of(const endpoint& address, bool held);
 
+    /// Sets whether the reads of single keys that are sent to an address get no
+    /// response.
+    void hold_reads_of(const endpoint& address, bool held);
+
+    /// \returns The number of reads that were not answered because of
+    /// hold_reads_of().
+    int held_reads() const { return this->held_read_count; }
+
     /// Never responds to the watches that are open now.
     void forget_watches();
 
@@ -82,8 +90,10 @@
         endpoint address;
         bool refusing = false;
         bool holding_transactions = false;
+        bool holding_reads = false;
     };
 
+    access_point& find(const endpoint& address);
     void handle_request(const access_point& entry,
                         const std::shared_ptr<net::http_exchange>& exchange);
     void get(net::http_exchange& exchange);
@@ -105,6 +115,7 @@
     std::int64_t revision = 1;
     int transaction_count = 0;
     int refused_count = 0;
+    int held_read_count = 0;
 };
 
 } // namespace parsleytrack::relay_support
