Carry the time limit of a check to the write of the request

Cause, from traces: the age was compared when the check was made, and counted anew from when the request reached the HTTP client. A stop between the two (2 microseconds before SIGSTOP in one trace) passed both; and one check let up to 12 items go, of which the last eight were handed over after SIGCONT.

Mend: the check returns the time until which its knowledge holds (state_confirmation::start_limit), and the request carries that time as send_by, which is compared right before the write. send_by replaces the relative send_timeout. A request that this process was too late to send is an outcome of its own (expired), for which brokers no longer suspect the replica.

--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -4,6 +4,7 @@
 #include "units/numbers.hpp"
 #include "units/time.hpp"
 
+#include <optional>
 #include <string>
 
 namespace parsleytrack::net
@@ -20,10 +21,10 @@
     std::string body;
     /// Maximum time until the response is complete; zero means "no limit".
     duration total_timeout = duration::zero();
-    /// Maximum time until the request is written to its connection, new or
-    /// idle; zero means "no limit". A request that is not written in time is
-    /// not sent, even if this process stood still meanwhile.
-    duration send_timeout = duration::zero();
+    /// Latest time at which the request may be written to its connection, new
+    /// or idle; absent for no limit. Later it is not sent, even if this process
+    /// stood still meanwhile.
+    std::optional<time_point> send_by;
     /// Maximum time until the response head; zero means "no limit".
     duration head_timeout = duration::zero();
     /// Maximum time between two pieces of the response; zero means "no limit".
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -96,12 +96,11 @@
         this->total_timer = loop.call_after(request.total_timeout,
                                             timeout_handler("the response"));
     }
-    this->started = event_loop::now();
-    this->send_timeout = request.send_timeout;
-    if (this->send_timeout > duration::zero())
+    this->send_by = request.send_by;
+    if (this->send_by)
     {
-        this->send_timer = loop.call_after(this->send_timeout, [this]
-                                           { this->handle_send_timeout(); });
+        this->send_timer = loop.call_after(*this->send_by - event_loop::now(),
+                                           [this] { this->give_up_sending(); });
     }
     if (request.head_timeout > duration::zero())
     {
@@ -128,20 +127,27 @@
     }
 }
 
-void http_transfer::handle_send_timeout()
+void http_transfer::give_up_sending()
 {
-    if (!this->sent)
+    if (this->sent)
+    {
+        return;
+    }
+    if (this->ready_to_send)
     {
-        this->fail(error_code::peer_unreachable, ran_state::no,
+        this->fail(error_code::deadline_exceeded, ran_state::no,
                    "the request to " + to_string(this->target) +
-                       " could not be sent in time");
+                       " was not sent in time");
+        return;
     }
+    this->fail(error_code::peer_unreachable, ran_state::no,
+               "the connection to " + to_string(this->target) +
+                   " did not open in time");
 }
 
 bool http_transfer::is_too_late_to_send() const
 {
-    return this->send_timeout > duration::zero() &&
-           event_loop::now() - this->started > this->send_timeout;
+    return this->send_by && event_loop::now() > *this->send_by;
 }
 
 ran_state http_transfer::current_ran_state() const
@@ -246,6 +252,11 @@
         return;
     }
     transfer->active = nullptr;
+    if (transfer->too_late)
+    {
+        transfer->give_up_sending();
+        return;
+    }
     if (request == nullptr || transfer->failed)
     {
         transfer->fail(error_code::connection_lost,
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -7,6 +7,7 @@
 #include <event2/http.h>
 
 #include <memory>
+#include <optional>
 
 namespace parsleytrack::net::detail
 {
@@ -45,7 +46,8 @@
     void handle_first_byte();
     /// Writes the request, unless it is too late for that.
     void write_request();
-    void handle_send_timeout();
+    /// Fails the request unless it was written.
+    void give_up_sending();
     bool is_too_late_to_send() const;
     /// Makes sure that nothing more is written to the connection.
     void shut_down();
@@ -56,8 +58,7 @@
     std::unique_ptr<http_connection> connection;
     http_client::callbacks hooks;
     http_response response;
-    time_point started;
-    duration send_timeout = duration::zero();
+    std::optional<time_point> send_by;
     duration idle_timeout = duration::zero();
     std::size_t max_collected_body = 0;
     timer total_timer;
--- a/src/net/http_transfer_buffers.cpp
+++ b/src/net/http_transfer_buffers.cpp
@@ -74,7 +74,7 @@
     }
     if (this->too_late || this->is_too_late_to_send())
     {
-        this->handle_send_timeout();
+        this->give_up_sending();
         return;
     }
     // libevent would write in a later turn of the loop, before which the
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/hop_headers.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -91,15 +92,15 @@
 
 void item_run::handle_grant(const replica_id& granted)
 {
-    if (this->may_send())
+    if (const auto send_by = this->may_send())
     {
-        this->send(granted);
+        this->send(granted, *send_by);
         return;
     }
     this->granted_replica = granted;
 }
 
-void item_run::handle_confirmation(bool confirmed)
+void item_run::handle_confirmation(std::optional<time_point> send_by)
 {
     const replica_id granted =
         std::exchange(this->granted_replica, replica_id());
@@ -108,17 +109,18 @@
         // The run that asked has ended, and this one has no slot yet.
         return;
     }
-    if (!confirmed)
+    if (!send_by)
     {
         this->finish(item_run_result::interrupted,
                      "the state of the job is not confirmed");
         return;
     }
-    this->send(granted);
+    this->send(granted, *send_by);
 }
 
-void item_run::send(const replica_id& granted)
+void item_run::send(const replica_id& granted, time_point send_by)
 {
+    const time_point checked_at = net::event_loop::now();
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
     if (entry == nullptr)
@@ -147,7 +149,8 @@
                                      std::to_string(this->progress.last_event));
     }
     request.body = this->item.body;
-    request.send_timeout = replica_exchange::send_timeout;
+    request.send_by =
+        std::min(send_by, checked_at + replica_exchange::send_timeout);
     request.head_timeout = unresponsive_timeout;
     request.idle_timeout = unresponsive_timeout;
     replica_exchange::callbacks hooks;
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleytrack::relay
@@ -38,9 +39,9 @@
         std::function<void(item_run_result end, const std::string& reason)>;
     /// Asked at the last moment before the item is sent.
     ///
-    /// \returns Whether it may be sent now. If not, handle_confirmation() is
-    /// called once that is known.
-    using send_check = std::function<bool()>;
+    /// \returns The latest time at which it may be sent. If absent,
+    /// handle_confirmation() is called once that is known.
+    using send_check = std::function<std::optional<time_point>()>;
 
     /// \param node Outlives this object.
     /// \param slot_source Outlives this object.
@@ -63,15 +64,16 @@
 
     /// Goes on after a send_check that could not be answered at once.
     ///
-    /// \param confirmed Whether the item may be sent.
-    void handle_confirmation(bool confirmed);
+    /// \param send_by The latest time at which the item may be sent; absent if
+    /// it must not be sent.
+    void handle_confirmation(std::optional<time_point> send_by);
 
 private:
     void request_slot();
     /// Waits while a part of the prompt crashes replicas.
     void wait_until_allowed();
     void handle_grant(const replica_id& replica);
-    void send(const replica_id& replica);
+    void send(const replica_id& replica, time_point send_by);
     void handle_chunk(std::string_view chunk);
     void restart_stall_timer();
     void handle_end(attempt_outcome outcome, const net::http_response& response,
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -217,24 +217,24 @@
     }
 }
 
-bool job_owner::may_send(std::size_t item)
+std::optional<time_point> job_owner::may_send(std::size_t item)
 {
-    if (this->is_start_allowed())
+    const auto limit = this->start_limit();
+    if (!limit)
     {
-        return true;
+        this->unconfirmed_items.push_back(item);
+        this->confirm_state();
     }
-    this->unconfirmed_items.push_back(item);
-    this->confirm_state();
-    return false;
+    return limit;
 }
 
-bool job_owner::is_start_allowed()
+std::optional<time_point> job_owner::start_limit()
 {
     if (const auto failed_call = this->context.store.last_call_in_outage())
     {
         this->confirmation.record_outage(*failed_call);
     }
-    return this->confirmation.allows_start(net::event_loop::now());
+    return this->confirmation.start_limit(net::event_loop::now());
 }
 
 void job_owner::commit_when_due()
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -77,10 +77,10 @@
     void start_item(std::size_t item, const routing::route& route);
     void handle_item_end(std::size_t item, item_run_result end,
                          const std::string& reason, int max_failures);
-    /// \returns Whether the item may be sent to a replica now; if not, its run
-    /// is notified once the job's state has been read.
-    bool may_send(std::size_t item);
-    bool is_start_allowed();
+    /// \returns The latest time at which the item may be sent to a replica; if
+    /// absent, its run is notified once the job's state has been read.
+    std::optional<time_point> may_send(std::size_t item);
+    std::optional<time_point> start_limit();
     /// Reads the job's state until it is known or the store counts as away.
     void confirm_state();
     void check_state_wait();
@@ -89,7 +89,7 @@
     bool is_unchanged(const key_value::stored_record& record) const;
     void handle_state(const key_value::stored_record& record);
     /// Lets the items go on that wait for the job's state.
-    void resume_items(bool confirmed);
+    void resume_items(std::optional<time_point> send_by);
     void commit_when_due();
     void commit();
     bool must_release_tokens(token_count waiting) const;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -151,10 +151,10 @@
     {
         this->confirmation.record_outage(now);
     }
-    if (this->is_start_allowed())
+    if (const auto limit = this->start_limit())
     {
         this->state_timer.cancel();
-        this->resume_items(true);
+        this->resume_items(limit);
         return;
     }
     this->read_state();
@@ -211,17 +211,17 @@
         this->lost_callback();
         return;
     }
-    this->resume_items(this->confirmation.allows_start(net::event_loop::now()));
+    this->resume_items(this->confirmation.start_limit(net::event_loop::now()));
 }
 
-void job_owner::resume_items(bool confirmed)
+void job_owner::resume_items(std::optional<time_point> send_by)
 {
     for (const std::size_t item : std::exchange(this->unconfirmed_items, {}))
     {
         const auto run = this->runs.find(item);
         if (run != this->runs.end())
         {
-            run->second->handle_confirmation(confirmed);
+            run->second->handle_confirmation(send_by);
         }
     }
 }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -117,6 +117,8 @@
 
 void online_call::send(const replica_id& granted)
 {
+    const time_point send_by =
+        net::event_loop::now() + replica_exchange::send_timeout;
     // The part may have been blocked while the request waited for the slot.
     if (this->reject_if_blocked())
     {
@@ -166,17 +168,17 @@
     };
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, this->context.adapter.headers(), *entry,
-        this->make_request(), this->request.id, std::move(hooks));
+        this->make_request(send_by), this->request.id, std::move(hooks));
 }
 
-net::http_request online_call::make_request() const
+net::http_request online_call::make_request(time_point send_by) const
 {
     net::http_request sent =
         replica_request(this->exchange->head(), this->context.adapter.headers(),
                         this->remaining(), this->last_event);
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
-    sent.send_timeout = replica_exchange::send_timeout;
+    sent.send_by = send_by;
     sent.allow_connection_reuse = repeatable;
     if (repeatable && this->runs + 1 < this->request.route->max_attempts)
     {
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -47,7 +47,7 @@
     void request_slot();
     duration useful_time() const;
     void send(const replica_id& replica);
-    net::http_request make_request() const;
+    net::http_request make_request(time_point send_by) const;
     void handle_chunk(std::string_view chunk);
     void handle_end(attempt_outcome outcome, net::http_response response,
                     const std::string& reason);
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -27,6 +27,8 @@
         return "wrong_replica";
     case attempt_outcome::not_sent:
         return "not_sent";
+    case attempt_outcome::expired:
+        return "expired";
     case attempt_outcome::may_have_run:
         return "may_have_run";
     }
@@ -145,9 +147,13 @@
         this->cut = reason.ran == ran_state::unknown &&
                     (reason.code == error_code::connection_lost ||
                      reason.code == error_code::peer_unreachable);
-        attempt_outcome outcome = reason.ran == ran_state::no
-                                      ? attempt_outcome::not_sent
-                                      : attempt_outcome::may_have_run;
+        attempt_outcome outcome = attempt_outcome::may_have_run;
+        if (reason.ran == ran_state::no)
+        {
+            outcome = reason.code == error_code::deadline_exceeded
+                          ? attempt_outcome::expired
+                          : attempt_outcome::not_sent;
+        }
         if (this->kind == response_kind::not_run ||
             this->kind == response_kind::wrong_replica)
         {
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -26,6 +26,8 @@
     wrong_replica,
     /// The connection could not be opened.
     not_sent,
+    /// This process was too late to send it; the replica is not to blame.
+    expired,
     /// No response that belongs to the request, or only part of one, was
     /// received; the request may have run.
     may_have_run
@@ -40,9 +42,9 @@
 class replica_exchange
 {
 public:
-    /// A connection within a region opens in a few milliseconds; this allows
-    /// for one lost packet, which is resent after 200 ms. What was checked
-    /// before the request was handed over is that old at most when it is sent.
+    /// Time from the checks that allow a request until it must be sent. A
+    /// connection within a region opens in a few milliseconds; this allows for
+    /// one lost packet, which is resent after 200 ms.
     static constexpr duration send_timeout = std::chrono::milliseconds(300);
 
     struct callbacks
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -93,7 +93,8 @@
                                  const routing::replica_entry& replica,
                                  attempt_outcome outcome)
 {
-    if (outcome == attempt_outcome::not_run)
+    if (outcome == attempt_outcome::not_run ||
+        outcome == attempt_outcome::expired)
     {
         return;
     }
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -62,7 +62,7 @@
 
     /// Handles a request that ended without a usable response: reports it to
     /// the broker, and marks the replica as leaving if it was the wrong one.
-    /// Does nothing for attempt_outcome::not_run.
+    /// Does nothing for attempt_outcome::not_run and expired.
     ///
     /// \param outcome The outcome of the request at the replica.
     void report_failure(const request_id& request, const service_name& service,
--- a/src/relay/state_confirmation.hpp
+++ b/src/relay/state_confirmation.hpp
@@ -45,11 +45,21 @@
         this->outage_at = std::max(this->outage_at, std::optional(observed));
     }
 
-    /// \returns Whether an item may be sent to a replica now.
-    bool allows_start(time_point now) const
+    /// \returns The latest time at which an item may be sent to a replica;
+    /// absent if that has passed.
+    std::optional<time_point> start_limit(time_point now) const
     {
-        return (this->confirmed_at && now - *this->confirmed_at <= max_age) ||
-               (this->outage_at && now - *this->outage_at <= max_outage_age);
+        std::optional<time_point> limit;
+        if (this->confirmed_at)
+        {
+            limit = *this->confirmed_at + max_age;
+        }
+        if (this->outage_at)
+        {
+            limit = std::max(limit,
+                             std::optional(*this->outage_at + max_outage_age));
+        }
+        return limit && now <= *limit ? limit : std::nullopt;
     }
 
     /// \returns The age of the knowledge; absent before the first confirmation.
