--- a/tests/relay_process/leaving_header_test.cpp
+++ b/tests/relay_process/leaving_header_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
 #include <string>
 
 using namespace parsleytrack;
@@ -41,10 +42,24 @@
             [this, path]
             {
                 this->send(this->sent % node_count, path);
-                return this->leaving().runs.contains(this->last_id);
+                return this->has_reached();
             }));
     }
 
+    /// Sends requests to one node until one has reached the leaving replica.
+    void announce_at(int node)
+    {
+        CHECK(this->fleet.wait(
+            [this, node]
+            {
+                this->send(node);
+                return this->has_reached();
+            }));
+    }
+
+    /// \returns Whether the last request reached the leaving replica.
+    bool has_reached() { return this->leaving().runs.contains(this->last_id); }
+
     /// \returns How many of the next requests reach the leaving replica.
     int reached(const char* path = "/once/a")
     {
@@ -52,7 +67,7 @@
         for (int request = 0; request < 30; ++request)
         {
             CHECK_EQUAL(200, this->send(request % node_count, path));
-            count += this->leaving().runs.contains(this->last_id) ? 1 : 0;
+            count += this->has_reached() ? 1 : 0;
         }
         return count;
     }
@@ -118,6 +133,29 @@
     CHECK_EQUAL(0, leaving.reached());
 }
 
+// Guards against a rule that only the brokers keep: the node neither reaches
+// the others nor hears anything new from the store.
+TEST(relay_leaving_header, a_node_that_is_cut_off_keeps_to_it)
+{
+    leaving_fleet leaving;
+    relay_fleet& fleet = leaving.fleet;
+    for (int other = 1; other < node_count; ++other)
+    {
+        fleet.process(other).signal(SIGSTOP);
+    }
+    fleet.store.set_refusing(fleet.store_address(0), true);
+    CHECK(fleet.wait([&leaving] { return leaving.send(0) == 200; }));
+    leaving.announce_at(0);
+    fleet.run_for(drain_time);
+    int reached = 0;
+    for (int request = 0; request < 30; ++request)
+    {
+        CHECK_EQUAL(200, leaving.send(0));
+        reached += leaving.has_reached() ? 1 : 0;
+    }
+    CHECK_EQUAL(0, reached);
+}
+
 // Guards against leaving a new process alone for what the former one has said.
 TEST(relay_leaving_header, a_new_process_is_used_at_once)
 {
