Leave each item the whole time to open its connection

The limit now lies 300 ms after the knowledge has become too old to start on, which is 1.3 s after a confirmation and 2.8 s after an outage was seen, within the bound of 3 s.

--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -234,7 +234,8 @@
     {
         this->confirmation.record_outage(*failed_call);
     }
-    return this->confirmation.start_limit(net::event_loop::now());
+    return this->confirmation.start_limit(net::event_loop::now(),
+                                          replica_exchange::send_timeout);
 }
 
 void job_owner::commit_when_due()
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -211,7 +211,7 @@
         this->lost_callback();
         return;
     }
-    this->resume_items(this->confirmation.start_limit(net::event_loop::now()));
+    this->resume_items(this->start_limit());
 }
 
 void job_owner::resume_items(std::optional<time_point> send_by)
--- a/src/relay/state_confirmation.hpp
+++ b/src/relay/state_confirmation.hpp
@@ -45,21 +45,27 @@
         this->outage_at = std::max(this->outage_at, std::optional(observed));
     }
 
-    /// \returns The latest time at which an item may be sent to a replica;
-    /// absent if that has passed.
-    std::optional<time_point> start_limit(time_point now) const
+    /// \param send_timeout How long after its last check an item may be sent.
+    /// \returns The latest time at which an item may be sent to a replica, at
+    /// least the timeout from now; absent if the knowledge is too old.
+    std::optional<time_point> start_limit(time_point now,
+                                          duration send_timeout) const
     {
-        std::optional<time_point> limit;
+        std::optional<time_point> known_until;
         if (this->confirmed_at)
         {
-            limit = *this->confirmed_at + max_age;
+            known_until = *this->confirmed_at + max_age;
         }
         if (this->outage_at)
         {
-            limit = std::max(limit,
-                             std::optional(*this->outage_at + max_outage_age));
+            known_until = std::max(
+                known_until, std::optional(*this->outage_at + max_outage_age));
         }
-        return limit && now <= *limit ? limit : std::nullopt;
+        if (!known_until || now > *known_until)
+        {
+            return std::nullopt;
+        }
+        return *known_until + send_timeout;
     }
 
     /// \returns The age of the knowledge; absent before the first confirmation.
