Split the calls of the process tests' fleet off

Moved lines only, and the limit of waits is a constant of the class, since both files use it. relay_calm passes.

--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -73,7 +73,7 @@
 
     /// Runs the loop until a condition holds.
     ///
-    /// \returns Whether it held before the timeout of 20 s.
+    /// \returns Whether it held before the timeout.
     bool wait(const std::function<bool()>& condition);
 
     /// Waits until a node reports that it is ready; throws when it times out.
@@ -102,6 +102,9 @@
     /// Idle timeout of callers' connections, as in the configuration.
     static constexpr duration idle_timeout = std::chrono::milliseconds(2000);
 
+    /// Longest time of a wait and of a call.
+    static constexpr duration wait_timeout = std::chrono::seconds(20);
+
     net::event_loop loop;
     store_stand_in store{this->loop};
     std::vector<std::unique_ptr<replica_stand_in>> engines;
