--- a/tests/relay_process/leaving_header_test.cpp
+++ b/tests/relay_process/leaving_header_test.cpp
@@ -1,9 +1,12 @@
+#include "relay_support/expected_output.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -156,6 +159,33 @@
     CHECK_EQUAL(0, reached);
 }
 
+// Guards against cutting what runs on the replica when it announces its
+// leaving.
+TEST(relay_leaving_header, streams_that_run_there_end_whole)
+{
+    leaving_fleet leaving;
+    relay_fleet& fleet = leaving.fleet;
+    leaving.leaving().event_interval = std::chrono::milliseconds(300);
+    std::vector<std::shared_ptr<relay_fleet::response>> streams;
+    for (int stream = 0; stream < 6; ++stream)
+    {
+        streams.push_back(std::make_shared<relay_fleet::response>());
+        fleet.start_call(stream % node_count, "POST", "/stream/a",
+                         "s" + std::to_string(stream), "", streams.back());
+    }
+    fleet.run_for(drain_time);
+    CHECK(leaving.leaving().open_streams() > 0);
+    CHECK_EQUAL(0, leaving.reached("/stream/a"));
+    CHECK(fleet.wait([&leaving]
+                     { return leaving.leaving().open_streams() == 0; }));
+    fleet.run_for(std::chrono::milliseconds(300));
+    for (const auto& stream : streams)
+    {
+        CHECK_EQUAL(200, stream->status);
+        STRCMP_EQUAL(expected_stream().c_str(), stream->body.c_str());
+    }
+}
+
 // Guards against leaving a new process alone for what the former one has said.
 TEST(relay_leaving_header, a_new_process_is_used_at_once)
 {
