--- a/tests/relay_process/leaving_header_test.cpp
+++ b/tests/relay_process/leaving_header_test.cpp
@@ -159,6 +159,24 @@
     CHECK_EQUAL(0, reached);
 }
 
+// Guards against waiting for a slot of a replica that announces its leaving
+// meanwhile, and against losing what waits.
+TEST(relay_leaving_header, requests_that_wait_for_a_slot_go_to_other_replicas)
+{
+    leaving_fleet leaving;
+    relay_fleet& fleet = leaving.fleet;
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(100);
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 60).status);
+    fleet.run_for(drain_time);
+    const std::size_t runs = leaving.leaving().runs.size();
+    CHECK(runs > 0);
+    CHECK_EQUAL(60, fleet.results(0, "job").size());
+    CHECK_EQUAL(runs, leaving.leaving().runs.size());
+}
+
 // Guards against cutting what runs on the replica when it announces its
 // leaving.
 TEST(relay_leaving_header, streams_that_run_there_end_whole)
