Test that replicas get no more than the limit they name

Replicas that name Server-Limit 2 or 3 get 52 to 55 requests in a window of 4 s where 17 to 23 are allowed: under online load, with items of a job, and with all replicas limited, where the excess should be rejected within a quarter of the target latency.

--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -39,6 +39,7 @@
 void replica_stand_in::handle_request(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
+    this->arrivals.push_back(net::event_loop::now());
     const auto& headers = exchange->head().headers;
     const std::string* request =
         net::find_header(headers, "Parsleytrack-Request-Id");
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -73,6 +73,8 @@
     std::map<std::string, std::pair<int, time_point>> received_deadlines;
     /// Number of runs by request id.
     std::map<std::string, int> runs;
+    /// When each request arrived, including those that were not run.
+    std::vector<time_point> arrivals;
     /// A part of a prompt under which the replica crashes as it begins to
     /// answer: it closes all connections. Empty for none.
     std::string crashing_part;
