Log the limits that replicas name

Neither logs nor metrics said that a replica had named a limit. Nodes now read Server-Limit, keep the latest observation of each process of a replica, log its changes, count them, and show them in the status. Nothing acts on them yet.

--- a/src/relay/header_names.hpp
+++ b/src/relay/header_names.hpp
@@ -23,6 +23,9 @@
     std::string not_executed;
     /// In a response: "1" when the replica is leaving.
     std::string leaving;
+    /// In a response: the requests per second that the replica takes from all
+    /// nodes together, while it names them.
+    std::string limit;
     /// In a response: the replica's proof that the response is its own.
     std::string digest;
 };
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -158,6 +158,10 @@
     {
         this->slots.report_leaving(this->service, this->replica);
     };
+    hooks.on_limit = [this](const routing::limit_observation& observation)
+    {
+        this->slots.report_limit(this->replica, observation);
+    };
     hooks.on_head = [this](const net::http_response& head)
     {
         this->status = head.status;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -150,6 +150,10 @@
     {
         this->slots.report_leaving(this->service, this->replica);
     };
+    hooks.on_limit = [this](const routing::limit_observation& observation)
+    {
+        this->slots.report_limit(this->replica, observation);
+    };
     hooks.on_head = [this](const net::http_response& head)
     {
         this->collected_status = head.status;
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -1,5 +1,9 @@
 #include "relay/replica_exchange.hpp"
 
+#include "logging/log.hpp"
+#include "net/event_loop.hpp"
+#include "relay/limit_header.hpp"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -82,6 +86,12 @@
     {
         this->hooks.on_leaving();
     }
+    const bool is_from_replica = this->kind == response_kind::matching ||
+                                 this->kind == response_kind::not_run;
+    if (is_from_replica && this->hooks.on_limit)
+    {
+        this->report_limit(response);
+    }
     if (this->kind == response_kind::matching && this->hooks.on_head)
     {
         this->hooks.on_head(response);
@@ -101,6 +111,19 @@
                        });
 }
 
+void replica_exchange::report_limit(const net::http_response& response) const
+{
+    const auto observation =
+        read_limit(response.headers, this->names.limit, net::event_loop::now());
+    if (!observation)
+    {
+        log_event(log_level::warning, "replica_limit_unreadable",
+                  {{"request", this->id.str()}});
+        return;
+    }
+    this->hooks.on_limit(*observation);
+}
+
 void replica_exchange::abort(const std::string& reason)
 {
     this->call.reset();
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -4,6 +4,7 @@
 #include "net/http_header_list.hpp"
 #include "net/http_request.hpp"
 #include "relay/header_names.hpp"
+#include "routing/limit_observation.hpp"
 #include "routing/replica_entry.hpp"
 #include "units/ids.hpp"
 
@@ -57,6 +58,9 @@
         /// Called when the head of a response says that the replica is leaving,
         /// whatever the response is. Optional.
         std::function<void()> on_leaving;
+        /// Called with what the head of a response says of the replica's limit,
+        /// if the replica has answered the request or rejected it. Optional.
+        std::function<void(const routing::limit_observation&)> on_limit;
         /// Called at the end. The response is complete for answered, and may
         /// have a status and header fields for not_run; reason says what was
         /// observed.
@@ -110,6 +114,7 @@
 
     void handle_head(const net::http_response& response);
     bool says_leaving(const net::http_response& response) const;
+    void report_limit(const net::http_response& response) const;
     response_kind classify(const net::http_response& response) const;
     void handle_end(result<net::http_response> response);
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -64,6 +64,23 @@
     return true;
 }
 
+bool replica_follower::observe_limit(
+    const replica_process_id& process,
+    const routing::limit_observation& observation, const char* learned_from)
+{
+    if (!this->named_limits.observe(process, observation))
+    {
+        return false;
+    }
+    const auto& limit = observation.limit;
+    log_event(log_level::info,
+              limit ? "replica_limit_named" : "replica_limit_ended",
+              {{"replica", process.str()},
+               {"requests_per_s", limit ? limit->per_second() : 0.0},
+               {"learned_from", learned_from}});
+    return true;
+}
+
 duration replica_follower::age() const
 {
     return net::event_loop::now() - this->follower.confirmed_at();
--- a/src/relay/replica_follower.hpp
+++ b/src/relay/replica_follower.hpp
@@ -3,6 +3,7 @@
 #include "feeds/record_feed.hpp"
 #include "net/event_loop.hpp"
 #include "relay/relay_adapter.hpp"
+#include "routing/replica_limits.hpp"
 #include "routing/replica_registry.hpp"
 
 #include <functional>
@@ -37,6 +38,16 @@
     /// \returns Whether this was not known before.
     bool mark_leaving(const replica_process_id& process, const char* reason);
 
+    /// Records what a replica's process has said of its limit.
+    ///
+    /// \param learned_from How this became known, for the log.
+    /// \returns Whether the limit that holds has changed.
+    bool observe_limit(const replica_process_id& process,
+                       const routing::limit_observation& observation,
+                       const char* learned_from);
+
+    const routing::replica_limits& limits() const { return this->named_limits; }
+
     /// \returns How long ago the store last confirmed the list.
     duration age() const;
 
@@ -54,6 +65,7 @@
     const relay_adapter& adapter;
     feeds::record_feed follower;
     routing::replica_registry replicas;
+    routing::replica_limits named_limits;
     std::vector<std::function<void()>> change_callbacks;
     net::timer expiry_timer;
     std::uint64_t notified_generation = 0;
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -120,6 +120,16 @@
     this->report(replica_report{{}, service, replica.id, process, true});
 }
 
+void slot_client::report_limit(const routing::replica_entry& replica,
+                               const routing::limit_observation& observation)
+{
+    if (this->context.replicas.observe_limit(routing::process_of(replica),
+                                             observation, "its_response"))
+    {
+        this->context.metrics.count("parsleytrack_replica_limits_total", {});
+    }
+}
+
 void slot_client::release(std::uint64_t number)
 {
     const auto found = this->requests.find(number);
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -74,6 +74,10 @@
     void report_leaving(const service_name& service,
                         const routing::replica_entry& replica);
 
+    /// Handles what a response of a replica says of its limit.
+    void report_limit(const routing::replica_entry& replica,
+                      const routing::limit_observation& observation);
+
     /// Withdraws a request or returns its slot; called by leases only.
     void release(std::uint64_t number);
 
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -53,19 +53,26 @@
     return document;
 }
 
-json describe_replicas(const routing::replica_registry& registry)
+json describe_replicas(const replica_follower& replicas)
 {
+    const routing::replica_registry& registry = replicas.registry();
     json list = json::array();
     for (const auto& [id, entry] : registry.all())
     {
         const bool usable = registry.find_usable(id) != nullptr;
         const char* unusable = entry.draining ? "draining" : "left_alone";
-        list.push_back({{"id", id.str()},
-                        {"service", entry.service.str()},
-                        {"address", to_string(entry.address)},
-                        {"availability_zone", entry.availability_zone.str()},
-                        {"slots", entry.slots},
-                        {"state", usable ? "in_use" : unusable}});
+        json& described = list.emplace_back(
+            json{{"id", id.str()},
+                 {"service", entry.service.str()},
+                 {"address", to_string(entry.address)},
+                 {"availability_zone", entry.availability_zone.str()},
+                 {"slots", entry.slots},
+                 {"state", usable ? "in_use" : unusable}});
+        if (const auto limit =
+                replicas.limits().limit_of(routing::process_of(entry)))
+        {
+            described["requests_per_s"] = limit->per_second();
+        }
     }
     return list;
 }
@@ -150,7 +157,7 @@
         {"stopping", stopping},
         {"configuration", describe_configuration(this->context.configuration)},
         {"store", describe_store(this->context.store)},
-        {"replicas", describe_replicas(this->context.replicas.registry())},
+        {"replicas", describe_replicas(this->context.replicas)},
         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())},
         {"prompt_parts", describe_prompt_parts(this->context.prompts)},
         {"nodes", describe_nodes(this->context.group)},
