Keep the limits that replicas name, as one sum over all nodes

Cause: brokers granted every free slot. A bound that a replica sets for all callers together is no property of its slots, and nobody read it.

The broker of a pool now spaces its grants. It grants only what it is entitled to by its own view of the group: nothing unless it is the broker there, and otherwise the part of the live nodes among those that may be running, so that the two sides of a cut share the limit. A grant says what the broker knows of the limit; a node that knows more returns the grant and tells it. A node that chooses without a broker leaves limited replicas out. What the limits do not allow in time is refused at once, and slots of limited replicas are not reclaimed in vain.

Ruled out: a share of the limit for each node without a broker, since a limit of 2 a second leaves nothing to divide.

--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -285,6 +285,20 @@
                             : std::optional<node_info>(known->record.visible());
 }
 
+std::size_t membership::lost_nodes() const
+{
+    std::size_t lost = 0;
+    std::vector<endpoint> never_seen = this->seeds;
+    for (const auto& [id, known] : this->table.all())
+    {
+        const member_record& record = known.record;
+        const bool is_alive = record.node.state == node_state::alive;
+        lost += is_alive || record.leaving ? 0 : 1;
+        std::erase(never_seen, record.node.peer);
+    }
+    return lost + never_seen.size();
+}
+
 std::vector<node_info> membership::nodes() const
 {
     std::vector<node_info> seen{this->own.visible()};
--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -81,6 +81,12 @@
     /// \returns Whether all other known nodes are dead, or none is known.
     bool is_alone() const { return this->table.present_count() == 0; }
 
+    /// \returns The number of nodes that may be running although this one does
+    /// not see them: those that are suspected or dead without having announced
+    /// a stop, and the seeds that it has never seen, since a process that starts
+    /// behind a cut knows nothing of the other side.
+    std::size_t lost_nodes() const;
+
     const node_info& own_info() const { return this->own.node; }
 
 private:
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -10,6 +10,7 @@
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -32,6 +33,10 @@
     /// \returns All known nodes, including dead ones.
     std::vector<node_info> all() const { return this->members.nodes(); }
 
+    /// \returns The number of nodes that may be running although this one does
+    /// not see them.
+    std::size_t lost_nodes() const { return this->members.lost_nodes(); }
+
     /// \returns The node; absent when it is unknown or dead.
     std::optional<node_info> find(const node_id& id) const;
 
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -160,7 +160,7 @@
     };
     hooks.on_limit = [this](const routing::limit_observation& observation)
     {
-        this->slots.report_limit(this->replica, observation);
+        this->slots.report_limit(this->service, this->replica, observation);
     };
     hooks.on_head = [this](const net::http_response& head)
     {
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -152,7 +152,7 @@
     };
     hooks.on_limit = [this](const routing::limit_observation& observation)
     {
-        this->slots.report_limit(this->replica, observation);
+        this->slots.report_limit(this->service, this->replica, observation);
     };
     hooks.on_head = [this](const net::http_response& head)
     {
--- a/src/relay/pool_state.hpp
+++ b/src/relay/pool_state.hpp
@@ -17,6 +17,8 @@
     /// Slots held by online requests and by batch work.
     int online = 0;
     int batch = 0;
+    /// Replicas that name a limit.
+    int limited_replicas = 0;
     /// Requests that wait for a slot.
     int waiting_online = 0;
     int waiting_batch = 0;
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -78,9 +78,27 @@
               {{"replica", process.str()},
                {"requests_per_s", limit ? limit->per_second() : 0.0},
                {"learned_from", learned_from}});
+    for (const auto& callback : this->change_callbacks)
+    {
+        callback();
+    }
     return true;
 }
 
+std::optional<replica_limit>
+replica_follower::limit_of(const replica_id& replica) const
+{
+    const auto entry = this->replicas.all().find(replica);
+    if (entry == this->replicas.all().end())
+    {
+        return std::nullopt;
+    }
+    const replica_process_id process = routing::process_of(entry->second);
+    const routing::limit_observation* known = this->named_limits.find(process);
+    return known == nullptr ? std::nullopt
+                            : std::optional(replica_limit{process, *known});
+}
+
 duration replica_follower::age() const
 {
     return net::event_loop::now() - this->follower.confirmed_at();
--- a/src/relay/replica_follower.hpp
+++ b/src/relay/replica_follower.hpp
@@ -3,10 +3,12 @@
 #include "feeds/record_feed.hpp"
 #include "net/event_loop.hpp"
 #include "relay/relay_adapter.hpp"
+#include "relay/replica_limit.hpp"
 #include "routing/replica_limits.hpp"
 #include "routing/replica_registry.hpp"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace parsleytrack::relay
@@ -48,10 +50,14 @@
 
     const routing::replica_limits& limits() const { return this->named_limits; }
 
+    /// \returns What the listed process of a replica has last said of its
+    /// limit; absent when it has never named one.
+    std::optional<replica_limit> limit_of(const replica_id& replica) const;
+
     /// \returns How long ago the store last confirmed the list.
     duration age() const;
 
-    /// \param callback Called after each change.
+    /// \param callback Called after each change of the list or of a limit.
     void on_change(std::function<void()> callback);
 
 private:
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -22,7 +22,6 @@
 constexpr duration unresponsive_broker_exclusion = std::chrono::seconds(1);
 /// How long a request waits in one pool before others are considered.
 constexpr duration rebalance_interval = std::chrono::milliseconds(300);
-constexpr duration report_timeout = std::chrono::milliseconds(500);
 constexpr duration retry_after_without_replica = std::chrono::seconds(1);
 
 } // namespace
@@ -60,76 +59,6 @@
     return std::make_unique<slot_lease>(*this, number);
 }
 
-void slot_client::report(const replica_report& report)
-{
-    const slot_pool pool{
-        report.service,
-        slots::pool_of(report.replica, this->pools_of(report.service).count)};
-    const node_info broker = this->broker_of(pool);
-    if (broker.id == this->context.group.own().id)
-    {
-        this->server.handle_report(report);
-        return;
-    }
-    const std::uint64_t number = this->next_number++;
-    this->reports[number] = this->context.peers.call(
-        broker.peer, wire::message_type::slot_report, encode(report),
-        report_timeout,
-        {{},
-         [this, number, replica = report.replica](result<std::string> outcome)
-         {
-             if (outcome.has_error())
-             {
-                 log_event(log_level::info, "replica_report_lost",
-                           {{"replica", replica.str()},
-                            {"reason", outcome.error().message}});
-             }
-             this->reports.erase(number);
-         }});
-}
-
-void slot_client::report_failure(const request_id& request,
-                                 const service_name& service,
-                                 const routing::replica_entry& replica,
-                                 attempt_outcome outcome)
-{
-    if (outcome == attempt_outcome::not_run ||
-        outcome == attempt_outcome::expired)
-    {
-        return;
-    }
-    const bool leaving = outcome == attempt_outcome::wrong_replica;
-    const replica_process_id process = routing::process_of(replica);
-    if (leaving)
-    {
-        this->context.replicas.mark_leaving(process, "refused_request");
-    }
-    this->report(
-        replica_report{request, service, replica.id, process, leaving});
-}
-
-void slot_client::report_leaving(const service_name& service,
-                                 const routing::replica_entry& replica)
-{
-    const replica_process_id process = routing::process_of(replica);
-    if (!this->context.replicas.mark_leaving(process, "its_response"))
-    {
-        return;
-    }
-    this->context.metrics.count("parsleytrack_replicas_leaving_total", {});
-    this->report(replica_report{{}, service, replica.id, process, true});
-}
-
-void slot_client::report_limit(const routing::replica_entry& replica,
-                               const routing::limit_observation& observation)
-{
-    if (this->context.replicas.observe_limit(routing::process_of(replica),
-                                             observation, "its_response"))
-    {
-        this->context.metrics.count("parsleytrack_replica_limits_total", {});
-    }
-}
-
 void slot_client::release(std::uint64_t number)
 {
     const auto found = this->requests.find(number);
@@ -188,7 +117,8 @@
         duration::zero(),
         {[this, number](const std::string& bytes)
          {
-             const auto response = decode_slot_response(bytes);
+             const auto response =
+                 decode_slot_response(bytes, net::event_loop::now());
              if (response.has_error())
              {
                  this->handle_broker_loss(number, "unreadable_answer");
@@ -211,6 +141,12 @@
 void slot_client::handle_response(std::uint64_t number,
                                   const slot_response& response)
 {
+    if (response.limit)
+    {
+        // May grant slots of this node's own broker to other requests.
+        this->context.replicas.observe_limit(
+            response.limit->process, response.limit->observation, "broker");
+    }
     const auto found = this->requests.find(number);
     if (found == this->requests.end())
     {
@@ -231,6 +167,11 @@
         {
             return;
         }
+        if (const auto limit = this->disregarded_limit(response))
+        {
+            this->return_grant(number, response, *limit);
+            return;
+        }
         state.granted = true;
         state.request.held_replica = response.replica;
         ++this->in_flight[response.replica];
@@ -281,6 +222,7 @@
     open_request& state = this->requests.at(number);
     const routing::replica_entry* best = nullptr;
     double best_load = 0.0;
+    bool has_limited = false;
     for (const auto* entry :
          this->context.replicas.registry().usable(state.request.pool.service))
     {
@@ -288,6 +230,13 @@
         {
             continue;
         }
+        // Only the broker knows what other nodes send to it.
+        const auto limit = this->context.replicas.limit_of(entry->id);
+        if (limit && limit->observation.limit)
+        {
+            has_limited = true;
+            continue;
+        }
         // Jitter keeps nodes without a broker from all choosing the same
         // replica.
         std::uniform_real_distribution<double> jitter(0.0, 1.0);
@@ -302,6 +251,12 @@
         }
     }
     const callbacks handlers = state.handlers;
+    if (best == nullptr && has_limited)
+    {
+        // Asks the next broker; the one that was lost is excluded.
+        this->open(number);
+        return;
+    }
     if (best == nullptr)
     {
         handlers.on_refused(retry_after_without_replica);
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -74,8 +74,10 @@
     void report_leaving(const service_name& service,
                         const routing::replica_entry& replica);
 
-    /// Handles what a response of a replica says of its limit.
-    void report_limit(const routing::replica_entry& replica,
+    /// Handles what a response of a replica says of its limit: keeps it and
+    /// tells the broker what is new.
+    void report_limit(const service_name& service,
+                      const routing::replica_entry& replica,
                       const routing::limit_observation& observation);
 
     /// Withdraws a request or returns its slot; called by leases only.
@@ -93,6 +95,9 @@
         /// Ends the wait for the first response of the broker.
         net::timer response_timer;
         bool granted = false;
+        /// Whether a grant was returned because the broker did not know of the
+        /// replica's limit.
+        bool was_returned = false;
         time_point opened;
     };
 
@@ -110,6 +115,13 @@
     const node_info& broker_of(const slot_pool& pool);
     void open(std::uint64_t number);
     void handle_response(std::uint64_t number, const slot_response& response);
+    /// \returns The limit that the granted replica has named to this node and
+    /// that the broker has not regarded.
+    std::optional<replica_limit>
+    disregarded_limit(const slot_response& grant) const;
+    /// Returns a grant that disregards a limit, and asks again.
+    void return_grant(std::uint64_t number, const slot_response& grant,
+                      const replica_limit& limit);
     void handle_broker_loss(std::uint64_t number, const char* reason);
     void choose_replica_locally(std::uint64_t number);
     void move_requests();
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -3,12 +3,19 @@
 #include "wire/codec.hpp"
 #include "wire/generated/slots_types.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
 namespace parsleytrack::relay
 {
 
 namespace
 {
 
+/// Bounds the arithmetic; older observations are as good as this old.
+constexpr std::int64_t max_age_ms = 24L * 3600 * 1000;
+
 wire::slot_verdict::type to_wire(slot_response::status_code status)
 {
     switch (status)
@@ -41,6 +48,38 @@
     return slot_response::status_code::queued;
 }
 
+wire::replica_limit to_wire(const replica_limit& known, time_point now)
+{
+    const auto& limit = known.observation.limit;
+    wire::replica_limit message;
+    message.process = known.process.str();
+    message.named = limit.has_value();
+    message.requests_per_s = limit ? limit->per_second() : 0.0;
+    message.age_ms = to_milliseconds(now - known.observation.at);
+    return message;
+}
+
+/// \returns Absent when the message contains no usable number.
+std::optional<replica_limit> from_wire(const wire::replica_limit& message,
+                                       time_point now)
+{
+    const double rate = message.requests_per_s;
+    if (message.named && (!std::isfinite(rate) || rate < 0.0))
+    {
+        return std::nullopt;
+    }
+    replica_limit known;
+    known.process = replica_process_id(message.process);
+    if (message.named)
+    {
+        known.observation.limit = request_rate(rate);
+    }
+    known.observation.at =
+        now - std::chrono::milliseconds(
+                  std::clamp(message.age_ms, std::int64_t{0}, max_age_ms));
+    return known;
+}
+
 } // namespace
 
 std::string encode(const slot_request& request)
@@ -87,17 +126,22 @@
     return request;
 }
 
-std::string encode(const slot_response& response)
+std::string encode(const slot_response& response, time_point now)
 {
     wire::slot_answer message;
     message.verdict = to_wire(response.status);
     message.replica = response.replica.str();
     message.retry_after_ms = to_milliseconds(response.retry_after);
     message.spare = response.spare;
+    if (response.limit)
+    {
+        message.__set_limit(to_wire(*response.limit, now));
+    }
     return wire::encode(message);
 }
 
-result<slot_response> decode_slot_response(std::string_view bytes)
+result<slot_response> decode_slot_response(std::string_view bytes,
+                                           time_point now)
 {
     const auto message = wire::decode<wire::slot_answer>(bytes);
     if (message.has_error())
@@ -110,10 +154,14 @@
     response.retry_after =
         std::chrono::milliseconds(message.value().retry_after_ms);
     response.spare = message.value().spare;
+    if (message.value().__isset.limit)
+    {
+        response.limit = from_wire(message.value().limit, now);
+    }
     return response;
 }
 
-std::string encode(const replica_report& report)
+std::string encode(const replica_report& report, time_point now)
 {
     wire::replica_report message;
     message.request = report.request.str();
@@ -121,10 +169,15 @@
     message.replica = report.replica.str();
     message.leaving = report.leaving;
     message.process = report.process.str();
+    if (report.limit)
+    {
+        message.__set_limit(to_wire(*report.limit, now));
+    }
     return wire::encode(message);
 }
 
-result<replica_report> decode_replica_report(std::string_view bytes)
+result<replica_report> decode_replica_report(std::string_view bytes,
+                                             time_point now)
 {
     const auto message = wire::decode<wire::replica_report>(bytes);
     if (message.has_error())
@@ -137,6 +190,10 @@
     report.replica = replica_id(message.value().replica);
     report.leaving = message.value().leaving;
     report.process = replica_process_id(message.value().process);
+    if (message.value().__isset.limit)
+    {
+        report.limit = from_wire(message.value().limit, now);
+    }
     return report;
 }
 
--- a/src/relay/slot_response.hpp
+++ b/src/relay/slot_response.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "relay/replica_limit.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
+#include <optional>
+
 namespace parsleytrack::relay
 {
 
@@ -26,6 +29,9 @@
     duration retry_after = duration::zero();
     /// Free slots of the pool minus the requests that wait.
     int spare = 0;
+    /// Granted: what the broker knows of the replica's limit; absent when it
+    /// has never named one to the broker's knowledge.
+    std::optional<replica_limit> limit = std::nullopt;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -2,8 +2,10 @@
 
 #include "logging/log.hpp"
 #include "relay/slot_codec.hpp"
+#include "slots/limit_share.hpp"
 #include "slots/replica_pools.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -23,6 +25,12 @@
 slot_server::slot_server(const relay_context& node) : context(node)
 {
     this->context.replicas.on_change([this] { this->update_replicas(); });
+    this->context.group.on_change(
+        [this]
+        {
+            this->selector.clear_choices();
+            this->update_replicas();
+        });
     this->context.peers.on_call(
         wire::message_type::slot_request,
         [this](const std::shared_ptr<wire::peer_exchange>& exchange)
@@ -115,6 +123,15 @@
         this->context.replicas.mark_leaving(report.process, "another_node");
         return;
     }
+    if (report.limit)
+    {
+        this->context.replicas.observe_limit(
+            report.limit->process, report.limit->observation, "another_node");
+    }
+    if (report.request.empty())
+    {
+        return;
+    }
     const std::size_t replicas =
         this->context.replicas.registry().usable(report.service).size();
     const slot_pool pool{
@@ -156,13 +173,34 @@
         if (slots::pool_of(entry->id, pools) == pool.index)
         {
             usable.push_back(slots::slot_replica{
-                entry->id, entry->availability_zone, entry->slots});
+                entry->id, entry->availability_zone, entry->slots,
+                this->limit_of(pool, *entry)});
         }
     }
     broker.set_replicas(usable, net::event_loop::now());
     this->execute_commands(broker);
 }
 
+std::optional<request_rate>
+slot_server::limit_of(const slot_pool& pool,
+                      const routing::replica_entry& replica)
+{
+    const auto named =
+        this->context.replicas.limits().limit_of(routing::process_of(replica));
+    if (!named)
+    {
+        return std::nullopt;
+    }
+    const peering::peer_group& group = this->context.group;
+    const node_info& broker = this->selector.choose(
+        pool.name(), group.own(), group.live_nodes(), net::event_loop::now());
+    slots::group_view view;
+    view.is_broker = broker.id == group.own().id;
+    view.live_nodes = std::max<std::size_t>(1, group.live_nodes().size());
+    view.lost_nodes = group.lost_nodes();
+    return slots::limit_share(*named, view);
+}
+
 void slot_server::handle_peer_request(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
@@ -174,16 +212,17 @@
         exchange->fail(request.error());
         return;
     }
-    const slots::slot_ticket ticket =
-        this->open(request.value(), [exchange](const slot_response& response)
-                   { exchange->send_part(encode(response)); });
+    const slots::slot_ticket ticket = this->open(
+        request.value(), [exchange](const slot_response& response)
+        { exchange->send_part(encode(response, net::event_loop::now())); });
     exchange->on_cancelled([this, ticket] { this->close(ticket); });
 }
 
 void slot_server::handle_peer_report(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
-    const auto report = decode_replica_report(exchange->request());
+    const auto report =
+        decode_replica_report(exchange->request(), net::event_loop::now());
     if (report.has_error())
     {
         log_event(log_level::warning, "replica_report_refused",
@@ -220,6 +259,7 @@
         state.free = broker.free_slots(now);
         state.online = broker.used_slots() - broker.used_by_batch();
         state.batch = broker.used_by_batch();
+        state.limited_replicas = broker.limited_replicas();
         state.waiting_online = static_cast<int>(broker.waiting_online());
         state.waiting_batch = static_cast<int>(broker.waiting_batch());
         state.mean_hold = broker.mean_online_hold();
@@ -246,6 +286,7 @@
     gauge("free", pool.free);
     gauge("online", pool.online);
     gauge("batch", pool.batch);
+    gauge("limited_replicas", pool.limited_replicas);
     gauge("waiting_online", pool.waiting_online);
     gauge("waiting_batch", pool.waiting_batch);
     if (!pool.is_busy())
@@ -259,6 +300,7 @@
          {"free", pool.free},
          {"online", pool.online},
          {"batch", pool.batch},
+         {"limited_replicas", pool.limited_replicas},
          {"waiting_online", pool.waiting_online},
          {"waiting_batch", pool.waiting_batch},
          {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
@@ -283,6 +325,7 @@
         {
         case slots::slot_decision::granted:
             response.status = slot_response::status_code::granted;
+            response.limit = this->context.replicas.limit_of(command.replica);
             state.granted = true;
             state.replica = command.replica;
             break;
--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -5,11 +5,13 @@
 #include "relay/replica_report.hpp"
 #include "relay/slot_request.hpp"
 #include "relay/slot_response.hpp"
+#include "slots/broker_selector.hpp"
 #include "slots/slot_broker.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +62,10 @@
     handle_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
     void update_replicas();
     void update_replicas(const slot_pool& pool, slots::slot_broker& broker);
+    /// \returns What this node may grant of a replica's limit; absent when the
+    /// replica names none.
+    std::optional<request_rate> limit_of(const slot_pool& pool,
+                                         const routing::replica_entry& replica);
     void tick();
     void export_metrics() const;
     void export_pool_metrics(const pool_state& pool) const;
@@ -67,6 +73,8 @@
 
     const relay_context& context;
     std::map<slot_pool, slots::slot_broker> brokers;
+    /// The broker of each pool according to this node's view of the group.
+    slots::broker_selector selector{duration::zero()};
     std::map<slots::slot_ticket, open_request> requests;
     std::map<request_id, slots::slot_ticket> tickets;
     std::int64_t next_ticket = 1;
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -133,6 +133,7 @@
                         {"free", pool.free},
                         {"online", pool.online},
                         {"batch", pool.batch},
+                        {"limited_replicas", pool.limited_replicas},
                         {"waiting_online", pool.waiting_online},
                         {"waiting_batch", pool.waiting_batch},
                         {"mean_hold_ms", to_milliseconds(pool.mean_hold)}});
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -22,6 +22,7 @@
         if (known != this->replicas.end())
         {
             known->second.replica = replica;
+            update_pacer(known->second, now);
             next.emplace(replica.id, std::move(known->second));
             continue;
         }
@@ -29,10 +30,16 @@
                             replica_health(this->options.failure_limit,
                                            this->options.initial_backoff,
                                            this->options.max_backoff),
-                            0};
+                            0, 0, std::nullopt};
+        update_pacer(state, now);
         for (const auto& [ticket, slot] : this->held)
         {
-            state.used += slot.replica == replica.id ? 1 : 0;
+            if (slot.replica == replica.id)
+            {
+                ++state.used;
+                state.used_by_batch +=
+                    slot.request.kind == work_class::batch ? 1 : 0;
+            }
         }
         next.emplace(replica.id, std::move(state));
     }
@@ -59,6 +66,7 @@
     if (found != this->replicas.end())
     {
         ++found->second.used;
+        found->second.used_by_batch += wanted.kind == work_class::batch ? 1 : 0;
     }
 }
 
@@ -83,6 +91,8 @@
     if (replica != this->replicas.end())
     {
         --replica->second.used;
+        replica->second.used_by_batch -=
+            slot.request.kind == work_class::batch ? 1 : 0;
     }
     if (slot.request.kind == work_class::online)
     {
@@ -124,16 +134,6 @@
     return std::exchange(this->commands, {});
 }
 
-int slot_broker::total_slots() const
-{
-    int total = 0;
-    for (const auto& [id, state] : this->replicas)
-    {
-        total += state.replica.slots;
-    }
-    return total;
-}
-
 slot_broker::rank slot_broker::rank_of(const waiting_request& waiting,
                                        bool late)
 {
@@ -146,7 +146,7 @@
     this->serve_online(now);
     this->refuse_unmeetable_deadlines(now);
     this->serve_batch(now);
-    this->reclaim_for_waiting();
+    this->reclaim_for_waiting(now);
 }
 
 void slot_broker::serve_online(time_point now)
@@ -170,8 +170,8 @@
 
 void slot_broker::serve_batch(time_point now)
 {
-    const int reserve =
-        static_cast<int>(this->total_slots() * this->options.online_reserve);
+    const int reserve = static_cast<int>(this->current_capacity().slots *
+                                         this->options.online_reserve);
     while (!this->batch.empty() && this->online.empty() &&
            this->free_slots(now) > reserve)
     {
@@ -186,7 +186,7 @@
     }
 }
 
-void slot_broker::reclaim_for_waiting()
+void slot_broker::reclaim_for_waiting(time_point now)
 {
     int wanted = -this->pending_reclaims;
     for (auto entry = this->online.begin();
@@ -201,7 +201,13 @@
     std::vector<std::pair<time_point, slot_ticket>> candidates;
     for (const auto& [ticket, slot] : this->held)
     {
-        if (!slot.reclaimed && slot.request.kind == work_class::batch)
+        if (slot.reclaimed || slot.request.kind != work_class::batch)
+        {
+            continue;
+        }
+        const auto replica = this->replicas.find(slot.replica);
+        if (replica == this->replicas.end() ||
+            replica->second.takes_requests(now))
         {
             candidates.emplace_back(slot.request.useful_until, ticket);
         }
@@ -227,18 +233,19 @@
 void slot_broker::refuse_unmeetable_deadlines(time_point now)
 {
     std::size_t ahead = 0;
+    const capacity present = this->current_capacity();
     for (auto entry = this->online.begin(); entry != this->online.end();)
     {
         const waiting_request& waiting = entry->second;
-        const duration wait = this->predicted_wait(ahead);
         if (waiting.request.wait_when_late ||
-            now + wait <= waiting.request.useful_until)
+            this->is_meetable(ahead, waiting.request.useful_until, present,
+                              now))
         {
             ++ahead;
             ++entry;
             continue;
         }
-        this->refuse(waiting, wait);
+        this->refuse(waiting, this->predicted_wait(ahead, present));
         entry = this->online.erase(entry);
     }
 }
@@ -263,7 +270,8 @@
             this->online.emplace(rank_of(waiting, true), waiting);
             continue;
         }
-        this->refuse(waiting, this->predicted_wait(this->online.size()));
+        this->refuse(waiting, this->predicted_wait(this->online.size(),
+                                                   this->current_capacity()));
     }
 }
 
@@ -277,6 +285,11 @@
                         time_point now)
 {
     ++chosen.used;
+    chosen.used_by_batch += waiting.request.kind == work_class::batch ? 1 : 0;
+    if (chosen.pacer)
+    {
+        chosen.pacer->take(now);
+    }
     this->add_held(waiting.ticket,
                    held_slot{chosen.replica.id, waiting.request, now, false});
     this->commands.push_back(slot_command{
@@ -304,17 +317,19 @@
                                                 time_point now)
 {
     replica_state* best = nullptr;
-    // Same zone first, then the most free slots.
-    std::tuple<bool, int> best_score{false, 0};
+    // Same zone first, then the most free slots. Only the response to a request
+    // shows that a limit has ended.
+    std::tuple<bool, bool, int> best_score{false, false, 0};
     for (auto& [id, state] : this->replicas)
     {
         if (!state.health.usable(now) || wanted.excluded.contains(id))
         {
             continue;
         }
-        const int free =
-            state.health.allowed_slots(state.replica.slots, now) - state.used;
-        const std::tuple<bool, int> score{
+        const int free = state.free(now);
+        const std::tuple<bool, bool, int> score{
+            state.pacer && now - state.pacer->last_taken() >=
+                               this->options.limit_check_interval,
             state.replica.availability_zone == wanted.availability_zone, free};
         if (free > 0 && (best == nullptr || score > best_score))
         {
@@ -325,41 +340,4 @@
     return best;
 }
 
-int slot_broker::free_slots(time_point now) const
-{
-    int total = 0;
-    for (const auto& [id, state] : this->replicas)
-    {
-        if (state.health.usable(now))
-        {
-            total += std::max(
-                0, state.health.allowed_slots(state.replica.slots, now) -
-                       state.used);
-        }
-    }
-    return total;
-}
-
-int slot_broker::spare(time_point now) const
-{
-    return this->free_slots(now) -
-           static_cast<int>(this->online.size() + this->batch.size());
-}
-
-duration slot_broker::predicted_wait(std::size_t ahead) const
-{
-    const int total = this->total_slots();
-    if (total == 0)
-    {
-        return this->options.max_retry_after;
-    }
-    const auto beyond_reclaim =
-        static_cast<std::int64_t>(ahead) + 1 - this->batch_held;
-    if (beyond_reclaim <= 0)
-    {
-        return this->options.reclaim_time;
-    }
-    return this->mean_hold * beyond_reclaim / total;
-}
-
 } // namespace parsleytrack::slots
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/replica_health.hpp"
+#include "slots/request_pacer.hpp"
 #include "slots/slot_broker_options.hpp"
 #include "slots/slot_command.hpp"
 #include "slots/slot_replica.hpp"
@@ -52,9 +53,13 @@
     int used_slots() const { return static_cast<int>(this->held.size()); }
     int used_by_batch() const { return this->batch_held; }
 
-    /// \returns Slots of usable replicas that are not held.
+    /// \returns Slots that can be granted now: those of usable replicas that
+    /// are not held and that their limits allow.
     int free_slots(time_point now) const;
 
+    /// \returns The number of replicas that name a limit.
+    int limited_replicas() const;
+
     /// \returns How long online requests hold a slot on average.
     duration mean_online_hold() const { return this->mean_hold; }
 
@@ -71,6 +76,14 @@
         slot_replica replica;
         replica_health health;
         int used = 0;
+        int used_by_batch = 0;
+        /// Set while the replica names a limit.
+        std::optional<request_pacer> pacer;
+
+        /// \returns Slots that can be granted now.
+        int free(time_point now) const;
+        /// \returns Whether a slot that is returned can be granted at once.
+        bool takes_requests(time_point now) const;
     };
     struct held_slot
     {
@@ -96,11 +109,23 @@
     };
     using queue = std::map<rank, waiting_request>;
 
+    /// What the replicas can do for requests that wait.
+    struct capacity
+    {
+        /// All slots; of a replica that names a limit, the slots that requests
+        /// at this rate use.
+        double slots = 0.0;
+        /// Those of replicas that name no limit.
+        double unlimited_slots = 0.0;
+        /// Slots that batch work can give back for other requests.
+        int reclaimable = 0;
+    };
+
     static rank rank_of(const waiting_request& waiting, bool late);
     void serve(time_point now);
     void serve_online(time_point now);
     void serve_batch(time_point now);
-    void reclaim_for_waiting();
+    void reclaim_for_waiting(time_point now);
     void refuse_unmeetable_deadlines(time_point now);
     void expire(time_point now);
     void add_held(slot_ticket ticket, held_slot slot);
@@ -108,7 +133,13 @@
                time_point now);
     void refuse(const waiting_request& waiting, duration wait);
     replica_state* choose(const slot_request& wanted, time_point now);
-    duration predicted_wait(std::size_t ahead) const;
+    capacity current_capacity() const;
+    /// \returns Whether a request that others precede in its queue is expected
+    /// to get a slot by a time.
+    bool is_meetable(std::size_t ahead, time_point until,
+                     const capacity& present, time_point now) const;
+    duration predicted_wait(std::size_t ahead, const capacity& present) const;
+    static void update_pacer(replica_state& state, time_point now);
 
     slot_broker_options options;
     std::map<replica_id, replica_state> replicas;
--- /dev/null
+++ b/src/slots/slot_broker_capacity.cpp
@@ -0,0 +1,143 @@
+// What the replicas of a broker can do now, and how long that makes requests
+// wait.
+
+#include "slots/slot_broker.hpp"
+
+#include <algorithm>
+
+namespace parsleytrack::slots
+{
+
+int slot_broker::total_slots() const
+{
+    int total = 0;
+    for (const auto& [id, state] : this->replicas)
+    {
+        total += state.replica.slots;
+    }
+    return total;
+}
+
+int slot_broker::free_slots(time_point now) const
+{
+    int total = 0;
+    for (const auto& [id, state] : this->replicas)
+    {
+        if (state.health.usable(now))
+        {
+            total += std::max(0, state.free(now));
+        }
+    }
+    return total;
+}
+
+int slot_broker::spare(time_point now) const
+{
+    return this->free_slots(now) -
+           static_cast<int>(this->online.size() + this->batch.size());
+}
+
+int slot_broker::limited_replicas() const
+{
+    return static_cast<int>(std::count_if(
+        this->replicas.begin(), this->replicas.end(),
+        [](const auto& entry) { return entry.second.pacer.has_value(); }));
+}
+
+int slot_broker::replica_state::free(time_point now) const
+{
+    const int slots =
+        this->health.allowed_slots(this->replica.slots, now) - this->used;
+    return this->pacer ? std::min(slots, this->pacer->available(now)) : slots;
+}
+
+bool slot_broker::replica_state::takes_requests(time_point now) const
+{
+    return !this->pacer || this->pacer->available(now) > 0;
+}
+
+void slot_broker::update_pacer(replica_state& state, time_point now)
+{
+    const auto& limit = state.replica.limit;
+    if (!limit)
+    {
+        state.pacer.reset();
+        return;
+    }
+    if (!state.pacer)
+    {
+        state.pacer.emplace(*limit, now);
+        return;
+    }
+    state.pacer->set_rate(*limit, now);
+}
+
+slot_broker::capacity slot_broker::current_capacity() const
+{
+    const double hold_s =
+        std::chrono::duration<double>(this->mean_hold).count();
+    capacity present;
+    present.reclaimable = this->batch_held;
+    for (const auto& [id, state] : this->replicas)
+    {
+        const auto slots = static_cast<double>(state.replica.slots);
+        if (!state.pacer)
+        {
+            present.slots += slots;
+            present.unlimited_slots += slots;
+            continue;
+        }
+        present.slots +=
+            std::min(slots, state.pacer->rate().per_second() * hold_s);
+        // What is reclaimed there cannot be granted again before its time.
+        present.reclaimable -= state.used_by_batch;
+    }
+    return present;
+}
+
+bool slot_broker::is_meetable(std::size_t ahead, time_point until,
+                              const capacity& present, time_point now) const
+{
+    const double spans = static_cast<double>((until - now).count()) /
+                         static_cast<double>(this->mean_hold.count());
+    double grants = present.unlimited_slots * spans;
+    if (now + this->options.reclaim_time <= until)
+    {
+        grants += present.reclaimable;
+    }
+    for (const auto& [id, state] : this->replicas)
+    {
+        if (!state.pacer)
+        {
+            continue;
+        }
+        // Limits let requests through one by one, which an average over all
+        // replicas would hide.
+        const int paced = state.pacer->available_until(
+            std::max(now, until - this->options.grant_delay), now);
+        const double by_slots =
+            state.replica.slots * (1.0 + spans) - state.used;
+        grants += std::clamp<double>(paced, 0.0, std::max(0.0, by_slots));
+    }
+    return static_cast<double>(ahead) + 1.0 <= grants;
+}
+
+duration slot_broker::predicted_wait(std::size_t ahead,
+                                     const capacity& present) const
+{
+    if (present.slots <= 0.0)
+    {
+        return this->options.max_retry_after;
+    }
+    const std::int64_t beyond_reclaim =
+        static_cast<std::int64_t>(ahead) + 1 - present.reclaimable;
+    if (beyond_reclaim <= 0)
+    {
+        return this->options.reclaim_time;
+    }
+    const double wait = static_cast<double>(this->mean_hold.count()) *
+                        static_cast<double>(beyond_reclaim) / present.slots;
+    return duration(static_cast<std::int64_t>(wait));
+}
+
+} // namespace parsleytrack::slots
--- a/src/slots/slot_broker_options.hpp
+++ b/src/slots/slot_broker_options.hpp
@@ -20,6 +20,12 @@
     /// Time from reclaiming a slot to its next use: two messages between
     /// nodes and closing a connection.
     duration reclaim_time = std::chrono::milliseconds(15);
+    /// Time by which a grant may follow the moment at which a limit allows it:
+    /// two ticks of the broker.
+    duration grant_delay = std::chrono::milliseconds(40);
+    /// A replica that names a limit gets at least one request in this time, if
+    /// there are any.
+    duration limit_check_interval = std::chrono::seconds(5);
     /// Consecutive failures after which a replica is excluded.
     int failure_limit = 2;
     duration initial_backoff = std::chrono::milliseconds(500);
--- a/src/slots/slot_replica.hpp
+++ b/src/slots/slot_replica.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "units/ids.hpp"
+#include "units/request_rate.hpp"
+
+#include <optional>
 
 namespace parsleytrack::slots
 {
@@ -12,6 +15,9 @@
     availability_zone_name availability_zone;
     /// Number of requests that it runs concurrently.
     int slots = 1;
+    /// The requests per second that this broker may send to it; absent when
+    /// only the slots limit them.
+    std::optional<request_rate> limit = std::nullopt;
 
     bool operator==(const slot_replica&) const = default;
 };
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -32,6 +32,17 @@
   queued = 4,
 }
 
+// What a response of a replica has said of its limit.
+struct replica_limit {
+  // Identifies the replica and its process.
+  1: string process;
+  // Whether it named a limit.
+  2: bool named;
+  // The requests that it takes from all nodes together.
+  3: double requests_per_s;
+  4: i64 age_ms;
+}
+
 // One part of the response to a slot_order.
 struct slot_answer {
   1: slot_verdict verdict;
@@ -40,6 +51,9 @@
   3: i64 retry_after_ms;
   // Free slots of the pool minus queued slot requests.
   4: i32 spare;
+  // For "granted": what the broker knows of the replica's limit, if it has ever
+  // named one.
+  5: optional replica_limit limit;
 }
 
 // Request of a slot_report call: a request failed at its replica.
@@ -51,4 +65,6 @@
   4: bool leaving;
   // Identifies the replica and its process.
   5: string process;
+  // What the replica has said of its limit, if that has changed.
+  6: optional replica_limit limit;
 }
--- a/tests/fuzz/platform_fuzz_test.cpp
+++ b/tests/fuzz/platform_fuzz_test.cpp
@@ -110,8 +110,8 @@
         (void)jobs::decode_progress(bytes);
         const std::string call = damaged(message, this->random);
         (void)relay::decode_slot_request(call);
-        (void)relay::decode_slot_response(call);
-        (void)relay::decode_replica_report(call);
+        (void)relay::decode_slot_response(call, time_point());
+        (void)relay::decode_replica_report(call, time_point());
     }
 }
 
--- a/tests/membership/membership_world.hpp
+++ b/tests/membership/membership_world.hpp
@@ -53,6 +53,8 @@
     void publish(int node, const std::string& topic, std::size_t size);
 
     bool is_running(int node) const;
+    /// \returns The node's own view; nullptr while the node is down or frozen.
+    const membership* view_of(int node) const;
     /// \returns The state in which one node sees another; dead if unknown.
     node_state belief(int observer, int subject) const;
     /// \returns For how many pairs of a running observer and another node the
--- a/tests/membership/membership_world_view.cpp
+++ b/tests/membership/membership_world_view.cpp
@@ -12,6 +12,12 @@
     return this->nodes[static_cast<std::size_t>(node)].running != nullptr;
 }
 
+const membership* membership_world::view_of(int node) const
+{
+    const node_slot& slot = this->nodes[static_cast<std::size_t>(node)];
+    return slot.running && !slot.frozen ? &slot.running->members : nullptr;
+}
+
 node_state membership_world::belief(int observer, int subject) const
 {
     const auto& seen =
--- /dev/null
+++ b/tests/relay/slot_codec_test.cpp
@@ -0,0 +1,64 @@
+#include "relay/slot_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <limits>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay;
+
+TEST_GROUP(slot_codec)
+{
+    const time_point sent{std::chrono::seconds(100)};
+    const time_point received{std::chrono::seconds(7)};
+
+    static replica_limit named(double rate, time_point at)
+    {
+        return replica_limit{replica_process_id("i-1/2"),
+                             {request_rate(rate), at}};
+    }
+};
+
+// Guards against clocks that differ between nodes: what counts is how long ago
+// a limit was named.
+TEST(slot_codec, a_limit_keeps_its_age)
+{
+    slot_response grant;
+    grant.status = slot_response::status_code::granted;
+    grant.limit = named(2.5, this->sent - std::chrono::seconds(3));
+    const auto read =
+        decode_slot_response(encode(grant, this->sent), this->received);
+    CHECK(read.value().limit->process == grant.limit->process);
+    CHECK(read.value().limit->observation.limit == request_rate(2.5));
+    CHECK(read.value().limit->observation.at ==
+          this->received - std::chrono::seconds(3));
+}
+
+TEST(slot_codec, a_report_may_say_that_a_limit_has_ended)
+{
+    replica_report report;
+    report.limit = named(1, this->sent);
+    report.limit->observation.limit.reset();
+    const auto read =
+        decode_replica_report(encode(report, this->sent), this->received);
+    CHECK(read.value().limit.has_value());
+    CHECK_FALSE(read.value().limit->observation.limit.has_value());
+    report.limit.reset();
+    CHECK_FALSE(
+        decode_replica_report(encode(report, this->sent), this->received)
+            .value()
+            .limit.has_value());
+}
+
+TEST(slot_codec, a_limit_that_is_no_number_is_left_out)
+{
+    slot_response grant;
+    for (const double rate : {std::numeric_limits<double>::quiet_NaN(), -1.0})
+    {
+        grant.limit = named(rate, this->sent);
+        CHECK_FALSE(
+            decode_slot_response(encode(grant, this->sent), this->received)
+                .value()
+                .limit.has_value());
+    }
+}
--- a/tests/relay_process/server_limit_test.cpp
+++ b/tests/relay_process/server_limit_test.cpp
@@ -29,6 +29,19 @@
 constexpr duration rejection_time = std::chrono::milliseconds(250);
 constexpr duration step = std::chrono::milliseconds(20);
 
+std::vector<int> others(int node)
+{
+    std::vector<int> nodes;
+    for (int other = 0; other < node_count; ++other)
+    {
+        if (other != node)
+        {
+            nodes.push_back(other);
+        }
+    }
+    return nodes;
+}
+
 /// Online load on a fleet some of whose replicas name a limit.
 class limited_fleet
 {
@@ -82,22 +95,30 @@
             }));
     }
 
-    /// \returns The most requests that a limited replica got within a window
-    /// since a time.
+    /// \returns The most requests that a replica got within a window since a
+    /// time.
+    static int most_in_window(const replica_stand_in& replica, time_point since)
+    {
+        int most = 0;
+        const auto& arrivals = replica.arrivals;
+        for (auto first =
+                 std::lower_bound(arrivals.begin(), arrivals.end(), since);
+             first != arrivals.end(); ++first)
+        {
+            const auto last =
+                std::lower_bound(first, arrivals.end(), *first + window);
+            most = std::max(most, static_cast<int>(last - first));
+        }
+        return most;
+    }
+
+    /// \returns The same for the limited replica that got most.
     int most_in_window(time_point since)
     {
         int most = 0;
         for (int number = 0; number < this->limited_count; ++number)
         {
-            const auto& arrivals = this->engine(number).arrivals;
-            const auto begin =
-                std::lower_bound(arrivals.begin(), arrivals.end(), since);
-            for (auto first = begin; first != arrivals.end(); ++first)
-            {
-                const auto last =
-                    std::lower_bound(first, arrivals.end(), *first + window);
-                most = std::max(most, static_cast<int>(last - first));
-            }
+            most = std::max(most, most_in_window(this->engine(number), since));
         }
         return most;
     }
@@ -115,6 +136,7 @@
     {
         const time_point begin = net::event_loop::now();
         this->play(learning_time + std::chrono::seconds(1));
+        CHECK(this->most_in_window(begin) > 0);
         if (during)
         {
             during();
@@ -231,3 +253,140 @@
                 limited.count(200) + limited.count(503));
     CHECK(limited.longest_rejection() <= rejection_time);
 }
+
+// Guards against a sum that is kept by one process only: the broker and the
+// other nodes are killed one after the other and start again.
+TEST(relay_server_limit, it_is_kept_while_nodes_restart)
+{
+    limited_fleet limited(2, 2.0);
+    limited.check_bound(
+        [&limited]
+        {
+            for (int node = 0; node < node_count; ++node)
+            {
+                limited.fleet.process(node).kill();
+                limited.play(std::chrono::seconds(1), others(node));
+                limited.fleet.start(node);
+                limited.fleet.wait_ready(node);
+                limited.play(std::chrono::seconds(1));
+            }
+        });
+}
+
+// Guards against two brokers at the same time, and against grants that a node
+// uses late, when it wakes up.
+TEST(relay_server_limit, it_is_kept_while_nodes_freeze)
+{
+    limited_fleet limited(2, 2.0);
+    limited.check_bound(
+        [&limited]
+        {
+            for (int node = 0; node < node_count; ++node)
+            {
+                limited.fleet.process(node).signal(SIGSTOP);
+                limited.play(std::chrono::seconds(2), others(node));
+                limited.fleet.process(node).signal(SIGCONT);
+                limited.play(std::chrono::seconds(1));
+            }
+        });
+}
+
+// Guards against a node that takes itself for the whole group when it does not
+// reach any other.
+TEST(relay_server_limit, a_node_that_is_alone_takes_its_share)
+{
+    limited_fleet limited(2, 6.0);
+    time_point alone_since;
+    limited.check_bound(
+        [&limited, &alone_since]
+        {
+            limited.fleet.process(1).signal(SIGSTOP);
+            limited.fleet.process(2).signal(SIGSTOP);
+            // The time in which failures are detected.
+            limited.play(std::chrono::seconds(3), {0});
+            alone_since = net::event_loop::now();
+            limited.play(window, {0});
+            const double share = limited.allowed() / node_count;
+            CHECK_COMPARE(limited.most_in_window(alone_since), <=,
+                          share + allowed_excess);
+            limited.fleet.process(1).signal(SIGCONT);
+            limited.fleet.process(2).signal(SIGCONT);
+        });
+}
+
+// Guards against a sum that depends on the platform's store.
+TEST(relay_server_limit, it_is_kept_without_the_store)
+{
+    limited_fleet limited(2, 2.0);
+    limited.check_bound(
+        [&limited]
+        {
+            for (int node = 0; node < node_count; ++node)
+            {
+                limited.fleet.store.set_refusing(
+                    limited.fleet.store_address(node), true);
+            }
+        });
+}
+
+// Guards against keeping a limit that the replica no longer names.
+TEST(relay_server_limit, it_ends_when_a_response_names_none)
+{
+    for (const char* value : {"2.0", "0"})
+    {
+        limited_fleet limited(2, 2.0);
+        limited.name_limit(value);
+        limited.play(learning_time);
+        limited.engine(0).extra_headers.clear();
+        limited.engine(1).extra_headers.clear();
+        // Also a replica that takes nothing gets a request now and then.
+        limited.play(std::chrono::seconds(8));
+        const time_point since = net::event_loop::now();
+        limited.play(window);
+        CHECK_COMPARE(limited.most_in_window(since), >, limited.allowed());
+    }
+}
+
+// Guards against limiting a new process for what the former one has said.
+TEST(relay_server_limit, a_new_process_has_named_none)
+{
+    limited_fleet limited(1, 2.0);
+    limited.play(learning_time);
+    limited.engine(0).extra_headers.clear();
+    limited.engine(0).restart();
+    limited.fleet.store.put("servers/" + limited.engine(0).name(),
+                            limited.engine(0).record("llm"));
+    limited.play(std::chrono::seconds(1));
+    const time_point since = net::event_loop::now();
+    limited.play(window);
+    CHECK_COMPARE(limited.most_in_window(since), >, limited.allowed());
+}
+
+// The same for a service that runs no models, and whose requests may be sent to
+// replicas again.
+TEST(relay_server_limit, plain_services_keep_it)
+{
+    limited_fleet limited(0, 2.0);
+    replica_stand_in& web = *limited.fleet.web;
+    web.extra_headers = {{"Server-Limit", "2.0"}};
+    const time_point begin = net::event_loop::now();
+    limited.play(learning_time + std::chrono::seconds(1), {0, 1, 2},
+                 "/plain/a");
+    limited.play(window, {0, 1, 2}, "/plain/a");
+    limited.finish();
+    CHECK_COMPARE(limited_fleet::most_in_window(web, begin + learning_time), <=,
+                  limited.allowed());
+    CHECK(limited.count(200) > 0);
+    CHECK_EQUAL(static_cast<int>(limited.sent()),
+                limited.count(200) + limited.count(503));
+}
+
+TEST(relay_server_limit, other_values_say_nothing)
+{
+    limited_fleet limited(1, 2.0);
+    limited.name_limit("some");
+    const time_point begin = net::event_loop::now();
+    limited.play(learning_time + window);
+    CHECK_COMPARE(limited.most_in_window(begin + learning_time), >,
+                  limited.allowed());
+}
--- a/tests/slots/burst_test.cpp
+++ b/tests/slots/burst_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace parsleytrack;
 using namespace parsleytrack::slots;
 
@@ -26,6 +28,8 @@
         sum.used += outcome.used / seed_count;
         sum.items_due += outcome.items_due;
         sum.items_in_time += outcome.items_in_time;
+        sum.most_at_limited =
+            std::max(sum.most_at_limited, outcome.most_at_limited);
     }
     return sum;
 }
@@ -83,3 +87,29 @@
     options.item_rate = 32;
     CHECK(play(options).share_of_items_in_time() >= 0.95);
 }
+
+// Pattern: two of three replicas name a limit while bursts and batch work go
+// on, and the broker's process starts again every few seconds.
+TEST(slot_burst, limited_replicas_get_what_they_take_and_others_the_rest)
+{
+    burst_world::options options;
+    options.replicas = 12;
+    options.slots = 8;
+    options.nodes = 6;
+    options.quiet_rate = 21;
+    options.burst_rate = 60;
+    options.item_rate = 1;
+    options.limited_replicas = 8;
+    options.limit = 2.2;
+    for (const int lifetime_s : {0, 3})
+    {
+        options.broker_lifetime = std::chrono::seconds(lifetime_s);
+        const auto outcome = play(options);
+        // The platform's bound: one and a half times the limit in four seconds,
+        // and five requests.
+        CHECK_COMPARE(outcome.most_at_limited, <=, 1.5 * 4 * 2.2 + 5);
+        CHECK(outcome.most_at_limited > 0);
+        // The unlimited replicas alone could serve 49 requests per second.
+        CHECK(outcome.share_in_time() >= 0.8);
+    }
+}
--- a/tests/slots/burst_world.cpp
+++ b/tests/slots/burst_world.cpp
@@ -2,6 +2,7 @@
 
 #include "slots/replica_pools.hpp"
 
+#include <algorithm>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -31,17 +32,24 @@
       brokers(static_cast<std::size_t>(chosen_options.pools)),
       selectors(static_cast<std::size_t>(chosen_options.nodes))
 {
-    std::vector<std::vector<slot_replica>> pools(this->brokers.size());
+    this->replicas.resize(this->brokers.size());
     for (int number = 0; number < this->chosen.replicas; ++number)
     {
         const replica_id id("replica-" + std::to_string(number));
         const int pool = pool_of(id, this->chosen.pools);
-        pools.at(static_cast<std::size_t>(pool))
-            .push_back(slot_replica{id, {}, this->chosen.slots});
+        slot_replica& replica =
+            this->replicas.at(static_cast<std::size_t>(pool)).emplace_back();
+        replica.id = id;
+        replica.slots = this->chosen.slots;
+        if (number < this->chosen.limited_replicas)
+        {
+            replica.limit = request_rate(this->chosen.limit);
+            this->sent[id];
+        }
     }
-    for (std::size_t pool = 0; pool < pools.size(); ++pool)
+    for (std::size_t pool = 0; pool < this->brokers.size(); ++pool)
     {
-        this->brokers[pool].set_replicas(pools[pool], this->now);
+        this->brokers[pool].set_replicas(this->replicas[pool], this->now);
     }
     for (pool_selector& selector : this->selectors)
     {
@@ -169,6 +177,12 @@
         this->counted.in_time +=
             online && this->now - state.requested <= useful_time ? 1 : 0;
         state.granted = this->now;
+        state.replica = command.replica;
+        const auto limited = this->sent.find(command.replica);
+        if (limited != this->sent.end())
+        {
+            limited->second.push_back(this->now);
+        }
         this->schedule(online ? this->draw_hold()
                               : this->items[state.item].remaining,
                        [this, ticket] { this->release(ticket, true); });
@@ -211,6 +225,50 @@
     worked_on.in_time = this->now <= worked_on.due;
 }
 
+void burst_world::restart_brokers()
+{
+    for (std::size_t pool = 0; pool < this->brokers.size(); ++pool)
+    {
+        this->brokers[pool] = slot_broker();
+        this->brokers[pool].set_replicas(this->replicas[pool], this->now);
+    }
+    for (const auto& [ticket, state] : this->open)
+    {
+        slot_broker& broker =
+            this->brokers[static_cast<std::size_t>(state.pool)];
+        slot_request order;
+        order.kind = state.kind;
+        order.useful_until = state.kind == work_class::batch
+                                 ? this->items[state.item].due
+                                 : state.requested + useful_time;
+        order.wait_when_late = state.kind == work_class::batch;
+        if (!state.replica.empty())
+        {
+            broker.adopt(ticket, order, state.replica, this->now);
+        }
+        else
+        {
+            broker.request(ticket, order, this->now);
+        }
+    }
+}
+
+int burst_world::most_at_limited() const
+{
+    constexpr duration window = std::chrono::seconds(4);
+    int most = 0;
+    for (const auto& [replica, times] : this->sent)
+    {
+        for (auto first = times.begin(); first != times.end(); ++first)
+        {
+            const auto last =
+                std::lower_bound(first, times.end(), *first + window);
+            most = std::max(most, static_cast<int>(last - first));
+        }
+    }
+    return most;
+}
+
 burst_world::outcome burst_world::run(duration span)
 {
     const time_point end = this->now + span;
@@ -231,6 +289,15 @@
         this->schedule(tick_interval, tick);
     };
     this->schedule(tick_interval, tick);
+    std::function<void()> restart = [this, &restart]
+    {
+        this->restart_brokers();
+        this->schedule(this->chosen.broker_lifetime, restart);
+    };
+    if (this->chosen.broker_lifetime > duration::zero())
+    {
+        this->schedule(this->chosen.broker_lifetime, restart);
+    }
     while (!this->events.empty() && this->events.top().when <= end)
     {
         const event next = this->events.top();
@@ -244,6 +311,7 @@
         this->counted.items_due += due ? 1 : 0;
         this->counted.items_in_time += due && entry.in_time ? 1 : 0;
     }
+    this->counted.most_at_limited = this->most_at_limited();
     this->counted.used =
         used / samples / (this->chosen.replicas * this->chosen.slots);
     return this->counted;
--- a/tests/slots/burst_world.hpp
+++ b/tests/slots/burst_world.hpp
@@ -33,6 +33,11 @@
         duration mean_hold = std::chrono::milliseconds(650);
         /// Batch items per second.
         double item_rate = 38;
+        /// Replicas that name a limit, and the limit in requests per second.
+        int limited_replicas = 0;
+        double limit = 0.0;
+        /// The broker's process starts again after this time; zero for never.
+        duration broker_lifetime = duration::zero();
     };
 
     struct outcome
@@ -45,6 +50,8 @@
         /// Batch items that were due during the run, and those done by then.
         int items_due = 0;
         int items_in_time = 0;
+        /// The most requests that a limited replica got within four seconds.
+        int most_at_limited = 0;
         /// The part of the slot time in use, by online and batch work.
         double used = 0.0;
 
@@ -82,6 +89,7 @@
         work_class kind = work_class::online;
         time_point requested;
         time_point granted;
+        replica_id replica;
         /// Index of the item, for batch work.
         std::size_t item = 0;
     };
@@ -102,11 +110,15 @@
     void handle_commands(int pool);
     void handle(const slot_command& command, open_request& state);
     void release(slot_ticket ticket, bool completed);
+    void restart_brokers();
+    int most_at_limited() const;
 
     options chosen;
     random_source random;
     time_point now;
+    std::vector<std::vector<slot_replica>> replicas;
     std::vector<slot_broker> brokers;
+    std::map<replica_id, std::vector<time_point>> sent;
     std::vector<pool_selector> selectors;
     std::map<slot_ticket, open_request> open;
     std::vector<item> items;
