Refuse late requests that nobody will wait for

A request that comes again is late already and waits for a slot behind those that can be on time, until its caller leaves.

The time at which a caller leaves is now part of a slot request: its own time limit, and for streams the time after which callers give up. A request that is not expected to get a slot before is refused at once. Without any replica nothing can be expected, so it waits as before.

Tested in slots/slot_broker.

--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -83,8 +83,8 @@
 
     /// \returns The number of nodes that may be running although this one does
     /// not see them: those that are suspected or dead without having announced
-    /// a stop, and the seeds that it has never seen, since a process that starts
-    /// behind a cut knows nothing of the other side.
+    /// a stop, and the seeds that it has never seen, since a process that
+    /// starts behind a cut knows nothing of the other side.
     std::size_t lost_nodes() const;
 
     const node_info& own_info() const { return this->own.node; }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -92,6 +92,7 @@
     wanted.useful_for = this->useful_time();
     wanted.wait_when_late = this->request.elapsed_before > duration::zero() ||
                             this->response_started || this->sends > 0;
+    wanted.abandoned_in = this->time_to_abandonment();
     wanted.excluded = this->excluded;
     wanted.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
@@ -115,6 +116,21 @@
     return std::max(duration::zero(), useful_until - net::event_loop::now());
 }
 
+duration online_call::time_to_abandonment() const
+{
+    const routing::route& route = *this->request.route;
+    duration left = this->remaining();
+    // A caller who has received events waits for the next one from now on.
+    if (route.caller_patience > duration::zero() && !this->response_started)
+    {
+        const time_point leaves =
+            this->request.received + route.caller_patience;
+        left = std::min(left, leaves - net::event_loop::now());
+    }
+    return std::max(duration::zero(),
+                    left - route.target_latency / replica_time_divisor);
+}
+
 void online_call::send(const replica_id& granted)
 {
     const time_point send_by =
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -46,6 +46,9 @@
     bool reject_if_blocked();
     void request_slot();
     duration useful_time() const;
+    /// \returns How much longer a slot is of use to a caller who accepts that
+    /// the response is late.
+    duration time_to_abandonment() const;
     void send(const replica_id& replica);
     net::http_request make_request(time_point send_by) const;
     void handle_chunk(std::string_view chunk);
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-/// Bounds the arithmetic; older observations are as good as this old.
-constexpr std::int64_t max_age_ms = 24L * 3600 * 1000;
+/// Bounds the arithmetic with times that other nodes state.
+constexpr std::int64_t max_span_ms = 24L * 3600 * 1000;
 
 wire::slot_verdict::type to_wire(slot_response::status_code status)
 {
@@ -76,7 +76,7 @@
     }
     known.observation.at =
         now - std::chrono::milliseconds(
-                  std::clamp(message.age_ms, std::int64_t{0}, max_age_ms));
+                  std::clamp(message.age_ms, std::int64_t{0}, max_span_ms));
     return known;
 }
 
@@ -91,6 +91,10 @@
     message.batch = request.kind == work_class::batch;
     message.useful_for_ms = to_milliseconds(request.useful_for);
     message.wait_when_late = request.wait_when_late;
+    if (request.abandoned_in)
+    {
+        message.__set_abandoned_in_ms(to_milliseconds(*request.abandoned_in));
+    }
     for (const replica_id& replica : request.excluded)
     {
         message.excluded.push_back(replica.str());
@@ -116,6 +120,11 @@
     request.kind = read.batch ? work_class::batch : work_class::online;
     request.useful_for = std::chrono::milliseconds(read.useful_for_ms);
     request.wait_when_late = read.wait_when_late;
+    if (read.__isset.abandoned_in_ms)
+    {
+        request.abandoned_in = std::chrono::milliseconds(
+            std::clamp(read.abandoned_in_ms, std::int64_t{0}, max_span_ms));
+    }
     for (const std::string& replica : read.excluded)
     {
         request.excluded.emplace(replica);
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -5,6 +5,7 @@
 #include "units/time.hpp"
 #include "units/work_class.hpp"
 
+#include <optional>
 #include <set>
 
 namespace parsleytrack::relay
@@ -23,6 +24,9 @@
     duration useful_for = duration::zero();
     /// Whether to keep waiting for a slot when the response will be late.
     bool wait_when_late = false;
+    /// Remaining time until nobody waits for the response any more; absent when
+    /// there is no such time.
+    std::optional<duration> abandoned_in = std::nullopt;
     std::set<replica_id> excluded;
     availability_zone_name availability_zone;
     /// Set when the slot is in use already: granted by another broker, or
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -56,6 +56,10 @@
     wanted.priority = request.priority;
     wanted.useful_until = now + request.useful_for;
     wanted.wait_when_late = request.wait_when_late;
+    if (request.abandoned_in)
+    {
+        wanted.abandoned_at = now + *request.abandoned_in;
+    }
     wanted.availability_zone = request.availability_zone;
     wanted.excluded = request.excluded;
     open_request& state = this->requests[ticket];
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -34,6 +34,9 @@
     duration timeout = duration::zero();
     /// Time within which a response, or the first event of a stream, is due.
     duration target_latency = duration::zero();
+    /// How long a caller waits for the first event of a stream before it
+    /// leaves; zero when it waits for as long as it says.
+    duration caller_patience = duration::zero();
     /// 0 is the most urgent.
     int priority = 0;
     /// Whether a stream may be resumed on another replica.
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -237,9 +237,13 @@
     for (auto entry = this->online.begin(); entry != this->online.end();)
     {
         const waiting_request& waiting = entry->second;
-        if (waiting.request.wait_when_late ||
-            this->is_meetable(ahead, waiting.request.useful_until, present,
-                              now))
+        const time_point latest = waiting.request.wait_when_late
+                                      ? waiting.request.abandoned_at
+                                      : waiting.request.useful_until;
+        // Without any replica nothing is known of when one will be there.
+        const bool keeps_waiting =
+            waiting.request.wait_when_late && present.slots <= 0.0;
+        if (keeps_waiting || this->is_meetable(ahead, latest, present, now))
         {
             ++ahead;
             ++entry;
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -98,6 +98,10 @@
 bool slot_broker::is_meetable(std::size_t ahead, time_point until,
                               const capacity& present, time_point now) const
 {
+    if (until == time_point::max())
+    {
+        return true;
+    }
     const double spans = static_cast<double>((until - now).count()) /
                          static_cast<double>(this->mean_hold.count());
     double grants = present.unlimited_slots * spans;
--- a/src/slots/slot_request.hpp
+++ b/src/slots/slot_request.hpp
@@ -21,6 +21,9 @@
     /// Whether to keep waiting for a slot after useful_until; such a request is
     /// served after those that can still be on time.
     bool wait_when_late = false;
+    /// When nobody waits for the response any more. A request that is not
+    /// expected to get a slot before is refused at once.
+    time_point abandoned_at = time_point::max();
     /// Replicas in this zone are preferred.
     availability_zone_name availability_zone;
     /// Replicas on which this request has failed before.
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -21,6 +21,8 @@
   9: bool wait_when_late;
   // The pool of the service's replicas to grant from.
   10: i32 pool;
+  // Time until nobody waits for the response any more.
+  11: optional i64 abandoned_in_ms;
 }
 
 enum slot_verdict {
--- a/tests/slots/slot_broker_test.cpp
+++ b/tests/slots/slot_broker_test.cpp
@@ -284,3 +284,47 @@
     this->advance(std::chrono::milliseconds(20));
     CHECK(this->was_decided(waiting, slot_decision::granted));
 }
+
+// Guards against callers who are late already and wait, until they leave, for a
+// slot that they cannot get.
+TEST(slot_broker, a_late_request_that_nobody_will_wait_for_is_refused_at_once)
+{
+    this->set_replicas(1, 2);
+    std::vector<slot_ticket> late;
+    for (int count = 0; count < 20; ++count)
+    {
+        slot_request wanted;
+        wanted.useful_until = this->now;
+        wanted.wait_when_late = true;
+        wanted.abandoned_at = this->now + std::chrono::seconds(1);
+        late.emplace_back(this->next_ticket++);
+        this->broker.request(late.back(), wanted, this->now);
+        this->collect();
+    }
+    // Two slots that are held for half a second each.
+    CHECK(this->was_decided(late[1], slot_decision::granted));
+    for (int count = 2; count < 6; ++count)
+    {
+        CHECK_FALSE(this->was_decided(late[static_cast<std::size_t>(count)],
+                                      slot_decision::refused));
+    }
+    for (std::size_t count = 6; count < late.size(); ++count)
+    {
+        CHECK(this->was_decided(late[count], slot_decision::refused));
+    }
+}
+
+// Guards against refusing late requests because no replica is there yet.
+TEST(slot_broker, a_late_request_waits_for_a_replica_to_return)
+{
+    slot_request wanted;
+    wanted.useful_until = this->now;
+    wanted.wait_when_late = true;
+    wanted.abandoned_at = this->now + std::chrono::seconds(1);
+    const slot_ticket ticket(this->next_ticket++);
+    this->broker.request(ticket, wanted, this->now);
+    this->advance(std::chrono::milliseconds(500));
+    this->set_replicas(1, 2);
+    this->advance(std::chrono::milliseconds(20));
+    CHECK(this->was_decided(ticket, slot_decision::granted));
+}
