--- /dev/null
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -0,0 +1,190 @@
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+constexpr int node_count = 3;
+constexpr int engine_count = 8;
+/// The platform's bounds: the replicas that crash before a request is known to
+/// be the cause, the requests that may reach replicas later, and how long the
+/// nodes have to act.
+constexpr int crash_limit = 3;
+constexpr int late_request_limit = 3;
+constexpr duration reaction_time = std::chrono::seconds(3);
+const std::string bad_body = "bad";
+
+/// A fleet whose replicas crash under one request, which comes again and again
+/// at any node, and are back at once as another process.
+class crashing_fleet
+{
+public:
+    /// \param service The service of the replicas.
+    explicit crashing_fleet(const char* path = "/plain/a",
+                            const char* service = "web")
+        : bad_path(path), service_name(service)
+    {
+        this->fleet.store.erase("servers/i-web");
+        for (auto& engine : this->fleet.engines)
+        {
+            engine->crashing_path = path;
+            engine->crashing_body = bad_body;
+            engine->on_crash = [this, &engine]
+            {
+                this->restart(*engine);
+            };
+            this->fleet.store.put("servers/" + engine->name(),
+                                  engine->record(this->service_name));
+        }
+        CHECK(this->fleet.wait([this] { return this->send_sound(0) == 200; }));
+    }
+
+    relay_fleet::response send_bad(int node)
+    {
+        return this->send(node, this->bad_path, bad_body);
+    }
+
+    /// Sends a request with the same path and another body.
+    int send_sound(int node)
+    {
+        return this->send(node, this->bad_path, "sound").status;
+    }
+
+    int crashes() const
+    {
+        int count = 0;
+        for (const auto& engine : this->fleet.engines)
+        {
+            count += engine->crashes;
+        }
+        return count;
+    }
+
+    /// Sends the request until the nodes have had their time.
+    void react()
+    {
+        const time_point limit = net::event_loop::now() + reaction_time;
+        for (int count = 0; net::event_loop::now() < limit; ++count)
+        {
+            this->send_sound(count % node_count);
+            this->send_bad(count % node_count);
+            this->fleet.run_for(std::chrono::milliseconds(50));
+        }
+    }
+
+    /// Checks that the request is rejected at once by all nodes, and others
+    /// are not.
+    void check_blocked()
+    {
+        const int before = this->crashes();
+        CHECK(before >= crash_limit);
+        CHECK(before <= crash_limit + late_request_limit);
+        for (int count = 0; count < 30; ++count)
+        {
+            const auto response = this->send_bad(count % node_count);
+            CHECK_EQUAL(503, response.status);
+            CHECK(net::find_header(response.headers, "Retry-After") != nullptr);
+            CHECK_EQUAL(200, this->send_sound(count % node_count));
+        }
+        CHECK_EQUAL(before, this->crashes());
+    }
+
+    relay_fleet fleet{relay_fleet_options{.node_count = node_count,
+                                          .engine_count = engine_count}};
+
+private:
+    relay_fleet::response send(int node, const std::string& path,
+                               const std::string& body)
+    {
+        return this->fleet.call(node, "POST", path,
+                                "x" + std::to_string(++this->sent), body);
+    }
+
+    void restart(replica_stand_in& engine)
+    {
+        engine.restart();
+        this->fleet.store.put("servers/" + engine.name(),
+                              engine.record(this->service_name));
+    }
+
+    std::string bad_path;
+    std::string service_name;
+    int sent = 0;
+};
+
+} // namespace
+
+TEST_GROUP(relay_crashing_requests){};
+
+// Guards against ending one replica after the other under a request without a
+// prompt, which comes again with the same path and body at any node.
+TEST(relay_crashing_requests, a_request_without_a_prompt_is_blocked_everywhere)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    crashing.check_blocked();
+}
+
+TEST(relay_crashing_requests, so_is_one_for_a_stream)
+{
+    for (const char* path : {"/stream/a", "/once/a"})
+    {
+        crashing_fleet crashing(path, "llm");
+        crashing.react();
+        crashing.check_blocked();
+    }
+}
+
+// Guards against blocking the parts of a prompt, which other requests share,
+// for one request that crashes replicas.
+TEST(relay_crashing_requests, the_parts_of_its_prompt_are_not_blocked)
+{
+    crashing_fleet crashing("/once/a", "llm");
+    crashing.fleet.prompt_parts = "5c1e07a2:200,e1:250";
+    crashing.react();
+    crashing.check_blocked();
+}
+
+// Guards against a node that has just started and knows of no block.
+TEST(relay_crashing_requests, a_node_that_starts_again_learns_of_it)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    for (int node = 0; node < node_count; ++node)
+    {
+        crashing.fleet.process(node).kill();
+        crashing.fleet.start(node);
+        crashing.fleet.wait_ready(node);
+        crashing.fleet.run_for(std::chrono::seconds(1));
+    }
+    crashing.check_blocked();
+}
+
+// Guards against giving up items of jobs that were in progress when replicas
+// crashed under another request: they are still owed.
+TEST(relay_crashing_requests, items_in_progress_are_still_completed)
+{
+    crashing_fleet crashing("/once/a", "llm");
+    relay_fleet& fleet = crashing.fleet;
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(60);
+    }
+    fleet.prompt_parts = "5c1e07a2:100,e2:250";
+    CHECK_EQUAL(202, fleet.submit(0, "job", 48).status);
+    fleet.prompt_parts.clear();
+    crashing.react();
+    const auto results = fleet.results(1, "job");
+    CHECK_EQUAL(48, results.size());
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL("completed", entry["state"].get<std::string>().c_str());
+    }
+}
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -23,8 +23,9 @@
     this->server.set_handler(
         [this](const std::shared_ptr<net::http_exchange>& exchange)
         {
-            exchange->on_body(1024 * 1024, [this, exchange](const std::string&)
-                              { this->handle_request(exchange); });
+            exchange->on_body(1024 * 1024,
+                              [this, exchange](const std::string& body)
+                              { this->handle_request(exchange, body); });
         });
 }
 
@@ -36,8 +37,22 @@
                           this->started);
 }
 
+bool replica_stand_in::is_crashing(const net::http_request_head& head,
+                                   const std::string& body) const
+{
+    const std::string* parts =
+        net::find_header(head.headers, "Parsleytrack-Prompt-Prefix");
+    const bool has_part = !this->crashing_part.empty() && parts != nullptr &&
+                          parts->find(this->crashing_part) != std::string::npos;
+    const bool has_content = !this->crashing_path.empty() &&
+                             head.path == this->crashing_path &&
+                             body == this->crashing_body;
+    return has_part || has_content;
+}
+
 void replica_stand_in::handle_request(
-    const std::shared_ptr<net::http_exchange>& exchange)
+    const std::shared_ptr<net::http_exchange>& exchange,
+    const std::string& body)
 {
     this->arrivals.push_back(net::event_loop::now());
     const auto& headers = exchange->head().headers;
@@ -75,6 +90,18 @@
         exchange->respond(500, response_headers, "failed");
         return;
     }
+    if (this->is_crashing(exchange->head(), body))
+    {
+        this->streams[this->next_stream++].exchange = exchange;
+        this->crash_timer =
+            this->loop.call_after(crash_delay, [this] { this->crash(); });
+        if (!exchange->head().path.starts_with("/plain/"))
+        {
+            response_headers.emplace_back("Content-Type", "text/event-stream");
+            exchange->start_stream(200, response_headers);
+        }
+        return;
+    }
     if (exchange->head().path.starts_with("/plain/"))
     {
         exchange->respond(200, response_headers, "page of " + *request);
@@ -99,15 +126,6 @@
     net::http_header_list fields = headers;
     fields.emplace_back("Content-Type", "text/event-stream");
     exchange->start_stream(200, fields);
-    const std::string* parts = net::find_header(exchange->head().headers,
-                                                "Parsleytrack-Prompt-Prefix");
-    if (!this->crashing_part.empty() && parts != nullptr &&
-        parts->find(this->crashing_part) != std::string::npos)
-    {
-        this->crash_timer =
-            this->loop.call_after(crash_delay, [this] { this->crash(); });
-        return;
-    }
     entry.event_timer =
         this->loop.call_every(this->event_interval, [this, number]
                               { this->send_next_event(number); });
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -78,6 +78,9 @@
     /// A part of a prompt under which the replica crashes as it begins to
     /// answer: it closes all connections. Empty for none.
     std::string crashing_part;
+    /// A path whose requests do the same if they have the crashing body.
+    std::string crashing_path;
+    std::string crashing_body;
     /// Time from the start of a run to the crash.
     static constexpr duration crash_delay = std::chrono::milliseconds(30);
     /// Called after a crash. Optional.
@@ -92,7 +95,11 @@
         net::timer event_timer;
     };
 
-    void handle_request(const std::shared_ptr<net::http_exchange>& exchange);
+    void handle_request(const std::shared_ptr<net::http_exchange>& exchange,
+                        const std::string& body);
+    /// \returns Whether the request makes the replica crash.
+    bool is_crashing(const net::http_request_head& head,
+                     const std::string& body) const;
     void start_stream(const std::shared_ptr<net::http_exchange>& exchange,
                       const net::http_header_list& headers);
     void crash();
