Name what crashing requests have in common by its wider term

What is compared and blocked is about to be more than parts of prompts, so prompt_part_id, prompt_guard and their kin become request_trait, crash_guard and so on.

--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -1,8 +1,8 @@
-#include "relay/prompt_guard.hpp"
+#include "relay/crash_guard.hpp"
 
 #include "decisions/rendezvous.hpp"
 #include "logging/log.hpp"
-#include "routing/crashing_parts.hpp"
+#include "routing/crashing_traits.hpp"
 
 #include <algorithm>
 
@@ -17,46 +17,46 @@
 /// Nodes of a region respond within milliseconds. An unresponsive one delays a
 /// verdict by this much.
 constexpr duration inquiry_timeout = std::chrono::milliseconds(300);
-/// Nodes that collect the reports about one part. Up to this number, all do.
+/// Nodes that collect the reports about one trait. Up to this number, all do.
 constexpr std::size_t collectors_per_part = 16;
 constexpr duration shortest_retry_after = std::chrono::seconds(1);
 /// Another request may be tried when a trial has no outcome after this time,
 /// for instance because its caller has left.
 constexpr duration trial_timeout = std::chrono::seconds(20);
 
-std::string join(const std::vector<prompt_part_id>& parts)
+std::string join(const std::vector<request_trait>& traits)
 {
     std::string text;
-    for (const prompt_part_id& part : parts)
+    for (const request_trait& trait : traits)
     {
-        text += (text.empty() ? "" : ",") + part.str();
+        text += (text.empty() ? "" : ",") + trait.str();
     }
     return text;
 }
 
 } // namespace
 
-prompt_guard::prompt_guard(net::event_loop& event_loop,
-                           wire::peer_network& network,
-                           peering::peer_group& nodes,
-                           const relay_adapter& protocol_adapter,
-                           metrics::registry& counters)
+crash_guard::crash_guard(net::event_loop& event_loop,
+                         wire::peer_network& network,
+                         peering::peer_group& nodes,
+                         const relay_adapter& protocol_adapter,
+                         metrics::registry& counters)
     : loop(event_loop), peers(network), group(nodes), adapter(protocol_adapter),
       metrics(counters)
 {
     using exchange_pointer = std::shared_ptr<wire::peer_exchange>;
-    this->peers.on_call(message_type::part_inquiry,
+    this->peers.on_call(message_type::trait_inquiry,
                         [this](const exchange_pointer& exchange)
                         { this->handle_inquiry(exchange); });
-    this->peers.on_call(message_type::part_verdicts,
+    this->peers.on_call(message_type::trait_verdicts,
                         [this](const exchange_pointer& exchange)
                         { this->handle_verdicts(exchange); });
     this->group.on_change([this] { this->greet_new_nodes(); });
 }
 
 std::optional<duration>
-prompt_guard::rejection(const request_id& request,
-                        const net::http_header_list& headers)
+crash_guard::rejection(const request_id& request,
+                       const net::http_header_list& headers)
 {
     if (this->quarantine.is_empty())
     {
@@ -69,7 +69,7 @@
         return std::nullopt;
     }
     const time_point now = net::event_loop::now();
-    const routing::part_verdict& verdict = blocked.front();
+    const routing::trait_verdict& verdict = blocked.front();
     const bool is_tried =
         this->current_trial && this->current_trial->request == request;
     if (is_tried)
@@ -80,35 +80,35 @@
         !this->current_trial ||
         now - this->current_trial->started > trial_timeout;
     const std::vector<std::string> names = this->live_names();
-    const auto winner = rendezvous_rank(names, verdict.part.str(), 1);
+    const auto winner = rendezvous_rank(names, verdict.trait.str(), 1);
     const bool decides =
         !winner.empty() && names[winner.front()] == this->group.own().id.str();
     if (blocked.size() == 1 && now >= verdict.trial_at && trial_is_over &&
         decides)
     {
         log_event(log_level::info, "prompt_part_tried",
-                  {{"part", verdict.part.str()}, {"request", request.str()}});
-        this->current_trial = trial{request, verdict.part, now};
+                  {{"trait", verdict.trait.str()}, {"request", request.str()}});
+        this->current_trial = trial{request, verdict.trait, now};
         return std::nullopt;
     }
     return std::max<duration>(shortest_retry_after, verdict.trial_at - now);
 }
 
-void prompt_guard::handle_survival(const net::http_header_list& headers)
+void crash_guard::handle_survival(const net::http_header_list& headers)
 {
-    const std::vector<prompt_part_id> parts =
+    const std::vector<request_trait> traits =
         this->adapter.parse_prompt_parts(headers);
-    this->history.record_survival(parts, net::event_loop::now());
+    this->history.record_survival(traits, net::event_loop::now());
     // Also ends a block that a request from before it has shown to be wrong.
-    for (const routing::part_verdict& blocked :
-         this->quarantine.blocked_among(parts))
+    for (const routing::trait_verdict& blocked :
+         this->quarantine.blocked_among(traits))
     {
-        if (const auto* verdict = this->quarantine.clear(blocked.part))
+        if (const auto* verdict = this->quarantine.clear(blocked.trait))
         {
             this->log_verdict(*verdict, "a replica survived it");
             this->notify_all(*verdict);
             if (this->current_trial &&
-                this->current_trial->part == blocked.part)
+                this->current_trial->trait == blocked.trait)
             {
                 this->current_trial.reset();
             }
@@ -116,13 +116,13 @@
     }
 }
 
-void prompt_guard::handle_lost_replica(
-    const request_id& request, const net::http_header_list& headers,
-    const replica_process_id& replica_process)
+void crash_guard::handle_lost_replica(const request_id& request,
+                                      const net::http_header_list& headers,
+                                      const replica_process_id& replica_process)
 {
-    const std::vector<prompt_part_id> parts =
+    const std::vector<request_trait> traits =
         this->adapter.parse_prompt_parts(headers);
-    if (parts.empty())
+    if (traits.empty())
     {
         return;
     }
@@ -130,47 +130,47 @@
     log_event(log_level::info, "replica_lost_under_prompt",
               {{"request", request.str()},
                {"replica", replica_process.str()},
-               {"parts", join(parts)}});
+               {"traits", join(traits)}});
     this->metrics.count("parsleytrack_replicas_lost_under_prompts_total", {});
     if (this->current_trial && this->current_trial->request == request)
     {
-        const routing::part_verdict& verdict =
-            this->quarantine.block(this->current_trial->part, now);
+        const routing::trait_verdict& verdict =
+            this->quarantine.block(this->current_trial->trait, now);
         this->current_trial.reset();
         this->log_verdict(verdict, "its trial failed");
         this->notify_all(verdict);
         return;
     }
-    if (!this->quarantine.blocked_among(parts).empty())
+    if (!this->quarantine.blocked_among(traits).empty())
     {
-        // The blocked part explains the loss.
+        // The blocked trait explains the loss.
         return;
     }
     this->history.add_report(
-        routing::crash_report{request, replica_process, parts, now});
-    this->suspects.insert(parts.begin(), parts.end());
+        routing::crash_report{request, replica_process, traits, now});
+    this->suspects.insert(traits.begin(), traits.end());
     this->start_inquiry();
 }
 
-void prompt_guard::start_inquiry()
+void crash_guard::start_inquiry()
 {
     if (this->gathered || this->suspects.empty())
     {
         return;
     }
-    const std::vector<prompt_part_id> parts(this->suspects.begin(),
+    const std::vector<request_trait> traits(this->suspects.begin(),
                                             this->suspects.end());
     this->suspects.clear();
-    this->gathered = this->knowledge_of(parts);
+    this->gathered = this->knowledge_of(traits);
     const std::string question =
         encode(*this->gathered, net::event_loop::now());
-    const std::set<endpoint> asked = this->collecting_nodes(parts);
+    const std::set<endpoint> asked = this->collecting_nodes(traits);
     this->awaited_replies = asked.size() + 1;
     for (const endpoint& address : asked)
     {
         const std::uint64_t number = this->next_number++;
         this->calls[number] = this->peers.call(
-            address, message_type::part_inquiry, question, inquiry_timeout,
+            address, message_type::trait_inquiry, question, inquiry_timeout,
             {{},
              [this, number](const result<std::string>& reply)
              {
@@ -182,12 +182,12 @@
     this->loop.post([this] { this->end_inquiry(); });
 }
 
-void prompt_guard::handle_reply(const result<std::string>& reply)
+void crash_guard::handle_reply(const result<std::string>& reply)
 {
     if (reply.has_value())
     {
         auto knowledge =
-            decode_part_knowledge(reply.value(), net::event_loop::now());
+            decode_trait_knowledge(reply.value(), net::event_loop::now());
         if (knowledge.has_error())
         {
             log_event(log_level::warning, "part_reply_refused",
@@ -200,9 +200,9 @@
             {
                 this->history.add_report(report);
             }
-            for (const auto& [part, when] : knowledge.value().survivals)
+            for (const auto& [trait, when] : knowledge.value().survivals)
             {
-                this->history.record_survival({part}, when);
+                this->history.record_survival({trait}, when);
             }
             this->apply(knowledge.value().verdicts);
         }
@@ -210,66 +210,66 @@
     this->end_inquiry();
 }
 
-void prompt_guard::end_inquiry()
+void crash_guard::end_inquiry()
 {
     if (--this->awaited_replies > 0)
     {
         return;
     }
     const time_point now = net::event_loop::now();
-    const std::vector<prompt_part_id> parts =
+    const std::vector<request_trait> traits =
         std::exchange(this->gathered, std::nullopt)->asked;
-    part_knowledge known = this->knowledge_of(parts);
+    trait_knowledge known = this->knowledge_of(traits);
     for (routing::crash_report& report : known.crashes)
     {
-        // Nobody was asked about the other parts of other nodes' requests.
-        std::erase_if(report.parts,
-                      [&parts](const prompt_part_id& part) {
-                          return std::find(parts.begin(), parts.end(), part) ==
-                                 parts.end();
+        // Nobody was asked about the other traits of other nodes' requests.
+        std::erase_if(report.traits,
+                      [&traits](const request_trait& trait) {
+                          return std::find(traits.begin(), traits.end(),
+                                           trait) == traits.end();
                       });
     }
-    for (const prompt_part_id& part :
-         routing::find_crashing_parts(known.crashes, known.survivals))
+    for (const request_trait& trait :
+         routing::find_crashing_traits(known.crashes, known.survivals))
     {
-        if (!this->quarantine.blocked_among({part}).empty())
+        if (!this->quarantine.blocked_among({trait}).empty())
         {
             continue;
         }
-        const routing::part_verdict& verdict =
-            this->quarantine.block(part, now);
+        const routing::trait_verdict& verdict =
+            this->quarantine.block(trait, now);
         this->log_verdict(verdict, "replicas ended under it");
         this->notify_all(verdict);
     }
     this->start_inquiry();
 }
 
-part_knowledge
-prompt_guard::knowledge_of(const std::vector<prompt_part_id>& parts) const
+trait_knowledge
+crash_guard::knowledge_of(const std::vector<request_trait>& traits) const
 {
-    part_knowledge known;
-    known.asked = parts;
-    known.crashes = this->history.reports_with(parts, net::event_loop::now());
-    for (const prompt_part_id& part : parts)
+    trait_knowledge known;
+    known.asked = traits;
+    known.crashes = this->history.reports_with(traits, net::event_loop::now());
+    for (const request_trait& trait : traits)
     {
-        if (const auto when = this->history.last_survival(part))
+        if (const auto when = this->history.last_survival(trait))
         {
-            known.survivals[part] = *when;
+            known.survivals[trait] = *when;
         }
     }
     return known;
 }
 
 std::set<endpoint>
-prompt_guard::collecting_nodes(const std::vector<prompt_part_id>& parts) const
+crash_guard::collecting_nodes(const std::vector<request_trait>& traits) const
 {
     const std::vector<node_info>& nodes = this->group.live_nodes();
     const std::vector<std::string> names = this->live_names();
     std::set<endpoint> chosen;
-    for (const prompt_part_id& part : parts)
+    for (const request_trait& trait : traits)
     {
         for (const std::size_t index :
-             rendezvous_rank(names, part.str(), collectors_per_part))
+             rendezvous_rank(names, trait.str(), collectors_per_part))
         {
             if (nodes[index].id != this->group.own().id)
             {
@@ -280,7 +280,7 @@
     return chosen;
 }
 
-std::vector<std::string> prompt_guard::live_names() const
+std::vector<std::string> crash_guard::live_names() const
 {
     std::vector<std::string> names;
     for (const node_info& node : this->group.live_nodes())
@@ -290,12 +290,12 @@
     return names;
 }
 
-void prompt_guard::log_verdict(const routing::part_verdict& verdict,
-                               const char* learned_from) const
+void crash_guard::log_verdict(const routing::trait_verdict& verdict,
+                              const char* learned_from) const
 {
     log_event(log_level::warning,
               verdict.blocked ? "prompt_part_blocked" : "prompt_part_cleared",
-              {{"part", verdict.part.str()},
+              {{"trait", verdict.trait.str()},
                {"revision", verdict.revision},
                {"trial_in_ms",
                 to_milliseconds(verdict.trial_at - net::event_loop::now())},
--- a/src/relay/prompt_guard.hpp
+++ b/src/relay/crash_guard.hpp
@@ -4,10 +4,10 @@
 #include "net/event_loop.hpp"
 #include "net/http_header_list.hpp"
 #include "peering/peer_group.hpp"
-#include "relay/part_knowledge.hpp"
 #include "relay/relay_adapter.hpp"
+#include "relay/trait_knowledge.hpp"
 #include "routing/crash_history.hpp"
-#include "routing/part_quarantine.hpp"
+#include "routing/trait_quarantine.hpp"
 #include "units/ids.hpp"
 #include "wire/peer_network.hpp"
 
@@ -24,20 +24,20 @@
 namespace parsleytrack::relay
 {
 
-/// Keeps requests from replicas whose prompts contain a part that crashes each
-/// replica which begins to answer them. Nodes that lose replicas compare the
-/// prompts, and all nodes block the part that explains the losses.
-class prompt_guard
+/// Holds back requests with a trait under which each replica crashes as it
+/// begins to answer. Nodes that lose replicas compare the requests, and all
+/// nodes block the trait that explains the losses.
+class crash_guard
 {
 public:
-    /// Output events after which a replica has survived a prompt.
+    /// Output events after which a replica has survived a request.
     static constexpr int surviving_events = 2;
 
     /// \param event_loop Outlives this object, as do the other references.
-    prompt_guard(net::event_loop& event_loop, wire::peer_network& network,
-                 peering::peer_group& nodes,
-                 const relay_adapter& protocol_adapter,
-                 metrics::registry& counters);
+    crash_guard(net::event_loop& event_loop, wire::peer_network& network,
+                peering::peer_group& nodes,
+                const relay_adapter& protocol_adapter,
+                metrics::registry& counters);
 
     /// To be asked before a slot is requested, and again before the request is
     /// sent.
@@ -47,7 +47,7 @@
     std::optional<duration> rejection(const request_id& request,
                                       const net::http_header_list& headers);
 
-    /// Records that a replica has survived a prompt.
+    /// Records that a replica has survived a request.
     void handle_survival(const net::http_header_list& headers);
 
     /// Handles the loss of a replica's connection before surviving_events.
@@ -59,18 +59,18 @@
                              const net::http_header_list& headers,
                              const replica_process_id& replica_process);
 
-    /// \returns All verdicts, including those on parts no longer blocked.
-    std::vector<routing::part_verdict> verdicts() const
+    /// \returns All verdicts, including those on traits no longer blocked.
+    std::vector<routing::trait_verdict> verdicts() const
     {
         return this->quarantine.all();
     }
 
 private:
-    /// The one request that may be sent although its part is blocked.
+    /// The one request that may be sent although its trait is blocked.
     struct trial
     {
         request_id request;
-        prompt_part_id part;
+        request_trait trait;
         time_point started;
     };
 
@@ -79,17 +79,18 @@
     void end_inquiry();
     void handle_inquiry(const std::shared_ptr<wire::peer_exchange>& exchange);
     void handle_verdicts(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void apply(const std::vector<routing::part_verdict>& received);
-    part_knowledge knowledge_of(const std::vector<prompt_part_id>& parts) const;
-    /// \returns The nodes that collect the reports about the parts.
+    void apply(const std::vector<routing::trait_verdict>& received);
+    trait_knowledge
+    knowledge_of(const std::vector<request_trait>& traits) const;
+    /// \returns The nodes that collect the reports about the traits.
     std::set<endpoint>
-    collecting_nodes(const std::vector<prompt_part_id>& parts) const;
-    void notify_all(const routing::part_verdict& verdict);
+    collecting_nodes(const std::vector<request_trait>& traits) const;
+    void notify_all(const routing::trait_verdict& verdict);
     void notify(const node_info& node, const std::string& message,
                 int attempts);
     void greet_new_nodes();
     std::vector<std::string> live_names() const;
-    void log_verdict(const routing::part_verdict& verdict,
+    void log_verdict(const routing::trait_verdict& verdict,
                      const char* learned_from) const;
 
     net::event_loop& loop;
@@ -98,13 +99,13 @@
     const relay_adapter& adapter;
     metrics::registry& metrics;
     routing::crash_history history;
-    routing::part_quarantine quarantine;
+    routing::trait_quarantine quarantine;
     std::optional<trial> current_trial;
     /// Parts of the requests that have lost replicas since the last inquiry
     /// began.
-    std::set<prompt_part_id> suspects;
+    std::set<request_trait> suspects;
     /// What the current inquiry has gathered.
-    std::optional<part_knowledge> gathered;
+    std::optional<trait_knowledge> gathered;
     std::size_t awaited_replies = 0;
     std::set<std::pair<node_id, process_number>> known_processes;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
--- a/src/relay/prompt_guard_messages.cpp
+++ b/src/relay/crash_guard_messages.cpp
@@ -1,8 +1,8 @@
-// How nodes tell each other which parts of prompts are blocked.
+// How nodes tell each other which traits of requests are blocked.
 
 #include "decisions/rendezvous.hpp"
 #include "logging/log.hpp"
-#include "relay/prompt_guard.hpp"
+#include "relay/crash_guard.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -20,14 +20,14 @@
 
 } // namespace
 
-void prompt_guard::handle_inquiry(
+void crash_guard::handle_inquiry(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
     const time_point now = net::event_loop::now();
-    const auto question = decode_part_knowledge(exchange->request(), now);
+    const auto question = decode_trait_knowledge(exchange->request(), now);
     if (question.has_error())
     {
-        log_event(log_level::warning, "part_inquiry_refused",
+        log_event(log_level::warning, "trait_inquiry_refused",
                   {{"reason", question.error().message}});
         exchange->fail(question.error());
         return;
@@ -36,20 +36,20 @@
     {
         this->history.add_report(report);
     }
-    part_knowledge known = this->knowledge_of(question.value().asked);
+    trait_knowledge known = this->knowledge_of(question.value().asked);
     known.asked.clear();
     known.verdicts = this->quarantine.all();
     exchange->finish(encode(known, now));
 }
 
-void prompt_guard::handle_verdicts(
+void crash_guard::handle_verdicts(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
     const auto message =
-        decode_part_knowledge(exchange->request(), net::event_loop::now());
+        decode_trait_knowledge(exchange->request(), net::event_loop::now());
     if (message.has_error())
     {
-        log_event(log_level::warning, "part_verdicts_refused",
+        log_event(log_level::warning, "trait_verdicts_refused",
                   {{"reason", message.error().message}});
         exchange->fail(message.error());
         return;
@@ -58,9 +58,9 @@
     exchange->finish({});
 }
 
-void prompt_guard::apply(const std::vector<routing::part_verdict>& received)
+void crash_guard::apply(const std::vector<routing::trait_verdict>& received)
 {
-    for (const routing::part_verdict& verdict : received)
+    for (const routing::trait_verdict& verdict : received)
     {
         if (this->quarantine.merge(verdict))
         {
@@ -69,9 +69,9 @@
     }
 }
 
-void prompt_guard::notify_all(const routing::part_verdict& verdict)
+void crash_guard::notify_all(const routing::trait_verdict& verdict)
 {
-    part_knowledge news;
+    trait_knowledge news;
     news.verdicts.push_back(verdict);
     const std::string message = encode(news, net::event_loop::now());
     for (const node_info& node : this->group.live_nodes())
@@ -83,12 +83,12 @@
     }
 }
 
-void prompt_guard::notify(const node_info& node, const std::string& message,
-                          int attempts)
+void crash_guard::notify(const node_info& node, const std::string& message,
+                         int attempts)
 {
     const std::uint64_t number = this->next_number++;
     this->calls[number] = this->peers.call(
-        node.peer, wire::message_type::part_verdicts, message, notice_timeout,
+        node.peer, wire::message_type::trait_verdicts, message, notice_timeout,
         {{},
          [this, number, node, message,
           attempts](const result<std::string>& outcome)
@@ -99,7 +99,7 @@
              {
                  return;
              }
-             log_event(log_level::info, "part_verdict_lost",
+             log_event(log_level::info, "trait_verdict_lost",
                        {{"to", node.id.str()},
                         {"attempts_left", attempts - 1},
                         {"reason", outcome.error().message}});
@@ -119,7 +119,7 @@
          }});
 }
 
-void prompt_guard::greet_new_nodes()
+void crash_guard::greet_new_nodes()
 {
     std::set<std::pair<node_id, process_number>> current;
     std::vector<node_info> newcomers;
@@ -137,7 +137,7 @@
     {
         return;
     }
-    part_knowledge news;
+    trait_knowledge news;
     news.verdicts = this->quarantine.all();
     const std::string message = encode(news, net::event_loop::now());
     const std::vector<std::string> names = this->live_names();
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -48,7 +48,7 @@
 
 void item_run::wait_until_allowed()
 {
-    if (!this->context.prompts.rejection(request_id(this->item.id),
+    if (!this->context.crashes.rejection(request_id(this->item.id),
                                          this->item.headers))
     {
         this->request_slot();
@@ -128,7 +128,7 @@
         this->finish(item_run_result::interrupted, "the replica has left");
         return;
     }
-    if (this->context.prompts.rejection(request_id(this->item.id),
+    if (this->context.crashes.rejection(request_id(this->item.id),
                                         this->item.headers))
     {
         this->finish(item_run_result::interrupted,
@@ -216,9 +216,9 @@
         }
         this->progress.output += event.data;
         this->restart_stall_timer();
-        if (++this->events == prompt_guard::surviving_events)
+        if (++this->events == crash_guard::surviving_events)
         {
-            this->context.prompts.handle_survival(this->item.headers);
+            this->context.crashes.handle_survival(this->item.headers);
         }
     }
     if (this->splitter.is_too_long())
@@ -235,9 +235,9 @@
     if (answered && response.status == status_ok &&
         !this->splitter.has_partial_event() && this->progress.last_event > 0)
     {
-        if (this->events < prompt_guard::surviving_events)
+        if (this->events < crash_guard::surviving_events)
         {
-            this->context.prompts.handle_survival(this->item.headers);
+            this->context.crashes.handle_survival(this->item.headers);
         }
         this->finish(item_run_result::completed, reason);
         return;
@@ -261,9 +261,9 @@
     const bool ended_early =
         outcome == attempt_outcome::answered && this->status == status_ok;
     if ((ended_early || this->attempt->was_cut()) &&
-        this->events < prompt_guard::surviving_events)
+        this->events < crash_guard::surviving_events)
     {
-        this->context.prompts.handle_lost_replica(
+        this->context.crashes.handle_lost_replica(
             request_id(this->item.id), this->item.headers,
             routing::process_of(this->replica));
     }
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -67,7 +67,7 @@
 
 bool online_call::reject_if_blocked()
 {
-    const auto retry_after = this->context.prompts.rejection(
+    const auto retry_after = this->context.crashes.rejection(
         this->request.id, this->exchange->head().headers);
     if (!retry_after)
     {
@@ -225,9 +225,9 @@
     {
         ready += event.raw;
         ++this->attempt_events;
-        if (this->attempt_events == prompt_guard::surviving_events)
+        if (this->attempt_events == crash_guard::surviving_events)
         {
-            this->context.prompts.handle_survival(
+            this->context.crashes.handle_survival(
                 this->exchange->head().headers);
         }
     }
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -47,9 +47,9 @@
     const bool ended_early = outcome == attempt_outcome::answered &&
                              net::is_success(this->collected_status);
     if ((ended_early || this->attempt->was_cut()) &&
-        this->attempt_events < prompt_guard::surviving_events)
+        this->attempt_events < crash_guard::surviving_events)
     {
-        this->context.prompts.handle_lost_replica(
+        this->context.crashes.handle_lost_replica(
             this->request.id, this->exchange->head().headers,
             routing::process_of(this->replica));
     }
@@ -64,9 +64,9 @@
         {
             return false;
         }
-        if (this->attempt_events < prompt_guard::surviving_events)
+        if (this->attempt_events < crash_guard::surviving_events)
         {
-            this->context.prompts.handle_survival(
+            this->context.crashes.handle_survival(
                 this->exchange->head().headers);
         }
         this->exchange->finish_stream();
--- a/src/relay/relay_adapter.hpp
+++ b/src/relay/relay_adapter.hpp
@@ -43,7 +43,7 @@
 
     /// \returns The parts of a request's prompt that other requests may share,
     /// in their order; empty when the request has no prompt.
-    virtual std::vector<prompt_part_id>
+    virtual std::vector<request_trait>
     parse_prompt_parts(const net::http_header_list& headers) const = 0;
 
     /// \returns The address request; absent when the HTTP request is another
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -6,7 +6,7 @@
 #include "net/http_client.hpp"
 #include "peering/peer_group.hpp"
 #include "relay/configuration_follower.hpp"
-#include "relay/prompt_guard.hpp"
+#include "relay/crash_guard.hpp"
 #include "relay/relay_adapter.hpp"
 #include "relay/replica_follower.hpp"
 #include "settings/relay_settings.hpp"
@@ -29,7 +29,7 @@
     key_value::record_client& store;
     configuration_follower& configuration;
     replica_follower& replicas;
-    prompt_guard& prompts;
+    crash_guard& crashes;
     metrics::registry& metrics;
     random_source& random;
 };
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,12 +97,12 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
-    prompt_guard prompts{this->loop, this->peers, this->group, this->adapter,
-                         this->metrics};
+    crash_guard crashes{this->loop, this->peers, this->group, this->adapter,
+                        this->metrics};
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
-        this->replicas, this->prompts, this->metrics, this->random};
+        this->replicas, this->crashes, this->metrics, this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -77,13 +77,13 @@
     return list;
 }
 
-json describe_prompt_parts(const prompt_guard& prompts)
+json describe_prompt_parts(const crash_guard& crashes)
 {
     json list = json::array();
-    for (const routing::part_verdict& verdict : prompts.verdicts())
+    for (const routing::trait_verdict& verdict : crashes.verdicts())
     {
         list.push_back(
-            {{"part", verdict.part.str()},
+            {{"part", verdict.trait.str()},
              {"blocked", verdict.blocked},
              {"trial_in_ms",
               to_milliseconds(verdict.trial_at - net::event_loop::now())}});
@@ -160,7 +160,7 @@
         {"store", describe_store(this->context.store)},
         {"replicas", describe_replicas(this->context.replicas)},
         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())},
-        {"prompt_parts", describe_prompt_parts(this->context.prompts)},
+        {"prompt_parts", describe_prompt_parts(this->context.crashes)},
         {"nodes", describe_nodes(this->context.group)},
         {"jobs", describe_jobs(this->jobs)},
         {"pools", describe_pools(this->server)}};
@@ -189,12 +189,12 @@
     metrics.set_gauge(
         "parsleytrack_replicas_age_seconds", {},
         std::chrono::duration<double>(this->context.replicas.age()).count());
-    const auto verdicts = this->context.prompts.verdicts();
-    metrics.set_gauge(
-        "parsleytrack_blocked_prompt_parts", {},
-        static_cast<double>(std::count_if(verdicts.begin(), verdicts.end(),
-                                          [](const routing::part_verdict& known)
-                                          { return known.blocked; })));
+    const auto verdicts = this->context.crashes.verdicts();
+    metrics.set_gauge("parsleytrack_blocked_prompt_parts", {},
+                      static_cast<double>(
+                          std::count_if(verdicts.begin(), verdicts.end(),
+                                        [](const routing::trait_verdict& known)
+                                        { return known.blocked; })));
     metrics.set_gauge("parsleytrack_open_requests", {},
                       static_cast<double>(open_requests));
 }
--- a/src/routing/crash_history.cpp
+++ b/src/routing/crash_history.cpp
@@ -25,12 +25,12 @@
     }
 }
 
-void crash_history::record_survival(const std::vector<prompt_part_id>& parts,
+void crash_history::record_survival(const std::vector<request_trait>& traits,
                                     time_point when)
 {
-    for (const prompt_part_id& part : parts)
+    for (const request_trait& trait : traits)
     {
-        const auto known = this->survival_index.find(part);
+        const auto known = this->survival_index.find(trait);
         if (known != this->survival_index.end())
         {
             known->second->second = std::max(known->second->second, when);
@@ -38,9 +38,9 @@
                                    known->second);
             continue;
         }
-        this->survivals.emplace_front(part, when);
-        this->survival_index[part] = this->survivals.begin();
-        if (this->survivals.size() > max_survived_parts)
+        this->survivals.emplace_front(trait, when);
+        this->survival_index[trait] = this->survivals.begin();
+        if (this->survivals.size() > max_survived_traits)
         {
             this->survival_index.erase(this->survivals.back().first);
             this->survivals.pop_back();
@@ -49,18 +49,18 @@
 }
 
 std::vector<crash_report>
-crash_history::reports_with(const std::vector<prompt_part_id>& parts,
+crash_history::reports_with(const std::vector<request_trait>& traits,
                             time_point now) const
 {
     std::vector<crash_report> found;
     for (const crash_report& report : this->reports)
     {
         const bool has_part = std::any_of(
-            parts.begin(), parts.end(),
-            [&report](const prompt_part_id& part)
+            traits.begin(), traits.end(),
+            [&report](const request_trait& trait)
             {
-                return std::find(report.parts.begin(), report.parts.end(),
-                                 part) != report.parts.end();
+                return std::find(report.traits.begin(), report.traits.end(),
+                                 trait) != report.traits.end();
             });
         if (has_part && now - report.at < report_lifetime)
         {
@@ -71,9 +71,9 @@
 }
 
 std::optional<time_point>
-crash_history::last_survival(const prompt_part_id& part) const
+crash_history::last_survival(const request_trait& trait) const
 {
-    const auto found = this->survival_index.find(part);
+    const auto found = this->survival_index.find(trait);
     return found == this->survival_index.end()
                ? std::nullopt
                : std::optional(found->second->second);
--- a/src/routing/crash_history.hpp
+++ b/src/routing/crash_history.hpp
@@ -15,40 +15,40 @@
 namespace parsleytrack::routing
 {
 
-/// What a node has seen of the parts of prompts: under which ones requests lost
+/// What a node has seen of the traits of requests: under which ones they lost
 /// their replicas, and which ones replicas have survived. Both are bounded; the
 /// oldest entries are dropped first.
 class crash_history
 {
 public:
     static constexpr std::size_t max_reports = 512;
-    static constexpr std::size_t max_survived_parts = 4096;
+    static constexpr std::size_t max_survived_traits = 4096;
     /// Reports are dropped after this time.
     static constexpr duration report_lifetime = std::chrono::minutes(5);
 
     /// Adds a report; one that is known already changes nothing.
     void add_report(const crash_report& report);
 
-    /// Records that a replica has answered a prompt with these parts.
-    void record_survival(const std::vector<prompt_part_id>& parts,
+    /// Records that a replica has answered a request with these traits.
+    void record_survival(const std::vector<request_trait>& traits,
                          time_point when);
 
-    /// \returns The reports that contain at least one of the parts.
+    /// \returns The reports that contain at least one of the traits.
     std::vector<crash_report>
-    reports_with(const std::vector<prompt_part_id>& parts,
+    reports_with(const std::vector<request_trait>& traits,
                  time_point now) const;
 
-    /// \returns When a replica last survived the part; absent when that is not
+    /// \returns When a replica last survived the trait; absent when that is not
     /// remembered.
-    std::optional<time_point> last_survival(const prompt_part_id& part) const;
+    std::optional<time_point> last_survival(const request_trait& trait) const;
 
 private:
-    using survival_list = std::list<std::pair<prompt_part_id, time_point>>;
+    using survival_list = std::list<std::pair<request_trait, time_point>>;
 
     std::deque<crash_report> reports;
     /// Most recent first.
     survival_list survivals;
-    std::unordered_map<prompt_part_id, survival_list::iterator> survival_index;
+    std::unordered_map<request_trait, survival_list::iterator> survival_index;
 };
 
 } // namespace parsleytrack::routing
--- a/src/routing/crash_report.hpp
+++ b/src/routing/crash_report.hpp
@@ -14,8 +14,8 @@
     request_id request;
     /// A replica that has restarted counts as another one.
     replica_process_id replica_process;
-    /// The parts that the prompt shares with others, in their order.
-    std::vector<prompt_part_id> parts;
+    /// What the request shares with others, the more specific traits last.
+    std::vector<request_trait> traits;
     time_point at;
 
     bool operator==(const crash_report&) const = default;
--- a/src/routing/crashing_parts.cpp
+++ b/src/routing/crashing_traits.cpp
@@ -1,4 +1,4 @@
-#include "routing/crashing_parts.hpp"
+#include "routing/crashing_traits.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -10,13 +10,13 @@
 namespace
 {
 
-/// The evidence against one part.
+/// The evidence against one trait.
 struct suspect
 {
     std::set<replica_process_id> replicas;
     time_point first = time_point::max();
     time_point last = time_point::min();
-    /// Greatest position in a prompt; later parts are shared by fewer requests.
+    /// Greatest position in a request; later traits are shared by fewer ones.
     std::size_t position = 0;
     bool was_survived = false;
 
@@ -45,23 +45,23 @@
     }
 };
 
-std::map<prompt_part_id, suspect>
+std::map<request_trait, suspect>
 find_suspects(const std::vector<crash_report>& reports,
-              const std::map<prompt_part_id, time_point>& survivals)
+              const std::map<request_trait, time_point>& survivals)
 {
-    std::map<prompt_part_id, suspect> suspects;
+    std::map<request_trait, suspect> suspects;
     for (const crash_report& report : reports)
     {
-        for (std::size_t index = 0; index < report.parts.size(); ++index)
+        for (std::size_t index = 0; index < report.traits.size(); ++index)
         {
-            const prompt_part_id& part = report.parts[index];
-            const auto survival = survivals.find(part);
+            const request_trait& trait = report.traits[index];
+            const auto survival = survivals.find(trait);
             const bool was_survived = survival != survivals.end();
             if (was_survived && report.at <= survival->second)
             {
                 continue;
             }
-            suspect& entry = suspects[part];
+            suspect& entry = suspects[trait];
             entry.replicas.insert(report.replica_process);
             entry.first = std::min(entry.first, report.at);
             entry.last = std::max(entry.last, report.at);
@@ -74,11 +74,11 @@
 
 } // namespace
 
-std::vector<prompt_part_id>
-find_crashing_parts(std::vector<crash_report> reports,
-                    const std::map<prompt_part_id, time_point>& survivals)
+std::vector<request_trait>
+find_crashing_traits(std::vector<crash_report> reports,
+                     const std::map<request_trait, time_point>& survivals)
 {
-    std::vector<prompt_part_id> found;
+    std::vector<request_trait> found;
     while (true)
     {
         const auto suspects = find_suspects(reports, survivals);
@@ -96,14 +96,14 @@
         {
             return found;
         }
-        const prompt_part_id part = strongest->first;
-        found.push_back(part);
+        const request_trait trait = strongest->first;
+        found.push_back(trait);
         std::erase_if(reports,
-                      [&part](const crash_report& report)
+                      [&trait](const crash_report& report)
                       {
-                          return std::find(report.parts.begin(),
-                                           report.parts.end(),
-                                           part) != report.parts.end();
+                          return std::find(report.traits.begin(),
+                                           report.traits.end(),
+                                           trait) != report.traits.end();
                       });
     }
 }
--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/trait_quarantine.cpp
@@ -1,17 +1,17 @@
-#include "routing/part_quarantine.hpp"
+#include "routing/trait_quarantine.hpp"
 
 #include <algorithm>
 
 namespace parsleytrack::routing
 {
 
-std::vector<part_verdict>
-part_quarantine::blocked_among(const std::vector<prompt_part_id>& parts) const
+std::vector<trait_verdict>
+trait_quarantine::blocked_among(const std::vector<request_trait>& traits) const
 {
-    std::vector<part_verdict> blocked;
-    for (const prompt_part_id& part : parts)
+    std::vector<trait_verdict> blocked;
+    for (const request_trait& trait : traits)
     {
-        const auto found = this->verdicts.find(part);
+        const auto found = this->verdicts.find(trait);
         if (found != this->verdicts.end() && found->second.blocked)
         {
             blocked.push_back(found->second);
@@ -20,13 +20,13 @@
     return blocked;
 }
 
-const part_verdict& part_quarantine::block(const prompt_part_id& part,
-                                           time_point now)
+const trait_verdict& trait_quarantine::block(const request_trait& trait,
+                                             time_point now)
 {
-    part_verdict next;
-    next.part = part;
+    trait_verdict next;
+    next.trait = trait;
     next.hold = first_hold;
-    const auto known = this->verdicts.find(part);
+    const auto known = this->verdicts.find(trait);
     if (known != this->verdicts.end())
     {
         next.revision = known->second.revision + 1;
@@ -36,14 +36,14 @@
         }
     }
     next.trial_at = now + next.hold;
-    this->verdicts[part] = next;
-    this->drop_excess(part);
-    return this->verdicts[part];
+    this->verdicts[trait] = next;
+    this->drop_excess(trait);
+    return this->verdicts[trait];
 }
 
-const part_verdict* part_quarantine::clear(const prompt_part_id& part)
+const trait_verdict* trait_quarantine::clear(const request_trait& trait)
 {
-    const auto known = this->verdicts.find(part);
+    const auto known = this->verdicts.find(trait);
     if (known == this->verdicts.end() || !known->second.blocked)
     {
         return nullptr;
@@ -53,20 +53,20 @@
     return &known->second;
 }
 
-bool part_quarantine::merge(const part_verdict& received)
+bool trait_quarantine::merge(const trait_verdict& received)
 {
-    const auto known = this->verdicts.find(received.part);
+    const auto known = this->verdicts.find(received.trait);
     if (known != this->verdicts.end() &&
         known->second.revision >= received.revision)
     {
         return false;
     }
-    this->verdicts[received.part] = received;
-    this->drop_excess(received.part);
+    this->verdicts[received.trait] = received;
+    this->drop_excess(received.trait);
     return true;
 }
 
-void part_quarantine::drop_excess(const prompt_part_id& newest)
+void trait_quarantine::drop_excess(const request_trait& newest)
 {
     if (this->verdicts.size() <= max_verdicts)
     {
@@ -86,10 +86,10 @@
     this->verdicts.erase(oldest);
 }
 
-std::vector<part_verdict> part_quarantine::all() const
+std::vector<trait_verdict> trait_quarantine::all() const
 {
-    std::vector<part_verdict> list;
-    for (const auto& [part, verdict] : this->verdicts)
+    std::vector<trait_verdict> list;
+    for (const auto& [trait, verdict] : this->verdicts)
     {
         list.push_back(verdict);
     }
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/trait_quarantine.hpp
@@ -11,22 +11,22 @@
 namespace parsleytrack::routing
 {
 
-/// Whether requests with a part of a prompt may be sent to replicas.
-struct part_verdict
+/// Whether requests with a trait may be sent to replicas.
+struct trait_verdict
 {
-    prompt_part_id part;
+    request_trait trait;
     bool blocked = true;
-    /// Increases with each verdict on the part; the highest one holds.
+    /// Increases with each verdict on the trait; the highest one holds.
     int revision = 1;
-    /// When one request may be tried, if the part is blocked.
+    /// When one request may be tried, if the trait is blocked.
     time_point trial_at;
     /// Time between the verdict and the trial.
     duration hold = duration::zero();
 };
 
-/// The parts of prompts that are blocked because replicas crash under them. A
+/// The traits of requests that are blocked because replicas crash under them. A
 /// block is tried again after a time that doubles with each failed trial.
-class part_quarantine
+class trait_quarantine
 {
 public:
     /// Time until the first trial. A block has cost at least three replicas,
@@ -38,31 +38,31 @@
 
     bool is_empty() const { return this->verdicts.empty(); }
 
-    /// \returns The verdicts on those of the parts that are blocked.
-    std::vector<part_verdict>
-    blocked_among(const std::vector<prompt_part_id>& parts) const;
+    /// \returns The verdicts on those of the traits that are blocked.
+    std::vector<trait_verdict>
+    blocked_among(const std::vector<request_trait>& traits) const;
 
-    /// Blocks a part, or extends its block after a failed trial.
+    /// Blocks a trait, or extends its block after a failed trial.
     ///
     /// \returns The new verdict.
-    const part_verdict& block(const prompt_part_id& part, time_point now);
+    const trait_verdict& block(const request_trait& trait, time_point now);
 
-    /// Ends the block of a part that a replica has survived.
+    /// Ends the block of a trait that a replica has survived.
     ///
-    /// \returns The new verdict; nullptr when the part was not blocked.
-    const part_verdict* clear(const prompt_part_id& part);
+    /// \returns The new verdict; nullptr when the trait was not blocked.
+    const trait_verdict* clear(const request_trait& trait);
 
     /// Takes over another node's verdict if it is newer.
     ///
     /// \returns Whether it is.
-    bool merge(const part_verdict& received);
+    bool merge(const trait_verdict& received);
 
-    std::vector<part_verdict> all() const;
+    std::vector<trait_verdict> all() const;
 
 private:
-    void drop_excess(const prompt_part_id& newest);
+    void drop_excess(const request_trait& newest);
 
-    std::map<prompt_part_id, part_verdict> verdicts;
+    std::map<request_trait, trait_verdict> verdicts;
 };
 
 } // namespace parsleytrack::routing
--- a/src/wire/prompt_parts_codec.cpp
+++ b/src/wire/crash_traits_codec.cpp
@@ -1,9 +1,9 @@
 #include "wire/codec_impl.hpp"
-#include "wire/generated/prompt_parts_types.h"
+#include "wire/generated/crash_traits_types.h"
 
 namespace parsleytrack::wire
 {
 
-PARSLEYTRACK_DEFINE_CODEC(part_knowledge)
+PARSLEYTRACK_DEFINE_CODEC(trait_knowledge)
 
 } // namespace parsleytrack::wire
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -48,8 +48,8 @@
     replica_feed = 95,
     configuration_feed = 96,
     /// Relay: parts of prompts under which replicas crash.
-    part_inquiry = 97,
-    part_verdicts = 98
+    trait_inquiry = 97,
+    trait_verdicts = 98
 };
 
 } // namespace parsleytrack::wire
--- a/tests/platform/prompt_parts_decoder_test.cpp
+++ b/tests/platform/prompt_parts_decoder_test.cpp
@@ -14,7 +14,7 @@
 std::string decode(const net::http_header_list& headers)
 {
     std::string joined;
-    for (const prompt_part_id& part : decode_prompt_parts(headers))
+    for (const request_trait& part : decode_prompt_parts(headers))
     {
         joined += (joined.empty() ? "" : ",") + part.str();
     }
--- a/tests/routing/crash_history_test.cpp
+++ b/tests/routing/crash_history_test.cpp
@@ -10,11 +10,11 @@
 namespace
 {
 
-crash_report report(int number, const char* part, time_point when)
+crash_report report(int number, const char* trait, time_point when)
 {
     return crash_report{request_id(std::to_string(number)),
                         replica_process_id("r" + std::to_string(number)),
-                        {prompt_part_id(part)},
+                        {request_trait(trait)},
                         when};
 }
 
@@ -31,7 +31,7 @@
     this->history.add_report(report(1, "a", this->now));
     this->history.add_report(report(1, "a", this->now));
     LONGS_EQUAL(
-        1, this->history.reports_with({prompt_part_id("a")}, this->now).size());
+        1, this->history.reports_with({request_trait("a")}, this->now).size());
 }
 
 TEST(crash_history, returns_reports_on_the_parts_asked_for)
@@ -39,7 +39,7 @@
     this->history.add_report(report(1, "a", this->now));
     this->history.add_report(report(2, "b", this->now));
     const auto found = this->history.reports_with(
-        {prompt_part_id("b"), prompt_part_id("c")}, this->now);
+        {request_trait("b"), request_trait("c")}, this->now);
     LONGS_EQUAL(1, found.size());
     STRCMP_EQUAL("2", found.front().request.str().c_str());
 }
@@ -48,7 +48,7 @@
 {
     this->history.add_report(report(1, "a", this->now));
     const time_point later = this->now + crash_history::report_lifetime;
-    CHECK(this->history.reports_with({prompt_part_id("a")}, later).empty());
+    CHECK(this->history.reports_with({request_trait("a")}, later).empty());
 }
 
 TEST(crash_history, memory_is_bounded)
@@ -60,22 +60,22 @@
     }
     LONGS_EQUAL(
         crash_history::max_reports,
-        this->history.reports_with({prompt_part_id("a")}, this->now).size());
-    const prompt_part_id popular("popular");
-    for (std::size_t count = 0; count < 2 * crash_history::max_survived_parts;
+        this->history.reports_with({request_trait("a")}, this->now).size());
+    const request_trait popular("popular");
+    for (std::size_t count = 0; count < 2 * crash_history::max_survived_traits;
          ++count)
     {
         this->history.record_survival(
-            {popular, prompt_part_id("s" + std::to_string(count))}, this->now);
+            {popular, request_trait("s" + std::to_string(count))}, this->now);
     }
     CHECK(this->history.last_survival(popular).has_value());
-    CHECK_FALSE(this->history.last_survival(prompt_part_id("s0")).has_value());
+    CHECK_FALSE(this->history.last_survival(request_trait("s0")).has_value());
 }
 
 TEST(crash_history, an_older_survival_does_not_replace_a_newer_one)
 {
-    const prompt_part_id part("a");
-    this->history.record_survival({part}, this->now);
-    this->history.record_survival({part}, this->now - std::chrono::seconds(5));
-    CHECK(*this->history.last_survival(part) == this->now);
+    const request_trait trait("a");
+    this->history.record_survival({trait}, this->now);
+    this->history.record_survival({trait}, this->now - std::chrono::seconds(5));
+    CHECK(*this->history.last_survival(trait) == this->now);
 }
--- a/tests/routing/crashing_parts_test.cpp
+++ b/tests/routing/crashing_traits_test.cpp
@@ -1,4 +1,4 @@
-#include "routing/crashing_parts.hpp"
+#include "routing/crashing_traits.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -11,38 +11,38 @@
 namespace
 {
 
-const prompt_part_id first("first");
-const prompt_part_id bad("bad");
-const prompt_part_id other("other");
+const request_trait first("first");
+const request_trait bad("bad");
+const request_trait other("other");
 
 time_point at(int milliseconds)
 {
     return time_point(std::chrono::milliseconds(1000 + milliseconds));
 }
 
-/// The reports of one day, and when parts were last survived.
+/// The reports of one day, and when traits were last survived.
 struct evidence
 {
     std::vector<crash_report> reports;
-    std::map<prompt_part_id, time_point> survivals;
+    std::map<request_trait, time_point> survivals;
 
     void add(const std::string& replica,
-             const std::vector<prompt_part_id>& parts, int milliseconds)
+             const std::vector<request_trait>& traits, int milliseconds)
     {
         const std::string request = std::to_string(this->reports.size());
         this->reports.push_back(crash_report{request_id(request),
-                                             replica_process_id(replica), parts,
-                                             at(milliseconds)});
+                                             replica_process_id(replica),
+                                             traits, at(milliseconds)});
     }
 
-    /// \returns The parts found, joined by commas.
+    /// \returns The traits found, joined by commas.
     std::string find() const
     {
         std::string joined;
-        for (const prompt_part_id& part :
-             find_crashing_parts(this->reports, this->survivals))
+        for (const request_trait& trait :
+             find_crashing_traits(this->reports, this->survivals))
         {
-            joined += (joined.empty() ? "" : ",") + part.str();
+            joined += (joined.empty() ? "" : ",") + trait.str();
         }
         return joined;
     }
@@ -50,9 +50,9 @@
 
 } // namespace
 
-TEST_GROUP(crashing_parts){};
+TEST_GROUP(crashing_traits){};
 
-TEST(crashing_parts, three_replicas_that_end_under_an_unknown_part_suffice)
+TEST(crashing_traits, three_replicas_that_end_under_an_unknown_part_suffice)
 {
     evidence seen;
     seen.survivals[first] = at(400);
@@ -63,7 +63,7 @@
     STRCMP_EQUAL("bad", seen.find().c_str());
 }
 
-TEST(crashing_parts, several_requests_on_one_replica_count_once)
+TEST(crashing_traits, several_requests_on_one_replica_count_once)
 {
     evidence seen;
     for (int count = 0; count < 10; ++count)
@@ -73,21 +73,21 @@
     STRCMP_EQUAL("", seen.find().c_str());
 }
 
-TEST(crashing_parts, the_part_that_explains_all_crashes_is_blamed_alone)
+TEST(crashing_traits, the_part_that_explains_all_crashes_is_blamed_alone)
 {
-    // Sound requests that share the first part are lost with the replicas.
+    // Sound requests that share the first trait are lost with the replicas.
     evidence seen;
     for (int replica = 0; replica < 4; ++replica)
     {
         const std::string name = "r" + std::to_string(replica);
         seen.add(name, {first, bad}, replica * 100);
-        seen.add(name, {first, prompt_part_id(name)}, replica * 100);
+        seen.add(name, {first, request_trait(name)}, replica * 100);
     }
     seen.survivals[first] = at(-1000);
     STRCMP_EQUAL("bad", seen.find().c_str());
 }
 
-TEST(crashing_parts, of_two_unknown_parts_the_more_specific_one_is_blamed)
+TEST(crashing_traits, of_two_unknown_parts_the_more_specific_one_is_blamed)
 {
     evidence seen;
     for (int replica = 0; replica < 3; ++replica)
@@ -97,7 +97,7 @@
     STRCMP_EQUAL("bad", seen.find().c_str());
 }
 
-TEST(crashing_parts, two_bad_parts_are_both_found)
+TEST(crashing_traits, two_bad_parts_are_both_found)
 {
     evidence seen;
     for (int replica = 0; replica < 3; ++replica)
@@ -109,7 +109,7 @@
     STRCMP_EQUAL("bad,other", seen.find().c_str());
 }
 
-TEST(crashing_parts, a_part_that_was_survived_afterwards_is_sound)
+TEST(crashing_traits, a_part_that_was_survived_afterwards_is_sound)
 {
     evidence seen;
     for (int replica = 0; replica < 9; ++replica)
@@ -120,7 +120,7 @@
     STRCMP_EQUAL("", seen.find().c_str());
 }
 
-TEST(crashing_parts, replicas_that_end_together_prove_nothing_of_a_known_part)
+TEST(crashing_traits, replicas_that_end_together_prove_nothing_of_a_known_part)
 {
     evidence seen;
     seen.survivals[first] = at(-100);
@@ -134,9 +134,9 @@
     STRCMP_EQUAL("first", seen.find().c_str());
 }
 
-// Replicas crash at random while requests with popular and rare parts run; no
-// part may be blamed.
-TEST(crashing_parts, random_crashes_among_popular_parts_blame_nothing)
+// Replicas crash at random while requests with popular and rare traits run; no
+// trait may be blamed.
+TEST(crashing_traits, random_crashes_among_popular_parts_blame_nothing)
 {
     for (unsigned seed = 0; seed < 200; ++seed)
     {
@@ -149,17 +149,16 @@
             const std::string replica = "r" + std::to_string(crash);
             for (int request = 0; request < 2; ++request)
             {
-                const prompt_part_id shared("p" +
-                                            std::to_string(popular(random)));
-                const prompt_part_id session("s" +
-                                             std::to_string(rare(random)));
+                const request_trait shared("p" +
+                                           std::to_string(popular(random)));
+                const request_trait session("s" + std::to_string(rare(random)));
                 seen.add(replica, {shared, session}, crash * 300);
             }
         }
-        // Popular parts are answered by other replicas meanwhile.
-        for (int part = 0; part < 10; ++part)
+        // Popular traits are answered by other replicas meanwhile.
+        for (int trait = 0; trait < 10; ++trait)
         {
-            seen.survivals[prompt_part_id("p" + std::to_string(part))] =
+            seen.survivals[request_trait("p" + std::to_string(trait))] =
                 at(2800);
         }
         STRCMP_EQUAL("", seen.find().c_str());
