Block a request that comes again after it has crashed replicas

The content of each online request (method, host, target, body) is now a trait like the parts of its prompt, the most specific one: three replicas that end under it block it at all nodes, a trial follows after a minute, and a survival clears it. Items have none, since they never crash replicas by themselves; they are owed and run again.

relay_process_crashing_requests failed before and passes.

--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -39,10 +39,8 @@
 crash_guard::crash_guard(net::event_loop& event_loop,
                          wire::peer_network& network,
                          peering::peer_group& nodes,
-                         const relay_adapter& protocol_adapter,
                          metrics::registry& counters)
-    : loop(event_loop), peers(network), group(nodes), adapter(protocol_adapter),
-      metrics(counters)
+    : loop(event_loop), peers(network), group(nodes), metrics(counters)
 {
     using exchange_pointer = std::shared_ptr<wire::peer_exchange>;
     this->peers.on_call(message_type::trait_inquiry,
@@ -56,14 +54,13 @@
 
 std::optional<duration>
 crash_guard::rejection(const request_id& request,
-                       const net::http_header_list& headers)
+                       const std::vector<request_trait>& traits)
 {
     if (this->quarantine.is_empty())
     {
         return std::nullopt;
     }
-    const auto blocked = this->quarantine.blocked_among(
-        this->adapter.parse_prompt_parts(headers));
+    const auto blocked = this->quarantine.blocked_among(traits);
     if (blocked.empty())
     {
         return std::nullopt;
@@ -86,7 +83,7 @@
     if (blocked.size() == 1 && now >= verdict.trial_at && trial_is_over &&
         decides)
     {
-        log_event(log_level::info, "prompt_part_tried",
+        log_event(log_level::info, "request_trait_tried",
                   {{"trait", verdict.trait.str()}, {"request", request.str()}});
         this->current_trial = trial{request, verdict.trait, now};
         return std::nullopt;
@@ -94,10 +91,8 @@
     return std::max<duration>(shortest_retry_after, verdict.trial_at - now);
 }
 
-void crash_guard::handle_survival(const net::http_header_list& headers)
+void crash_guard::handle_survival(const std::vector<request_trait>& traits)
 {
-    const std::vector<request_trait> traits =
-        this->adapter.parse_prompt_parts(headers);
     this->history.record_survival(traits, net::event_loop::now());
     // Also ends a block that a request from before it has shown to be wrong.
     for (const routing::trait_verdict& blocked :
@@ -117,21 +112,19 @@
 }
 
 void crash_guard::handle_lost_replica(const request_id& request,
-                                      const net::http_header_list& headers,
+                                      const std::vector<request_trait>& traits,
                                       const replica_process_id& replica_process)
 {
-    const std::vector<request_trait> traits =
-        this->adapter.parse_prompt_parts(headers);
     if (traits.empty())
     {
         return;
     }
     const time_point now = net::event_loop::now();
-    log_event(log_level::info, "replica_lost_under_prompt",
+    log_event(log_level::info, "replica_lost_under_request",
               {{"request", request.str()},
                {"replica", replica_process.str()},
                {"traits", join(traits)}});
-    this->metrics.count("parsleytrack_replicas_lost_under_prompts_total", {});
+    this->metrics.count("parsleytrack_replicas_lost_under_requests_total", {});
     if (this->current_trial && this->current_trial->request == request)
     {
         const routing::trait_verdict& verdict =
@@ -294,7 +287,8 @@
                               const char* learned_from) const
 {
     log_event(log_level::warning,
-              verdict.blocked ? "prompt_part_blocked" : "prompt_part_cleared",
+              verdict.blocked ? "request_trait_blocked"
+                              : "request_trait_cleared",
               {{"trait", verdict.trait.str()},
                {"revision", verdict.revision},
                {"trial_in_ms",
--- a/src/relay/crash_guard.hpp
+++ b/src/relay/crash_guard.hpp
@@ -2,9 +2,7 @@
 
 #include "metrics/registry.hpp"
 #include "net/event_loop.hpp"
-#include "net/http_header_list.hpp"
 #include "peering/peer_group.hpp"
-#include "relay/relay_adapter.hpp"
 #include "relay/trait_knowledge.hpp"
 #include "routing/crash_history.hpp"
 #include "routing/trait_quarantine.hpp"
@@ -35,28 +33,27 @@
 
     /// \param event_loop Outlives this object, as do the other references.
     crash_guard(net::event_loop& event_loop, wire::peer_network& network,
-                peering::peer_group& nodes,
-                const relay_adapter& protocol_adapter,
-                metrics::registry& counters);
+                peering::peer_group& nodes, metrics::registry& counters);
 
     /// To be asked before a slot is requested, and again before the request is
     /// sent.
     ///
+    /// \param traits The traits of the request, the more specific ones last.
     /// \returns Absent when the request may be sent; otherwise the time until
     /// the block is tried.
     std::optional<duration> rejection(const request_id& request,
-                                      const net::http_header_list& headers);
+                                      const std::vector<request_trait>& traits);
 
     /// Records that a replica has survived a request.
-    void handle_survival(const net::http_header_list& headers);
+    void handle_survival(const std::vector<request_trait>& traits);
 
     /// Handles the loss of a replica's connection before surviving_events.
     ///
     /// \param request The request that was running on the replica.
-    /// \param headers The request's header fields.
+    /// \param traits The traits of the request, the more specific ones last.
     /// \param replica_process The process that is lost.
     void handle_lost_replica(const request_id& request,
-                             const net::http_header_list& headers,
+                             const std::vector<request_trait>& traits,
                              const replica_process_id& replica_process);
 
     /// \returns All verdicts, including those on traits no longer blocked.
@@ -96,7 +93,6 @@
     net::event_loop& loop;
     wire::peer_network& peers;
     peering::peer_group& group;
-    const relay_adapter& adapter;
     metrics::registry& metrics;
     routing::crash_history history;
     routing::trait_quarantine quarantine;
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -33,7 +33,8 @@
                    end_callback on_end)
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), progress(known_progress),
-      may_send(std::move(check)), ended_callback(std::move(on_end))
+      may_send(std::move(check)), ended_callback(std::move(on_end)),
+      traits(node.adapter.parse_prompt_parts(run_item.headers))
 {
 }
 
@@ -49,7 +50,7 @@
 void item_run::wait_until_allowed()
 {
     if (!this->context.crashes.rejection(request_id(this->item.id),
-                                         this->item.headers))
+                                         this->traits))
     {
         this->request_slot();
         return;
@@ -129,7 +130,7 @@
         return;
     }
     if (this->context.crashes.rejection(request_id(this->item.id),
-                                        this->item.headers))
+                                        this->traits))
     {
         this->finish(item_run_result::interrupted,
                      "replicas crash under a part of the prompt");
@@ -218,7 +219,7 @@
         this->restart_stall_timer();
         if (++this->events == crash_guard::surviving_events)
         {
-            this->context.crashes.handle_survival(this->item.headers);
+            this->context.crashes.handle_survival(this->traits);
         }
     }
     if (this->splitter.is_too_long())
@@ -237,7 +238,7 @@
     {
         if (this->events < crash_guard::surviving_events)
         {
-            this->context.crashes.handle_survival(this->item.headers);
+            this->context.crashes.handle_survival(this->traits);
         }
         this->finish(item_run_result::completed, reason);
         return;
@@ -264,7 +265,7 @@
         this->events < crash_guard::surviving_events)
     {
         this->context.crashes.handle_lost_replica(
-            request_id(this->item.id), this->item.headers,
+            request_id(this->item.id), this->traits,
             routing::process_of(this->replica));
     }
 }
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -89,6 +90,9 @@
     jobs::item_progress& progress;
     send_check may_send;
     end_callback ended_callback;
+    /// The parts of the prompt. The content is none, since an item never
+    /// crashes replicas by itself.
+    std::vector<request_trait> traits;
     /// The granted replica while the item must not be sent yet.
     replica_id granted_replica;
     service_name service;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/hop_headers.hpp"
 #include "relay/replica_request.hpp"
+#include "relay/request_content.hpp"
 
 #include <algorithm>
 #include <random>
@@ -39,6 +40,9 @@
 
 void online_call::start()
 {
+    const net::http_request_head& head = this->exchange->head();
+    this->traits = this->context.adapter.parse_prompt_parts(head.headers);
+    this->traits.push_back(content_trait(head, this->request.body));
     const auto& choices = this->request.route->services;
     std::vector<int> weights;
     for (const routing::weighted_service& choice : choices)
@@ -67,15 +71,15 @@
 
 bool online_call::reject_if_blocked()
 {
-    const auto retry_after = this->context.crashes.rejection(
-        this->request.id, this->exchange->head().headers);
+    const auto retry_after =
+        this->context.crashes.rejection(this->request.id, this->traits);
     if (!retry_after)
     {
         return false;
     }
     this->fail(error{error_code::no_replica,
-                     "replicas crash under a part of this prompt",
-                     ran_state::no, *retry_after});
+                     "replicas crash under this request", ran_state::no,
+                     *retry_after});
     return true;
 }
 
@@ -227,8 +231,7 @@
         ++this->attempt_events;
         if (this->attempt_events == crash_guard::surviving_events)
         {
-            this->context.crashes.handle_survival(
-                this->exchange->head().headers);
+            this->context.crashes.handle_survival(this->traits);
         }
     }
     if (this->splitter.is_too_long())
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -40,7 +41,7 @@
     void start();
 
 private:
-    /// Rejects the request if a part of its prompt crashes replicas.
+    /// Rejects the request if replicas crash under it or a part of its prompt.
     ///
     /// \returns Whether it was rejected.
     bool reject_if_blocked();
@@ -73,6 +74,8 @@
     online_request request;
     std::function<void()> ended_callback;
     service_name service;
+    /// What the request may have in common with others that crash replicas.
+    std::vector<request_trait> traits;
 
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -50,8 +50,7 @@
         this->attempt_events < crash_guard::surviving_events)
     {
         this->context.crashes.handle_lost_replica(
-            this->request.id, this->exchange->head().headers,
-            routing::process_of(this->replica));
+            this->request.id, this->traits, routing::process_of(this->replica));
     }
 }
 
@@ -66,8 +65,7 @@
         }
         if (this->attempt_events < crash_guard::surviving_events)
         {
-            this->context.crashes.handle_survival(
-                this->exchange->head().headers);
+            this->context.crashes.handle_survival(this->traits);
         }
         this->exchange->finish_stream();
         this->finish("served", status);
@@ -79,6 +77,9 @@
         // The stream ended without a single event.
         return false;
     }
+    // A complete answer shows that the replica survived, also one that says
+    // that it failed.
+    this->context.crashes.handle_survival(this->traits);
     const std::string& body =
         this->collected_body.empty() ? response.body : this->collected_body;
     if (status >= first_error_status && this->may_send_again())
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,8 +97,7 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
-    crash_guard crashes{this->loop, this->peers, this->group, this->adapter,
-                        this->metrics};
+    crash_guard crashes{this->loop, this->peers, this->group, this->metrics};
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
--- /dev/null
+++ b/src/relay/request_content.cpp
@@ -0,0 +1,44 @@
+#include "relay/request_content.hpp"
+
+#include "net/http_header_list.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// Ids of prompt parts contain no colon.
+constexpr std::string_view content_prefix = "request:";
+
+} // namespace
+
+request_trait content_trait(const net::http_request_head& head,
+                            std::string_view body)
+{
+    const std::string* host = net::find_header(head.headers, "Host");
+    // A line feed occurs in none of these but the body.
+    std::string content = head.method + '\n' +
+                          (host == nullptr ? std::string() : *host) + '\n' +
+                          head.path + '\n' + head.raw_query + '\n';
+    content += body;
+    const XXH128_hash_t hash = XXH3_128bits(content.data(), content.size());
+    std::array<char, 33> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(hash.high64),
+                  static_cast<unsigned long long>(hash.low64));
+    return request_trait(std::string(content_prefix) + digits.data());
+}
+
+bool is_content(const request_trait& trait)
+{
+    return trait.str().starts_with(content_prefix);
+}
+
+} // namespace parsleytrack::relay
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -1,6 +1,7 @@
 #include "relay/status_report.hpp"
 
 #include "logging/log.hpp"
+#include "relay/request_content.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -77,13 +78,21 @@
     return list;
 }
 
-json describe_prompt_parts(const crash_guard& crashes)
+/// \param name The field name of a trait.
+/// \param contents Whether contents of requests are listed, or else parts of
+/// prompts.
+json describe_verdicts(const crash_guard& crashes, const char* name,
+                       bool contents)
 {
     json list = json::array();
     for (const routing::trait_verdict& verdict : crashes.verdicts())
     {
+        if (is_content(verdict.trait) != contents)
+        {
+            continue;
+        }
         list.push_back(
-            {{"part", verdict.trait.str()},
+            {{name, verdict.trait.str()},
              {"blocked", verdict.blocked},
              {"trial_in_ms",
               to_milliseconds(verdict.trial_at - net::event_loop::now())}});
@@ -160,7 +169,10 @@
         {"store", describe_store(this->context.store)},
         {"replicas", describe_replicas(this->context.replicas)},
         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())},
-        {"prompt_parts", describe_prompt_parts(this->context.crashes)},
+        {"prompt_parts",
+         describe_verdicts(this->context.crashes, "part", false)},
+        {"crashing_requests",
+         describe_verdicts(this->context.crashes, "content", true)},
         {"nodes", describe_nodes(this->context.group)},
         {"jobs", describe_jobs(this->jobs)},
         {"pools", describe_pools(this->server)}};
@@ -189,12 +201,17 @@
     metrics.set_gauge(
         "parsleytrack_replicas_age_seconds", {},
         std::chrono::duration<double>(this->context.replicas.age()).count());
-    const auto verdicts = this->context.crashes.verdicts();
-    metrics.set_gauge("parsleytrack_blocked_prompt_parts", {},
-                      static_cast<double>(
-                          std::count_if(verdicts.begin(), verdicts.end(),
-                                        [](const routing::trait_verdict& known)
-                                        { return known.blocked; })));
+    int blocked_parts = 0;
+    int blocked_requests = 0;
+    for (const routing::trait_verdict& verdict :
+         this->context.crashes.verdicts())
+    {
+        int& count =
+            is_content(verdict.trait) ? blocked_requests : blocked_parts;
+        count += verdict.blocked ? 1 : 0;
+    }
+    metrics.set_gauge("parsleytrack_blocked_prompt_parts", {}, blocked_parts);
+    metrics.set_gauge("parsleytrack_blocked_requests", {}, blocked_requests);
     metrics.set_gauge("parsleytrack_open_requests", {},
                       static_cast<double>(open_requests));
 }
--- a/src/units/ids.hpp
+++ b/src/units/ids.hpp
@@ -24,8 +24,8 @@
 using request_id = strong_id<struct request_id_tag>;
 /// A batch job.
 using job_id = strong_id<struct job_id_tag>;
-/// What requests that crash replicas may have in common, such as a part of
-/// their prompts.
+/// What requests that crash replicas may have in common: a part of their
+/// prompts, or all of their content.
 using request_trait = strong_id<struct request_trait_tag>;
 /// Calls with the same key take effect at most once.
 using idempotency_key = strong_id<struct idempotency_key_tag>;
--- a/tests/relay_process/crashing_request_test.cpp
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,8 +22,11 @@
 constexpr duration reaction_time = std::chrono::seconds(3);
 const std::string bad_body = "bad";
 
+/// How long after a crash another process of the replica starts.
+constexpr duration restart_time = std::chrono::seconds(1);
+
 /// A fleet whose replicas crash under one request, which comes again and again
-/// at any node, and are back at once as another process.
+/// at any node, and are back after a second as another process.
 class crashing_fleet
 {
 public:
@@ -38,7 +42,7 @@
             engine->crashing_body = bad_body;
             engine->on_crash = [this, &engine]
             {
-                this->restart(*engine);
+                this->handle_crash(*engine);
             };
             this->fleet.store.put("servers/" + engine->name(),
                                   engine->record(this->service_name));
@@ -107,16 +111,23 @@
                                 "x" + std::to_string(++this->sent), body);
     }
 
-    void restart(replica_stand_in& engine)
+    void handle_crash(replica_stand_in& engine)
     {
-        engine.restart();
-        this->fleet.store.put("servers/" + engine.name(),
-                              engine.record(this->service_name));
+        engine.stop();
+        this->restarts[engine.name()] = this->fleet.loop.call_after(
+            restart_time,
+            [this, &engine]
+            {
+                engine.restart();
+                this->fleet.store.put("servers/" + engine.name(),
+                                      engine.record(this->service_name));
+            });
     }
 
     std::string bad_path;
     std::string service_name;
     int sent = 0;
+    std::map<std::string, net::timer> restarts;
 };
 
 } // namespace
@@ -181,6 +192,15 @@
     CHECK_EQUAL(202, fleet.submit(0, "job", 48).status);
     fleet.prompt_parts.clear();
     crashing.react();
+    std::size_t runs = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& [request, count] : engine->runs)
+        {
+            runs += request.starts_with("job-") ? 1 : 0;
+        }
+    }
+    CHECK(runs > 48);
     const auto results = fleet.results(1, "job");
     CHECK_EQUAL(48, results.size());
     for (const auto& entry : results)
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -54,6 +54,11 @@
     const std::shared_ptr<net::http_exchange>& exchange,
     const std::string& body)
 {
+    if (this->down)
+    {
+        exchange->abort();
+        return;
+    }
     this->arrivals.push_back(net::event_loop::now());
     const auto& headers = exchange->head().headers;
     const std::string* request =
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -41,8 +41,16 @@
     /// advertises.
     const endpoint& listen_address() const { return this->address; }
 
-    /// Makes record() describe another process of the replica.
-    void restart() { ++this->started; }
+    /// Makes record() describe another process of the replica, which accepts
+    /// requests.
+    void restart()
+    {
+        ++this->started;
+        this->down = false;
+    }
+
+    /// Closes all connections until restart() is called.
+    void stop() { this->down = true; }
 
     /// Sets the address that record() contains.
     void advertise(const endpoint& advertised)
@@ -108,6 +116,7 @@
     net::event_loop& loop;
     std::string id;
     int started = 1;
+    bool down = false;
     net::http_server server;
     endpoint address{"127.0.0.1", 0};
     endpoint advertised_address;
--- a/tests/routing/crashing_traits_test.cpp
+++ b/tests/routing/crashing_traits_test.cpp
@@ -97,6 +97,22 @@
     STRCMP_EQUAL("bad", seen.find().c_str());
 }
 
+// Pattern: one request comes again and again, beside sound ones that share the
+// parts of its prompt.
+TEST(crashing_traits, a_request_that_comes_again_is_blamed_alone)
+{
+    evidence seen;
+    seen.survivals[first] = at(250);
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        seen.add("r" + std::to_string(crash), {first, bad}, 100 * crash);
+        seen.add("r" + std::to_string(crash),
+                 {first, request_trait("in-progress" + std::to_string(crash))},
+                 100 * crash);
+    }
+    STRCMP_EQUAL("bad", seen.find().c_str());
+}
+
 TEST(crashing_traits, two_bad_parts_are_both_found)
 {
     evidence seen;
