Take losses under items for no evidence against their prompts

Items that had just begun on three replicas which another request crashed blocked the part of the prompt that all items of the route share, so jobs stood still for a minute.

items_that_had_just_begun_do_not_wait failed before (no result of 12 within 20 s) and passes. Items still wait while an online request has shown that a part of their prompt crashes replicas.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -248,7 +248,6 @@
         this->finish(item_run_result::impossible, reason);
         return;
     }
-    this->report_crash(outcome);
     this->slots.report_failure(request_id(this->item.id), this->service,
                                this->replica, outcome);
     const bool failed = answered && response.status != status_ok;
@@ -257,19 +256,6 @@
                  reason);
 }
 
-void item_run::report_crash(attempt_outcome outcome)
-{
-    const bool ended_early =
-        outcome == attempt_outcome::answered && this->status == status_ok;
-    if ((ended_early || this->attempt->was_cut()) &&
-        this->events < crash_guard::surviving_events)
-    {
-        this->context.crashes.handle_lost_replica(
-            request_id(this->item.id), this->traits,
-            routing::process_of(this->replica));
-    }
-}
-
 void item_run::finish(item_run_result end, const std::string& reason)
 {
     this->stall_timer.cancel();
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -79,8 +79,6 @@
     void restart_stall_timer();
     void handle_end(attempt_outcome outcome, const net::http_response& response,
                     const std::string& reason);
-    /// Reports a run that ended as if its replica had crashed.
-    void report_crash(attempt_outcome outcome);
     void finish(item_run_result end, const std::string& reason);
 
     const relay_context& context;
@@ -90,8 +88,9 @@
     jobs::item_progress& progress;
     send_check may_send;
     end_callback ended_callback;
-    /// The parts of the prompt. The content is none, since an item never
-    /// crashes replicas by itself.
+    /// The parts of the prompt, which online requests may have shown to crash
+    /// replicas. Losses under items show nothing: items never crash replicas by
+    /// themselves.
     std::vector<request_trait> traits;
     /// The granted replica while the item must not be sent yet.
     replica_id granted_replica;
--- a/tests/relay_process/crashing_request_test.cpp
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -32,8 +32,11 @@
 public:
     /// \param service The service of the replicas.
     explicit crashing_fleet(const char* path = "/plain/a",
-                            const char* service = "web")
-        : bad_path(path), service_name(service)
+                            const char* service = "web",
+                            int engines = engine_count)
+        : fleet(relay_fleet_options{.node_count = node_count,
+                                    .engine_count = engines}),
+          bad_path(path), service_name(service)
     {
         this->fleet.store.erase("servers/i-web");
         for (auto& engine : this->fleet.engines)
@@ -100,8 +103,7 @@
         CHECK_EQUAL(before, this->crashes());
     }
 
-    relay_fleet fleet{relay_fleet_options{.node_count = node_count,
-                                          .engine_count = engine_count}};
+    relay_fleet fleet;
 
 private:
     relay_fleet::response send(int node, const std::string& path,
@@ -208,3 +210,26 @@
         STRCMP_EQUAL("completed", entry["state"].get<std::string>().c_str());
     }
 }
+
+// Guards against holding items back for a minute, because they had just begun
+// on the replicas that crashed under another request.
+TEST(relay_crashing_requests, items_that_had_just_begun_do_not_wait)
+{
+    crashing_fleet crashing("/once/a", "llm", crash_limit);
+    relay_fleet& fleet = crashing.fleet;
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(600);
+        engine->event_count = 4;
+    }
+    fleet.prompt_parts = "5c1e07a2:100,e2:250";
+    CHECK_EQUAL(202, fleet.submit(0, "job", 12).status);
+    fleet.prompt_parts.clear();
+    fleet.run_for(std::chrono::milliseconds(200));
+    for (int count = 0; count < crash_limit; ++count)
+    {
+        crashing.send_bad(count);
+    }
+    CHECK_EQUAL(crash_limit, crashing.crashes());
+    CHECK_EQUAL(12, fleet.results(1, "job").size());
+}
