Take back the slots of nodes that are dead

A node that stands still keeps its connections open, so the broker went on holding what the node had, and granted it what it had been waiting for. Jobs that another node had taken over found no slot until the first one woke: seen as a test of pages that waited 20 s for a job, with all 12 slots held by the frozen node in the broker's log.

A slot request now names its node. When the group holds that node for dead, the broker ends the call and takes the slot back; a node that was only frozen asks the next broker when it wakes, as after the loss of a broker. Nodes that are not known yet keep what they have.

--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -51,6 +51,7 @@
     const std::uint64_t number = this->next_number++;
     open_request& state = this->requests[number];
     state.request = wanted;
+    state.request.node = this->context.group.own().id;
     state.request.pool.index = this->pools_of(wanted.pool.service)
                                    .selector.choose(this->context.random);
     state.handlers = std::move(handlers);
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -86,6 +86,7 @@
 {
     wire::slot_order message;
     message.request = request.request.str();
+    message.node = request.node.str();
     message.service_name = request.pool.service.str();
     message.priority = request.priority;
     message.batch = request.kind == work_class::batch;
@@ -115,6 +116,7 @@
     const wire::slot_order& read = message.value();
     slot_request request;
     request.request = request_id(read.request);
+    request.node = node_id(read.node);
     request.pool.service = service_name(read.service_name);
     request.priority = read.priority;
     request.kind = read.batch ? work_class::batch : work_class::online;
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -15,6 +15,8 @@
 struct slot_request
 {
     request_id request;
+    /// The node that requests the slot; empty if it does not say so.
+    node_id node;
     slot_pool pool;
     work_class kind = work_class::online;
     /// 0 is the most urgent.
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -6,6 +6,7 @@
 #include "slots/replica_pools.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -29,6 +30,7 @@
         [this]
         {
             this->selector.clear_choices();
+            this->drop_requests_of_dead_nodes();
             this->update_replicas();
         });
     this->context.peers.on_call(
@@ -101,6 +103,7 @@
     }
     const open_request state = std::move(found->second);
     this->requests.erase(found);
+    this->calls.erase(ticket);
     const auto found_ticket = this->tickets.find(state.request.request);
     if (found_ticket != this->tickets.end() && found_ticket->second == ticket)
     {
@@ -219,9 +222,48 @@
     const slots::slot_ticket ticket = this->open(
         request.value(), [exchange](const slot_response& response)
         { exchange->send_part(encode(response, net::event_loop::now())); });
+    this->calls[ticket] = exchange;
     exchange->on_cancelled([this, ticket] { this->close(ticket); });
 }
 
+void slot_server::drop_requests_of_dead_nodes()
+{
+    // Nodes that have just started may not be known yet.
+    std::set<node_id> dead;
+    for (const node_info& node : this->context.group.all())
+    {
+        if (node.state == node_state::dead)
+        {
+            dead.insert(node.id);
+        }
+    }
+    std::vector<slots::slot_ticket> dropped;
+    for (const auto& [ticket, exchange] : this->calls)
+    {
+        if (dead.contains(this->requests.at(ticket).request.node))
+        {
+            dropped.push_back(ticket);
+        }
+    }
+    for (const slots::slot_ticket ticket : dropped)
+    {
+        const auto found = this->calls.find(ticket);
+        if (found == this->calls.end())
+        {
+            continue;
+        }
+        log_event(log_level::info, "slot_taken_from_dead_node",
+                  {{"request", this->requests.at(ticket).request.request.str()},
+                   {"holder", this->requests.at(ticket).request.node.str()}});
+        // A node that was only frozen asks the next broker when it wakes.
+        found->second->fail(error{error_code::peer_unreachable,
+                                  "the node is considered dead",
+                                  ran_state::no,
+                                  {}});
+        this->close(ticket);
+    }
+}
+
 void slot_server::handle_peer_report(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -60,6 +60,9 @@
     handle_peer_request(const std::shared_ptr<wire::peer_exchange>& exchange);
     void
     handle_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
+    /// Takes back what nodes hold or wait for that are gone, which may have
+    /// been frozen with their connections open.
+    void drop_requests_of_dead_nodes();
     void update_replicas();
     void update_replicas(const slot_pool& pool, slots::slot_broker& broker);
     /// \returns What this node may grant of a replica's limit; absent when the
@@ -77,6 +80,8 @@
     slots::broker_selector selector{duration::zero()};
     std::map<slots::slot_ticket, open_request> requests;
     std::map<request_id, slots::slot_ticket> tickets;
+    /// The calls of other nodes.
+    std::map<slots::slot_ticket, std::shared_ptr<wire::peer_exchange>> calls;
     std::int64_t next_ticket = 1;
     net::timer tick_timer;
     net::timer metrics_timer;
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -23,6 +23,8 @@
   10: i32 pool;
   // Time until nobody waits for the response any more.
   11: optional i64 abandoned_in_ms;
+  // The node that requests the slot.
+  12: string node;
 }
 
 enum slot_verdict {
--- a/tests/relay_process/reclaim_test.cpp
+++ b/tests/relay_process/reclaim_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -41,3 +43,29 @@
         CHECK_FALSE(fleet.process(0).has_ended());
     }
 }
+
+// Guards against slots that stay with a node which stands still: its
+// connections stay open, and no other node could use the slots.
+TEST(relay_reclaim, slots_of_a_frozen_node_are_granted_to_others)
+{
+    relay_fleet fleet(3);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(200);
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 40).status);
+    fleet.run_for(std::chrono::seconds(1));
+    for (int node = 0; node < 3; ++node)
+    {
+        const auto jobs = fleet.status(node)["jobs"];
+        if (!jobs.empty())
+        {
+            fleet.process(node).signal(SIGSTOP);
+            const auto results = fleet.results((node + 1) % 3, "job");
+            CHECK_EQUAL(40, results.size());
+            fleet.process(node).signal(SIGCONT);
+            return;
+        }
+    }
+    FAIL("no node owns the job");
+}
