Deny a job's results only on recent knowledge

An owner answered from memory, and nothing bounded the age of what it knew: one that had been replaced while it stood still, or that got a handover late, denied results until its next commit or item told it.

An owner now gives a page without results only if the store had exactly its outcomes half a second ago or later. Commits confirm that; else the readers of the job share one read of the record. A node that cannot know reads the store itself or answers 503, and a node that has passed results on does not pass on an owner's page without them.

Weighed: confirming each page (most have results, which cannot be wrong); a lease of the owner (one more write a job).

--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -12,6 +12,7 @@
 #include "relay/usage_tracker.hpp"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,21 +60,38 @@
     /// Applies the job's record if another node has written a newer one.
     void apply_record(const key_value::stored_record& record);
 
-    /// Reads results.
+    /// Gets a page, or error_code::store_unavailable if it is not known whether
+    /// another node has committed more results.
+    using page_callback = std::function<void(result<jobs::job_page>)>;
+
+    /// Reads results. A page without any is given only if the job's state is
+    /// known to be recent.
     ///
     /// \param after Position of the first result.
     /// \param wait How long to wait if there is no result yet.
-    void read(std::size_t after, duration wait,
-              result_readers::page_callback callback)
-    {
-        this->readers.read(after, wait, std::move(callback));
-    }
+    void read(std::size_t after, duration wait, page_callback callback);
 
     const jobs::owned_job& job() const { return this->owned; }
 
 private:
+    /// A read that waits until the job's state is known.
+    struct unconfirmed_reader
+    {
+        std::size_t after = 0;
+        page_callback callback;
+        net::timer expiry;
+    };
+
     void end_runs();
     void return_running_items();
+    /// Gives a page without results, once it is known that there are none.
+    void confirm_page(std::size_t after, page_callback callback);
+    /// Gives the pages that wait for it.
+    ///
+    /// \param sent When the read or commit was sent that the store's answer
+    /// confirms.
+    void confirm_outcomes(time_point sent);
+    void fail_unconfirmed();
     void start_item(std::size_t item, const routing::route& route);
     void handle_item_end(std::size_t item, item_run_result end,
                          const std::string& reason, int max_failures);
@@ -87,6 +105,7 @@
     void read_state();
     /// \returns Whether the job still runs, on this node.
     bool is_unchanged(const key_value::stored_record& record) const;
+    bool has_same_outcomes(const key_value::stored_record& record) const;
     void handle_state(const key_value::stored_record& record);
     /// Lets the items go on that wait for the job's state.
     void resume_items(std::optional<time_point> send_by);
@@ -120,6 +139,9 @@
     result_readers readers;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
     state_confirmation confirmation;
+    /// When the store had exactly the outcomes that this node has.
+    std::optional<time_point> outcomes_confirmed_at;
+    std::list<unconfirmed_reader> unconfirmed_readers;
     /// Items with a slot that wait for the job's state.
     std::vector<std::size_t> unconfirmed_items;
     bool is_reading_state = false;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -119,113 +119,21 @@
         {
             if (*observed)
             {
-                if (outcome.has_value() && outcome.value().applied)
+                const bool applied =
+                    outcome.has_value() && outcome.value().applied;
+                if (applied)
                 {
                     this->confirmation.confirm(sent);
                 }
                 this->handle_commit_outcome(commit, remaining, outcome);
+                if (applied)
+                {
+                    this->confirm_outcomes(sent);
+                }
             }
         });
 }
 
-void job_owner::confirm_state()
-{
-    if (this->unconfirmed_items.size() == 1)
-    {
-        this->state_wait.start(net::event_loop::now());
-        this->state_timer = this->context.loop.call_every(
-            running_wait::check_interval, [this] { this->check_state_wait(); });
-    }
-    this->read_state();
-}
-
-void job_owner::check_state_wait()
-{
-    if (this->unconfirmed_items.empty())
-    {
-        this->state_timer.cancel();
-        return;
-    }
-    const time_point now = net::event_loop::now();
-    if (this->state_wait.check(now))
-    {
-        this->confirmation.record_outage(now);
-    }
-    if (const auto limit = this->start_limit())
-    {
-        this->state_timer.cancel();
-        this->resume_items(limit);
-        return;
-    }
-    this->read_state();
-}
-
-void job_owner::read_state()
-{
-    if (std::exchange(this->is_reading_state, true))
-    {
-        return;
-    }
-    this->context.store.get(
-        job_state_key(this->owned.input().id),
-        key_value::read_freshness::latest,
-        [this, observed = this->alive, sent = net::event_loop::now()](
-            const result<key_value::stored_record>& record)
-        {
-            if (!*observed)
-            {
-                return;
-            }
-            this->is_reading_state = false;
-            if (record.has_error())
-            {
-                // Read again at the next check while items wait.
-                return;
-            }
-            if (this->is_unchanged(record.value()))
-            {
-                this->confirmation.confirm(sent);
-            }
-            this->handle_state(record.value());
-        });
-}
-
-bool job_owner::is_unchanged(const key_value::stored_record& record) const
-{
-    const auto state = jobs::decode_state(record.value);
-    return state.has_value() && !state.value().cancelled &&
-           state.value().owner == this->owned.state().owner &&
-           state.value().owner_process == this->owned.state().owner_process;
-}
-
-void job_owner::handle_state(const key_value::stored_record& record)
-{
-    // Ends the runs of a job that is cancelled or has another owner.
-    this->apply_record(record);
-    if (!jobs::decode_state(record.value).has_value())
-    {
-        log_event(log_level::error, "job_record_missing",
-                  {{"job", this->owned.input().id.str()},
-                   {"revision", record.revision.count()}});
-        this->end_runs();
-        this->lost_callback();
-        return;
-    }
-    this->resume_items(this->start_limit());
-}
-
-void job_owner::resume_items(std::optional<time_point> send_by)
-{
-    for (const std::size_t item : std::exchange(this->unconfirmed_items, {}))
-    {
-        const auto run = this->runs.find(item);
-        if (run != this->runs.end())
-        {
-            run->second->handle_confirmation(send_by);
-        }
-    }
-}
-
 void job_owner::save_progress()
 {
     // A commit in progress includes it, and changes the revision.
@@ -379,6 +287,7 @@
                    {"owner", now.owner.str()},
                    {"revision", record.revision.count()}});
         this->end_runs();
+        this->fail_unconfirmed();
         this->lost_callback();
         return;
     }
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -133,8 +133,15 @@
     }
     owner->read(static_cast<std::size_t>(request.value().after),
                 std::chrono::milliseconds(request.value().wait_ms),
-                [exchange](const jobs::job_page& page)
-                { exchange->finish(jobs::encode(page)); });
+                [exchange](const result<jobs::job_page>& page)
+                {
+                    if (page.has_error())
+                    {
+                        exchange->fail(page.error());
+                        return;
+                    }
+                    exchange->finish(jobs::encode(page.value()));
+                });
 }
 
 void job_peers::handle_change_notice(
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -8,6 +8,7 @@
 #include "wire/codec.hpp"
 #include "wire/generated/node_jobs_types.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -19,7 +20,7 @@
 /// Time for the call in addition to the time that the owner may wait.
 constexpr duration owner_margin = std::chrono::milliseconds(400);
 constexpr duration retry_after = std::chrono::milliseconds(500);
-constexpr std::size_t max_known_owners = 4096;
+constexpr std::size_t max_known_jobs = 4096;
 
 error read_failed(const job_id& job)
 {
@@ -78,6 +79,16 @@
     }
 }
 
+void job_reader::read_stored(const job_id& job, std::size_t after,
+                             page_callback callback)
+{
+    const auto request = std::make_shared<read_request>();
+    request->job = job;
+    request->after = after;
+    request->callback = std::move(callback);
+    this->read_state(request);
+}
+
 bool job_reader::send_to_node(const shared_request& request,
                               const node_id& node)
 {
@@ -104,7 +115,8 @@
              if (response.has_value())
              {
                  auto page = jobs::decode_page(response.value());
-                 if (page.has_value())
+                 if (page.has_value() &&
+                     !this->is_outdated(*request, page.value()))
                  {
                      request->callback(std::move(page.value()));
                      return;
@@ -115,7 +127,7 @@
                  {{"job", request->job.str()},
                   {"owner", name.str()},
                   {"reason", response.has_error() ? response.error().message
-                                                  : "unreadable"}});
+                                                  : "unusable"}});
              this->owners.erase(request->job);
              // The wait time is used up.
              request->wait = duration::zero();
@@ -124,6 +136,26 @@
     return true;
 }
 
+bool job_reader::is_outdated(const read_request& request,
+                             const jobs::job_page& page)
+{
+    if (this->results_seen.size() >= max_known_jobs)
+    {
+        this->results_seen.clear();
+    }
+    std::size_t& seen = this->results_seen[request.job];
+    if (page.results.empty() && request.after < seen)
+    {
+        log_event(log_level::warning, "job_page_outdated",
+                  {{"job", request.job.str()},
+                   {"after", request.after},
+                   {"results_seen", seen}});
+        return true;
+    }
+    seen = std::max(seen, request.after + page.results.size());
+    return false;
+}
+
 void job_reader::read_state(const shared_request& request)
 {
     this->context.store.get(
@@ -166,7 +198,7 @@
     if (!state.value().is_finished() &&
         this->send_to_node(request, state.value().owner))
     {
-        if (this->owners.size() >= max_known_owners)
+        if (this->owners.size() >= max_known_jobs)
         {
             this->owners.clear();
         }
--- a/src/relay/job_reader.hpp
+++ b/src/relay/job_reader.hpp
@@ -33,6 +33,10 @@
     void read(const job_id& job, std::size_t after, duration wait,
               page_callback callback);
 
+    /// The same, beginning with the record in the store, without waiting.
+    void read_stored(const job_id& job, std::size_t after,
+                     page_callback callback);
+
     /// Gets the body; error_code::not_found if the job or item does not exist.
     using body_callback = std::function<void(result<std::string>)>;
 
@@ -54,6 +58,8 @@
     using shared_request = std::shared_ptr<read_request>;
 
     bool send_to_node(const shared_request& request, const node_id& node);
+    /// \returns Whether the page of an owner lacks what this node has seen.
+    bool is_outdated(const read_request& request, const jobs::job_page& page);
     void read_state(const shared_request& request);
     void handle_state(const shared_request& request,
                       const result<key_value::stored_record>& record);
@@ -65,6 +71,8 @@
     /// Owners found in the store, for jobs whose owner is not the preferred
     /// one.
     std::map<job_id, node_id> owners;
+    /// The number of results that have passed through this node, by job.
+    std::map<job_id, std::size_t> results_seen;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
     std::uint64_t next_number = 1;
 };
--- a/src/relay/job_service_calls.cpp
+++ b/src/relay/job_service_calls.cpp
@@ -51,28 +51,35 @@
         wait = std::clamp<duration>(std::chrono::milliseconds(count),
                                     duration::zero(), max_wait);
     }
-    const auto respond =
-        [this, exchange, after = call.after](const jobs::job_page& page)
+    const job_reader::page_callback respond =
+        [this, exchange, after = call.after](const result<jobs::job_page>& page)
     {
-        exchange->respond_json(
-            status_ok, this->context.adapter.format_results(page, after));
+        if (page.has_error())
+        {
+            refuse(*exchange, page.error());
+            return;
+        }
+        exchange->respond_json(status_ok, this->context.adapter.format_results(
+                                              page.value(), after));
     };
     const auto found = this->owned.find(call.job);
-    if (found != this->owned.end())
+    if (found == this->owned.end())
     {
-        found->second->read(call.after, wait, respond);
+        this->reader.read(call.job, call.after, wait, respond);
         return;
     }
-    this->reader.read(call.job, call.after, wait,
-                      [exchange, respond](const result<jobs::job_page>& page)
-                      {
-                          if (page.has_error())
-                          {
-                              refuse(*exchange, page.error());
-                              return;
-                          }
-                          respond(page.value());
-                      });
+    found->second->read(
+        call.after, wait,
+        [this, call, respond](const result<jobs::job_page>& page)
+        {
+            if (page.has_error())
+            {
+                // Another node may have committed more.
+                this->reader.read_stored(call.job, call.after, respond);
+                return;
+            }
+            respond(page);
+        });
 }
 
 void job_service::read_body(const std::shared_ptr<net::http_exchange>& exchange,
