Extend a block when the item that tried it fails

Losses under items are no evidence any more, but an item may be the one request with which a block is tried. Its failure was then not noticed: the next item was tried 20 s later, and each trial costs a replica. Seen in reading the change, not in a run.

a_trial_with_an_item_that_fails_is_the_last_for_long passes: one crash in 95 s; without this it would be two. It was not run without it.

A response that ends its own run by what it says of its replica is not handled further.

--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -18,7 +18,7 @@
 /// verdict by this much.
 constexpr duration inquiry_timeout = std::chrono::milliseconds(300);
 /// Nodes that collect the reports about one trait. Up to this number, all do.
-constexpr std::size_t collectors_per_part = 16;
+constexpr std::size_t collectors_per_trait = 16;
 constexpr duration shortest_retry_after = std::chrono::seconds(1);
 /// Another request may be tried when a trial has no outcome after this time,
 /// for instance because its caller has left.
@@ -125,13 +125,8 @@
                {"replica", replica_process.str()},
                {"traits", join(traits)}});
     this->metrics.count("parsleytrack_replicas_lost_under_requests_total", {});
-    if (this->current_trial && this->current_trial->request == request)
+    if (this->fail_trial(request))
     {
-        const routing::trait_verdict& verdict =
-            this->quarantine.block(this->current_trial->trait, now);
-        this->current_trial.reset();
-        this->log_verdict(verdict, "its trial failed");
-        this->notify_all(verdict);
         return;
     }
     if (!this->quarantine.blocked_among(traits).empty())
@@ -145,6 +140,25 @@
     this->start_inquiry();
 }
 
+void crash_guard::handle_lost_item(const request_id& request)
+{
+    this->fail_trial(request);
+}
+
+bool crash_guard::fail_trial(const request_id& request)
+{
+    if (!this->current_trial || this->current_trial->request != request)
+    {
+        return false;
+    }
+    const routing::trait_verdict& verdict = this->quarantine.block(
+        this->current_trial->trait, net::event_loop::now());
+    this->current_trial.reset();
+    this->log_verdict(verdict, "its trial failed");
+    this->notify_all(verdict);
+    return true;
+}
+
 void crash_guard::start_inquiry()
 {
     if (this->gathered || this->suspects.empty())
@@ -183,7 +197,7 @@
             decode_trait_knowledge(reply.value(), net::event_loop::now());
         if (knowledge.has_error())
         {
-            log_event(log_level::warning, "part_reply_refused",
+            log_event(log_level::warning, "trait_reply_refused",
                       {{"reason", knowledge.error().message}});
         }
         else
@@ -262,7 +276,7 @@
     for (const request_trait& trait : traits)
     {
         for (const std::size_t index :
-             rendezvous_rank(names, trait.str(), collectors_per_part))
+             rendezvous_rank(names, trait.str(), collectors_per_trait))
         {
             if (nodes[index].id != this->group.own().id)
             {
--- a/src/relay/crash_guard.hpp
+++ b/src/relay/crash_guard.hpp
@@ -56,6 +56,10 @@
                              const std::vector<request_trait>& traits,
                              const replica_process_id& replica_process);
 
+    /// Handles the same loss under an item of a job. It is no evidence, unless
+    /// the item was the one that was tried.
+    void handle_lost_item(const request_id& request);
+
     /// \returns All verdicts, including those on traits no longer blocked.
     std::vector<routing::trait_verdict> verdicts() const
     {
@@ -71,6 +75,10 @@
         time_point started;
     };
 
+    /// Extends the block if the request was the one that was tried.
+    ///
+    /// \returns Whether it was.
+    bool fail_trial(const request_id& request);
     void start_inquiry();
     void handle_reply(const result<std::string>& reply);
     void end_inquiry();
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -248,6 +248,12 @@
         this->finish(item_run_result::impossible, reason);
         return;
     }
+    const bool ended_early = answered && this->status == status_ok;
+    if ((ended_early || this->attempt->was_cut()) &&
+        this->events < crash_guard::surviving_events)
+    {
+        this->context.crashes.handle_lost_item(request_id(this->item.id));
+    }
     this->slots.report_failure(request_id(this->item.id), this->service,
                                this->replica, outcome);
     const bool failed = answered && response.status != status_ok;
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -92,6 +92,11 @@
     {
         this->report_limit(response);
     }
+    // What a response says of its replica may have ended this run.
+    if (this->cancelled)
+    {
+        return;
+    }
     if (this->kind == response_kind::matching && this->hooks.on_head)
     {
         this->hooks.on_head(response);
--- a/tests/relay_process/prompt_part_test.cpp
+++ b/tests/relay_process/prompt_part_test.cpp
@@ -151,6 +151,22 @@
     CHECK_EQUAL(before, crashing.crashes());
 }
 
+// Guards against items that are tried again and again: each trial that fails
+// doubles the time to the next one.
+TEST(relay_prompt_parts, a_trial_with_an_item_that_fails_is_the_last_for_long)
+{
+    crashing_fleet crashing;
+    crashing.react();
+    const int before = crashing.crashes();
+    relay_fleet& fleet = crashing.fleet;
+    fleet.prompt_parts = shared_part + "," + bad_part + ",e1:250";
+    CHECK_EQUAL(202, fleet.submit(0, "bad", 20).status);
+    // The first trial follows a minute after the block; without an outcome, the
+    // next one would follow 20 s later.
+    fleet.run_for(std::chrono::seconds(95));
+    CHECK(crashing.crashes() <= before + 1);
+}
+
 // Guards against a node that forgets with its process what the fleet knows.
 TEST(relay_prompt_parts, a_restarted_node_learns_the_blocked_parts)
 {
