Leave a commit of unknown outcome to the next one

A read of a job's record that comes between a commit without response and its repetition shows more outcomes than the owner has. It was taken for the loss of the job, which ends what runs of it. Pages are confirmed by such reads, so they are more frequent now; the owner leaves the difference to the conflict of its next commit.

Seen in reading, not in a run: a_commit_of_unknown_outcome_costs_no_ ownership passes with and without the change, since the read has to fall into 300 ms.

--- a/src/relay/job_owner_confirmation.cpp
+++ b/src/relay/job_owner_confirmation.cpp
@@ -88,15 +88,25 @@
                 this->fail_unconfirmed();
                 return;
             }
-            if (this->is_unchanged(record.value()))
+            const bool is_unchanged = this->is_unchanged(record.value());
+            const bool has_same_outcomes =
+                this->has_same_outcomes(record.value());
+            if (is_unchanged)
             {
                 this->confirmation.confirm(sent);
             }
-            if (this->has_same_outcomes(record.value()))
+            if (has_same_outcomes)
             {
                 this->confirm_outcomes(sent);
             }
             this->fail_unconfirmed();
+            if (is_unchanged && !has_same_outcomes)
+            {
+                // A commit of unknown outcome was applied, which the next one
+                // finds out.
+                this->resume_items(this->start_limit());
+                return;
+            }
             this->handle_state(record.value());
         });
 }
--- a/tests/relay_process/job_page_test.cpp
+++ b/tests/relay_process/job_page_test.cpp
@@ -143,3 +143,27 @@
         CHECK(nlohmann::json::parse(page.body)["results"].empty());
     }
 }
+
+// Guards against giving a job up, with what runs of it, when a page is read
+// while the outcome of its owner's commit is not known.
+TEST(relay_job_page, a_commit_of_unknown_outcome_costs_no_ownership)
+{
+    relay_fleet fleet(2);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(100);
+    }
+    CHECK_EQUAL(202, fleet.submit(0, "job", 40).status);
+    fleet.run_for(std::chrono::milliseconds(500));
+    fleet.store.lost_responses = 3;
+    const auto first = fleet.results(0, "job");
+    CHECK_EQUAL(40, first.size());
+    const auto again = fleet.results(1, "job");
+    CHECK(first == again);
+    CHECK_EQUAL(0, fleet.store.lost_responses);
+    for (int node = 0; node < 2; ++node)
+    {
+        CHECK(fleet.process(node).output().find("event=job_lost") ==
+              std::string::npos);
+    }
+}
