--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -60,8 +60,8 @@
     handle_peer_request(const std::shared_ptr<wire::peer_exchange>& exchange);
     void
     handle_peer_report(const std::shared_ptr<wire::peer_exchange>& exchange);
-    /// Takes back what nodes hold or wait for that are gone, which may have
-    /// been frozen with their connections open.
+    /// Withdraws the requests and slots of dead nodes. The connections of a
+    /// frozen node stay open, so they do not show that it is dead.
     void drop_requests_of_dead_nodes();
     void update_replicas();
     void update_replicas(const slot_pool& pool, slots::slot_broker& broker);
