Log which replica and connection ended an item's run

It now names both, how many requests the connection had carried, how long the run took and how many failures are counted. request_sent_again names the connection, and response_mismatched a response that was not the request's own. A connection of the HTTP client has a number for this. No decision changes.

--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -49,6 +49,9 @@
     /// \returns Whether it was abandoned.
     bool fail_item(std::size_t item, int max_failures);
 
+    /// \returns How often replicas have failed the item.
+    int failures_of(std::size_t item) const { return this->failures.at(item); }
+
     /// Ends an item with its complete output.
     void complete_item(std::size_t item, std::string output);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,6 +24,7 @@
 {
     auto connection =
         this->acquire_connection(target, request.allow_connection_reuse);
+    const connection_use use = connection->begin_request();
     const auto transfer = std::make_shared<detail::http_transfer>(
         *this, target, std::move(connection), std::move(hooks));
     transfer->start(request);
@@ -35,7 +36,8 @@
             {
                 locked->cancel();
             }
-        });
+        },
+        use);
 }
 
 void http_client::return_connection(
@@ -60,7 +62,7 @@
     if (!allow_reuse || found == this->idle.end() || found->second.empty())
     {
         return std::make_unique<detail::http_connection>(
-            this->loop_handle.base(), target);
+            this->loop_handle.base(), target, this->next_connection++);
     }
     auto connection = std::move(found->second.back());
     found->second.pop_back();
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -7,6 +7,7 @@
 #include "units/endpoint.hpp"
 #include "units/result.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,6 +68,7 @@
     acquire_connection(const endpoint& target, bool allow_reuse);
 
     event_loop& loop_handle;
+    std::uint64_t next_connection = 1;
     std::map<endpoint, std::vector<std::unique_ptr<detail::http_connection>>>
         idle;
 };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -17,9 +17,11 @@
 
 } // namespace
 
-http_connection::http_connection(event_base* base, const endpoint& target)
+http_connection::http_connection(event_base* base, const endpoint& target,
+                                 std::uint64_t number)
     : connection(evhttp_connection_base_new(base, nullptr, target.host.c_str(),
-                                            target.port))
+                                            target.port)),
+      next_use{number, 0}
 {
     check_invariant(this->connection != nullptr,
                     "evhttp_connection_base_new() must succeed");
@@ -33,4 +35,11 @@
     evhttp_connection_free(this->connection);
 }
 
+connection_use http_connection::begin_request()
+{
+    connection_use use = this->next_use;
+    ++this->next_use.earlier_requests;
+    return use;
+}
+
 } // namespace parsleytrack::net::detail
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -181,6 +181,8 @@
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, names, *entry, std::move(request),
         request_id(this->item.id), std::move(hooks));
+    this->began = checked_at;
+    this->connection = this->attempt->connection();
 }
 
 void item_run::restart_stall_timer()
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -69,6 +69,15 @@
     /// it must not be sent.
     void handle_confirmation(std::optional<time_point> send_by);
 
+    /// \returns The replica of the last attempt; empty if there was none.
+    const replica_id& last_replica() const { return this->replica.id; }
+
+    /// \returns The connection of the last attempt.
+    net::connection_use last_connection() const { return this->connection; }
+
+    /// \returns When the last attempt began; absent if there was none.
+    std::optional<time_point> sent_at() const { return this->began; }
+
 private:
     void request_slot();
     /// Waits while a part of the prompt crashes replicas.
@@ -99,6 +108,8 @@
     time_point due;
     /// The replica of the current attempt, or else of the last one.
     routing::replica_entry replica;
+    std::optional<time_point> began;
+    net::connection_use connection;
     int status = 0;
     /// Events that this run has received.
     int events = 0;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -124,15 +124,9 @@
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
                                 const std::string& reason, int max_failures)
 {
-    // The run is freed later, since this is one of its callbacks.
-    const auto run = this->runs.find(item);
-    if (run != this->runs.end())
-    {
-        this->context.loop.free_later(std::move(run->second));
-        this->runs.erase(run);
-    }
+    auto run = std::move(this->runs.at(item));
+    this->runs.erase(item);
     const jobs::item_progress& known = this->progress.progress_of(item);
-    const std::string& id = this->owned.input().items[item].id;
     const char* outcome = "completed";
     switch (end)
     {
@@ -158,14 +152,9 @@
         this->owned.return_item(item);
         break;
     }
-    log_event(log_level::info, "item_run_ended",
-              {{"job", this->owned.input().id.str()},
-               {"item", id},
-               {"outcome", outcome},
-               {"state_age_ms",
-                to_milliseconds(this->confirmation.age(net::event_loop::now())
-                                    .value_or(duration(-1)))},
-               {"reason", reason}});
+    this->log_run_end(item, *run, outcome, reason);
+    // Freed later, since this is one of its callbacks.
+    this->context.loop.free_later(std::move(run));
     this->context.metrics.count("parsleytrack_item_runs_total",
                                 {{"outcome", outcome}});
     this->commit_when_due();
@@ -268,6 +257,27 @@
     return this->ages.age_of(this->owned.input().id, net::event_loop::now());
 }
 
+void job_owner::log_run_end(std::size_t item, const item_run& run,
+                            const char* outcome,
+                            const std::string& reason) const
+{
+    const time_point now = net::event_loop::now();
+    const net::connection_use link = run.last_connection();
+    log_event(
+        log_level::info, "item_run_ended",
+        {{"job", this->owned.input().id.str()},
+         {"item", this->owned.input().items[item].id},
+         {"outcome", outcome},
+         {"replica", run.last_replica().str()},
+         {"connection", link.connection},
+         {"earlier_requests", link.earlier_requests},
+         {"run_ms", run.sent_at() ? to_milliseconds(now - *run.sent_at()) : -1},
+         {"failures", this->owned.failures_of(item)},
+         {"state_age_ms",
+          to_milliseconds(this->confirmation.age(now).value_or(duration(-1)))},
+         {"reason", reason}});
+}
+
 void job_owner::log_state(const char* event) const
 {
     const jobs::job_state& state = this->owned.state();
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -95,6 +95,8 @@
     void start_item(std::size_t item, const routing::route& route);
     void handle_item_end(std::size_t item, item_run_result end,
                          const std::string& reason, int max_failures);
+    void log_run_end(std::size_t item, const item_run& run, const char* outcome,
+                     const std::string& reason) const;
     /// \returns The latest time at which the item may be sent to a replica; if
     /// absent, its run is notified once the job's state has been read.
     std::optional<time_point> may_send(std::size_t item);
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -193,6 +193,7 @@
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, this->context.adapter.headers(), *entry,
         this->make_request(send_by), this->request.id, std::move(hooks));
+    this->last_connection = this->attempt->connection();
 }
 
 net::http_request online_call::make_request(time_point send_by) const
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -82,6 +82,7 @@
     /// The replica of the current attempt, or else of the last one.
     routing::replica_entry replica;
     std::set<replica_id> excluded;
+    net::connection_use last_connection;
     net::timer deadline_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -119,6 +119,8 @@
     log_event(log_level::info, "request_sent_again",
               {{"request", this->request.id.str()},
                {"replica", this->replica.id.str()},
+               {"connection", this->last_connection.connection},
+               {"earlier_requests", this->last_connection.earlier_requests},
                {"sends", this->sends},
                {"runs", this->runs},
                {"after_event", this->last_event},
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -41,14 +41,14 @@
 
 replica_exchange::replica_exchange(net::http_client& client,
                                    const header_names& header_names_in_use,
-                                   const routing::replica_entry& replica,
+                                   const routing::replica_entry& target,
                                    net::http_request request,
                                    request_id request_name, callbacks listener)
-    : names(header_names_in_use), id(std::move(request_name)),
-      hooks(std::move(listener))
+    : names(header_names_in_use), replica(target.id),
+      id(std::move(request_name)), hooks(std::move(listener))
 {
     request.headers.emplace_back(this->names.expected_replica,
-                                 replica.id.str());
+                                 this->replica.str());
     net::http_client::callbacks client_hooks;
     client_hooks.on_head = [this](const net::http_response& response)
     {
@@ -68,7 +68,8 @@
     {
         this->handle_end(std::move(response));
     };
-    this->call = client.send(replica.address, request, std::move(client_hooks));
+    this->call = client.send(target.address, request, std::move(client_hooks));
+    this->link = this->call->connection();
 }
 
 void replica_exchange::handle_head(const net::http_response& response)
@@ -80,6 +81,10 @@
     this->head_seen = true;
     this->head = response;
     this->kind = this->classify(response);
+    if (this->kind == response_kind::mismatched)
+    {
+        this->log_mismatch(response);
+    }
     // A misdirected request was answered by another replica.
     if (this->kind != response_kind::wrong_replica && this->hooks.on_leaving &&
         this->says_leaving(response))
@@ -103,6 +108,19 @@
     }
 }
 
+void replica_exchange::log_mismatch(const net::http_response& response) const
+{
+    const std::string* echoed =
+        net::find_header(response.headers, this->names.request_id.c_str());
+    log_event(log_level::warning, "response_mismatched",
+              {{"request", this->id.str()},
+               {"replica", this->replica.str()},
+               {"connection", this->link.connection},
+               {"earlier_requests", this->link.earlier_requests},
+               {"status", response.status},
+               {"response_id", echoed == nullptr ? "" : *echoed}});
+}
+
 bool replica_exchange::says_leaving(const net::http_response& response) const
 {
     // Other values say nothing. Of repeated fields, one suffices: a replica
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -96,6 +96,9 @@
     /// before the end of the response, as when the replica crashes.
     bool was_cut() const { return this->cut; }
 
+    /// \returns The connection that carries the request.
+    net::connection_use connection() const { return this->link; }
+
     /// \returns The header fields of the response.
     const net::http_header_list& head_fields() const
     {
@@ -113,12 +116,14 @@
     };
 
     void handle_head(const net::http_response& response);
+    void log_mismatch(const net::http_response& response) const;
     bool says_leaving(const net::http_response& response) const;
     void report_limit(const net::http_response& response) const;
     response_kind classify(const net::http_response& response) const;
     void handle_end(result<net::http_response> response);
 
     const header_names& names;
+    replica_id replica;
     request_id id;
     callbacks hooks;
     response_kind kind = response_kind::none;
@@ -128,6 +133,7 @@
     /// Status and header fields, for responses whose body is passed on in
     /// chunks.
     net::http_response head;
+    net::connection_use link;
     std::unique_ptr<net::http_call> call;
 };
 
