Test that a failure written twice counts once

A replica that answers an item with 500 and writes that answer again when the next request comes on the connection makes the owner count two failures for one run: with maxAttempts 2 the item is listed as given up while its second run, which would succeed, has just begun.

The new stand-in repeating_replica writes each response twice; reading a raw request is shared with raw_replica.

--- /dev/null
+++ b/tests/relay_process/repeated_response_test.cpp
@@ -0,0 +1,65 @@
+#include "relay_support/expected_output.hpp"
+#include "relay_support/relay_fleet.hpp"
+#include "relay_support/repeating_replica.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+constexpr duration short_run = std::chrono::milliseconds(50);
+
+/// A fleet whose only engine writes each response twice.
+class repeating_fleet
+{
+public:
+    explicit repeating_fleet(repeating_replica::reply_source replies)
+        : engine(this->fleet.loop, std::move(replies))
+    {
+        this->fleet.store.put("servers/i-repeating",
+                              this->engine.record("llm"));
+    }
+
+    relay_fleet fleet{relay_fleet_options{.engine_count = 0}};
+    repeating_replica engine;
+};
+
+repeating_replica::reply failure(const std::string& request)
+{
+    return {repeating_replica::response("500 Internal Server Error", request,
+                                        "failed"),
+            short_run};
+}
+
+repeating_replica::reply stream(const std::string& request)
+{
+    return {repeating_replica::response("200 OK", request, expected_stream()),
+            short_run};
+}
+
+} // namespace
+
+TEST_GROUP(relay_repeated_responses){};
+
+// Guards against giving up an item on the second copy of one failure. The copy
+// bears the item's id, as does the next attempt on the same connection.
+TEST(relay_repeated_responses, one_failure_written_twice_counts_once)
+{
+    repeating_fleet test(
+        [](const std::string& request, int arrival)
+        { return arrival == 1 ? failure(request) : stream(request); });
+    CHECK_EQUAL(202, test.fleet.submit(0, "job", 4).status);
+    const auto results = test.fleet.results(0, "job");
+    CHECK_EQUAL(4, results.size());
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL("completed", entry["state"].get<std::string>().c_str());
+        STRCMP_EQUAL(expected_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
+    }
+}
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -1,5 +1,6 @@
 #include "relay_support/raw_replica.hpp"
 
+#include "relay_support/raw_request.hpp"
 #include "relay_support/replica_record.hpp"
 
 #include <event2/buffer.h>
@@ -46,18 +47,6 @@
     return text;
 }
 
-/// \returns The value of a header field, empty when it is missing.
-std::string field(const std::string& text, const std::string& name)
-{
-    const std::size_t begin = text.find(name + ": ");
-    if (begin == std::string::npos)
-    {
-        return {};
-    }
-    const std::size_t value = begin + name.size() + 2;
-    return text.substr(value, text.find('\r', value) - value);
-}
-
 raw_replica* to_replica(void* argument)
 {
     return static_cast<raw_replica*>(argument);
@@ -110,18 +99,13 @@
     text.append(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)),
                 length);
     evbuffer_drain(input, length);
-    const std::size_t end = text.find("\r\n\r\n");
-    const std::string body_length = field(text, "Content-Length");
-    const std::size_t request_bytes =
-        end + 4 + (body_length.empty() ? 0 : std::stoul(body_length));
-    if (end == std::string::npos || text.size() < request_bytes)
+    if (const auto request = take_request(text))
     {
-        return;
+        const std::string name =
+            header_field(*request, "Parsleytrack-Request-Id");
+        ++this->runs[name];
+        this->respond(link, name);
     }
-    const std::string request = field(text, "Parsleytrack-Request-Id");
-    text.erase(0, request_bytes);
-    ++this->runs[request];
-    this->respond(link, request);
 }
 
 void raw_replica::respond(bufferevent* link, const std::string& request)
