Send no request again on a connection that has carried it

Cause: a response is matched by the request's id alone, and all attempts of an item bear the item's id. An item that has failed is sent again at once, mostly on the connection that was used last. A replica that writes its 500 a second time there fails the next attempt before that has been answered. The same holds for a second copy of a refusal, after which the item was sent once more while its run went on.

Now a request has an identity, and the HTTP client sends none on a connection that has carried one of the same identity. Which copies are still on their way then does not matter. A connection carries at most 256 identities, so that their memory is bounded at 1 KB.

Ruled out: a failure counted by two runs at once (the logs show one run, connection=1 earlier_requests=1 run_ms=0 for the second failure).

relay_process_repeated_responses: one_failure_written_twice failed before (dead_letter instead of completed), and so did a_refusal_written_twice (two runs of one item).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "net/http_transfer.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace parsleytrack::net
@@ -22,9 +24,8 @@
                                              const http_request& request,
                                              callbacks hooks)
 {
-    auto connection =
-        this->acquire_connection(target, request.allow_connection_reuse);
-    const connection_use use = connection->begin_request();
+    auto connection = this->acquire_connection(target, request);
+    const connection_use use = connection->begin_request(request.identity);
     const auto transfer = std::make_shared<detail::http_transfer>(
         *this, target, std::move(connection), std::move(hooks));
     transfer->start(request);
@@ -56,17 +57,27 @@
 }
 
 std::unique_ptr<detail::http_connection>
-http_client::acquire_connection(const endpoint& target, bool allow_reuse)
+http_client::acquire_connection(const endpoint& target,
+                                const http_request& request)
 {
     const auto found = this->idle.find(target);
-    if (!allow_reuse || found == this->idle.end() || found->second.empty())
+    if (request.allow_connection_reuse && found != this->idle.end())
     {
-        return std::make_unique<detail::http_connection>(
-            this->loop_handle.base(), target, this->next_connection++);
+        auto& connections = found->second;
+        // The one used last is the least likely to have been closed meanwhile.
+        const auto last =
+            std::find_if(connections.rbegin(), connections.rend(),
+                         [&request](const auto& connection)
+                         { return connection->accepts(request.identity); });
+        if (last != connections.rend())
+        {
+            auto connection = std::move(*last);
+            connections.erase(std::next(last).base());
+            return connection;
+        }
     }
-    auto connection = std::move(found->second.back());
-    found->second.pop_back();
-    return connection;
+    return std::make_unique<detail::http_connection>(
+        this->loop_handle.base(), target, this->next_connection++);
 }
 
 } // namespace parsleytrack::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -65,7 +65,7 @@
 
 private:
     std::unique_ptr<detail::http_connection>
-    acquire_connection(const endpoint& target, bool allow_reuse);
+    acquire_connection(const endpoint& target, const http_request& request);
 
     event_loop& loop_handle;
     std::uint64_t next_connection = 1;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -4,6 +4,9 @@
 
 #include <event2/http.h>
 
+#include <algorithm>
+#include <functional>
+
 namespace parsleytrack::net::detail
 {
 
@@ -14,6 +17,14 @@
 constexpr int connection_timeout_s = 3600;
 /// Largest response head, and largest trailer, that is accepted.
 constexpr ev_ssize_t max_head_bytes = 64 * 1024;
+/// Requests with an identity that one connection carries. Keeps the memory for
+/// them at one kilobyte a connection.
+constexpr std::size_t max_identities = 256;
+
+std::uint32_t hash_of(const std::string& identity)
+{
+    return static_cast<std::uint32_t>(std::hash<std::string>()(identity));
+}
 
 } // namespace
 
@@ -35,11 +46,23 @@
     evhttp_connection_free(this->connection);
 }
 
-connection_use http_connection::begin_request()
+connection_use http_connection::begin_request(const std::string& identity)
 {
-    connection_use use = this->next_use;
+    const connection_use use = this->next_use;
     ++this->next_use.earlier_requests;
+    if (!identity.empty())
+    {
+        this->carried.push_back(hash_of(identity));
+    }
     return use;
 }
 
+bool http_connection::accepts(const std::string& identity) const
+{
+    return identity.empty() ||
+           (this->carried.size() < max_identities &&
+            std::find(this->carried.begin(), this->carried.end(),
+                      hash_of(identity)) == this->carried.end());
+}
+
 } // namespace parsleytrack::net::detail
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -4,6 +4,8 @@
 #include "units/endpoint.hpp"
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 struct event_base;
 struct evhttp_connection;
@@ -25,14 +27,22 @@
     /// \returns The libevent handle; stays owned by this object.
     evhttp_connection* handle() { return this->connection; }
 
-    /// Counts a request that is about to be sent.
+    /// Records a request that is about to be sent.
     ///
+    /// \param identity Identity of the request, which may be empty.
     /// \returns The connection's number and the requests before this one.
-    connection_use begin_request();
+    connection_use begin_request(const std::string& identity);
+
+    /// \returns Whether a request may be sent after those sent before: not if
+    /// one of them had the same identity, nor if there were too many to know.
+    bool accepts(const std::string& identity) const;
 
 private:
     evhttp_connection* connection;
     connection_use next_use;
+    /// Hashes of the identities carried. Equal hashes of two identities only
+    /// cost another connection.
+    std::vector<std::uint32_t> carried;
 };
 
 } // namespace parsleytrack::net::detail
--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -39,6 +39,11 @@
     /// twice uses a new connection, because a failed connect then proves that
     /// the request was not sent.
     bool allow_connection_reuse = true;
+    /// What tells the response from those of other requests, such as an id that
+    /// the server echoes. A request is not sent on a connection that has
+    /// carried one with the same identity: a late second copy of that response
+    /// could not be told from its own. Empty for no identity.
+    std::string identity;
 };
 
 } // namespace parsleytrack::net
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -49,6 +49,7 @@
 {
     request.headers.emplace_back(this->names.expected_replica,
                                  this->replica.str());
+    request.identity = this->id.str();
     net::http_client::callbacks client_hooks;
     client_hooks.on_head = [this](const net::http_response& response)
     {
--- a/tests/relay_process/repeated_response_test.cpp
+++ b/tests/relay_process/repeated_response_test.cpp
@@ -42,6 +42,12 @@
             short_run};
 }
 
+/// \param request Id that the refusal names; empty for none.
+repeating_replica::reply refusal(const std::string& request)
+{
+    return {repeating_replica::refusal(request), duration::zero(), false};
+}
+
 } // namespace
 
 TEST_GROUP(relay_repeated_responses){};
@@ -63,3 +69,15 @@
                      entry["output"].get<std::string>().c_str());
     }
 }
+
+// Guards against taking the second copy of a refusal for the answer to the next
+// attempt: the item would be sent again while that one runs.
+TEST(relay_repeated_responses, a_refusal_written_twice_runs_no_item_twice)
+{
+    repeating_fleet test(
+        [](const std::string& request, int arrival)
+        { return arrival == 1 ? refusal(request) : stream(request); });
+    CHECK_EQUAL(202, test.fleet.submit(0, "job", 1).status);
+    CHECK_EQUAL(1, test.fleet.results(0, "job").size());
+    CHECK_EQUAL(1, test.engine.runs["job-0"]);
+}
--- a/tests/relay_support/repeating_replica.cpp
+++ b/tests/relay_support/repeating_replica.cpp
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace parsleytrack::relay_support
@@ -85,45 +86,50 @@
     state.received.append(
         reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
     evbuffer_drain(input, length);
-    if (const auto request = take_request(state.received))
-    {
-        this->respond(link, header_field(*request, "Parsleytrack-Request-Id"));
-    }
+    this->serve(link);
 }
 
-void repeating_replica::respond(bufferevent* link, const std::string& request)
+void repeating_replica::serve(bufferevent* link)
 {
     connection& state = this->connections.at(link);
+    const auto request =
+        state.is_busy ? std::nullopt : take_request(state.received);
+    if (!request)
+    {
+        return;
+    }
+    const std::string name = header_field(*request, "Parsleytrack-Request-Id");
     if (!state.last_response.empty())
     {
-        ++this->copies;
         bufferevent_write(link, state.last_response.data(),
                           state.last_response.size());
     }
-    const reply chosen = this->make_reply(request, ++this->arrivals[request]);
+    const reply chosen = this->make_reply(name, ++this->arrivals[name]);
     if (chosen.runs)
     {
-        ++this->runs[request];
-        state.running = request;
-        const auto at_once =
-            std::count_if(this->connections.begin(), this->connections.end(),
-                          [&request](const auto& entry)
-                          { return entry.second.running == request; });
-        this->most_runs_at_once =
-            std::max(this->most_runs_at_once, static_cast<int>(at_once));
+        ++this->runs[name];
     }
+    state.is_busy = true;
     state.last_response = chosen.bytes;
     state.response_timer = this->loop.call_after(
         chosen.run_time,
         [this, link]
         {
             connection& answered = this->connections.at(link);
-            answered.running.clear();
+            answered.is_busy = false;
             bufferevent_write(link, answered.last_response.data(),
                               answered.last_response.size());
+            this->serve(link);
         });
 }
 
+std::size_t repeating_replica::busy_connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(),
+                      [](const auto& entry) { return entry.second.is_busy; }));
+}
+
 void repeating_replica::close(bufferevent* link)
 {
     this->connections.erase(link);
--- a/tests/relay_support/repeating_replica.hpp
+++ b/tests/relay_support/repeating_replica.hpp
@@ -51,10 +51,9 @@
 
     /// Number of runs that began, by request id.
     std::map<std::string, int> runs;
-    /// Largest number of runs of one request at the same time.
-    int most_runs_at_once = 0;
-    /// Number of copies written.
-    int copies = 0;
+
+    /// \returns The number of requests in progress.
+    std::size_t busy_connections() const;
 
     /// For the callbacks of libevent only.
     void read(bufferevent* link);
@@ -66,13 +65,13 @@
         std::string received;
         /// The last response, of which a copy is still due.
         std::string last_response;
-        /// Id of the request that is being run; empty for none.
-        std::string running;
+        bool is_busy = false;
         net::timer response_timer;
     };
 
     void accept(int descriptor);
-    void respond(bufferevent* link, const std::string& request);
+    /// Takes up the next request, if the last one has its response.
+    void serve(bufferevent* link);
 
     net::event_loop& loop;
     reply_source make_reply;
