Close a connection that brings another request's response

What could happen: a response with another request's id ended the attempt, but the connection was kept, with the request at work on it. It was sent again elsewhere meanwhile, so that two replicas ran it (TWICE where it is resumable), and its own response was then taken for the next request's, which failed in the same way, and so on.

Now such a response ends the attempt when its head arrives, and the connection with it, so that the replica stops. response_mismatched tells of it. A later attempt uses another connection.

--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr int status_misdirected = 421;
+constexpr const char* mismatch_reason =
+    "the response does not belong to the request";
 
 } // namespace
 
@@ -82,10 +84,6 @@
     this->head_seen = true;
     this->head = response;
     this->kind = this->classify(response);
-    if (this->kind == response_kind::mismatched)
-    {
-        this->log_mismatch(response);
-    }
     // A misdirected request was answered by another replica.
     if (this->kind != response_kind::wrong_replica && this->hooks.on_leaving &&
         this->says_leaving(response))
@@ -103,6 +101,14 @@
     {
         return;
     }
+    if (this->kind == response_kind::mismatched)
+    {
+        this->log_mismatch(response);
+        // Closes the connection, which ends the request's run. Its own response
+        // would be taken for that of the next request.
+        this->abort(mismatch_reason);
+        return;
+    }
     if (this->kind == response_kind::matching && this->hooks.on_head)
     {
         this->hooks.on_head(response);
@@ -230,7 +236,7 @@
         break;
     }
     callback(attempt_outcome::may_have_run, std::move(response.value()),
-             "the response does not belong to the request");
+             mismatch_reason);
 }
 
 } // namespace parsleytrack::relay
--- a/tests/relay_process/repeated_response_test.cpp
+++ b/tests/relay_process/repeated_response_test.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr duration short_run = std::chrono::milliseconds(50);
+constexpr duration long_run = std::chrono::seconds(3);
 
 /// A fleet whose only engine writes each response twice.
 class repeating_fleet
@@ -81,3 +82,36 @@
     CHECK_EQUAL(1, test.fleet.results(0, "job").size());
     CHECK_EQUAL(1, test.engine.runs["job-0"]);
 }
+
+// Guards against leaving a request at work on a kept connection that has
+// brought another request's response, while it is sent again elsewhere.
+TEST(relay_repeated_responses,
+     a_foreign_response_ends_the_run_on_its_connection)
+{
+    repeating_fleet test(
+        [](const std::string& request, int)
+        {
+            auto reply = stream(request);
+            reply.run_time = request == "first" ? short_run : long_run;
+            return reply;
+        });
+    CHECK(test.fleet.wait(
+        [&test] {
+            return test.fleet.call(0, "POST", "/stream/a", "first").status ==
+                   200;
+        }));
+    const replica_stand_in sound(test.fleet.loop, "i-sound");
+    test.fleet.store.put("servers/i-sound", sound.record("llm"));
+    int sent = 0;
+    CHECK(test.fleet.wait(
+        [&]
+        {
+            const std::string id = "id" + std::to_string(++sent);
+            const auto response = test.fleet.call(0, "POST", "/stream/a", id);
+            CHECK_EQUAL(200, response.status);
+            STRCMP_EQUAL(expected_stream().c_str(), response.body.c_str());
+            return test.engine.runs.contains(id) && sound.runs.contains(id);
+        }));
+    test.fleet.run_for(std::chrono::milliseconds(400));
+    CHECK_EQUAL(0, test.engine.busy_connections());
+}
