Believe no refusal without an id on a connection in use again

Here a refusal that names a request is compared with the request's id, and requests that must not run twice always open a connection of their own, so that no earlier response can come there. But a refusal or a 421 without any id was believed on every connection. After a second copy of one, callers of resumable and safe requests were told 503, not run, while a replica was running the request; a 421 in its place takes the replica out for the life of its process.

A response without an id counts only as the first one on its connection. Otherwise the attempt may have run, and its connection is closed.

--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -169,7 +169,11 @@
         return net::find_header(response.headers, name.c_str());
     };
     const std::string* echoed = field(this->names.request_id);
-    if (echoed != nullptr && *echoed != this->id.str())
+    // A replica that cannot read a request refuses it without an id. On a
+    // connection in use again it may be an earlier request's refusal.
+    const bool is_own = echoed == nullptr ? this->link.earlier_requests == 0
+                                          : *echoed == this->id.str();
+    if (!is_own)
     {
         return response_kind::mismatched;
     }
--- a/tests/relay_process/repeated_response_test.cpp
+++ b/tests/relay_process/repeated_response_test.cpp
@@ -115,3 +115,20 @@
     test.fleet.run_for(std::chrono::milliseconds(400));
     CHECK_EQUAL(0, test.engine.busy_connections());
 }
+
+// Guards against telling a caller that a request has not run because an earlier
+// refusal, which names no request, was written again while it was running.
+TEST(relay_repeated_responses, a_refusal_of_no_request_denies_no_run)
+{
+    repeating_fleet test(
+        [](const std::string& request, int)
+        { return request == "refused" ? refusal("") : stream(request); });
+    CHECK(test.fleet.wait(
+        [&test]
+        {
+            test.fleet.call(0, "POST", "/stream/a", "refused");
+            const auto response = test.fleet.call(0, "POST", "/stream/a", "id");
+            CHECK(response.status != 503 || !test.engine.runs.contains("id"));
+            return test.engine.runs.contains("id");
+        }));
+}
