Give an item up only for answers of 500

After maxAttempts of these the item was listed as given up, though its replicas had never failed it.

Only 500 counts now; after another error the item is sent again, like one whose connection was lost.

relay_process_item_failures: other_errors_do_not_end_an_item failed before (dead_letter); the other test guards the other side and passed before. Not shown: that the users' case came this way; its record has status 500.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -23,6 +23,9 @@
 constexpr duration block_check_interval = std::chrono::seconds(1);
 constexpr int max_block_checks = 5;
 constexpr int status_ok = 200;
+/// The replica failed the item. Other errors, such as a timeout of the replica,
+/// say nothing about the item.
+constexpr int status_failed = 500;
 constexpr int status_impossible = 422;
 
 } // namespace
@@ -258,7 +261,7 @@
     }
     this->slots.report_failure(request_id(this->item.id), this->service,
                                this->replica, outcome);
-    const bool failed = answered && response.status != status_ok;
+    const bool failed = answered && response.status == status_failed;
     this->finish(failed ? item_run_result::failed
                         : item_run_result::interrupted,
                  reason);
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -23,7 +23,7 @@
 enum class item_run_result
 {
     completed,
-    /// The replica responded with an error.
+    /// The replica failed the item.
     failed,
     /// No replica can process the item.
     impossible,
