Keep no connection on which a second response waits

A connection was kept with them in its buffer, and the next request on it got them as its response. That costs the request an attempt, and where it was the last one its caller got 502.

Such a connection is closed now. Bytes that come while a connection is idle made libevent close it already.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,6 +44,10 @@
 void http_client::return_connection(
     const endpoint& target, std::unique_ptr<detail::http_connection> connection)
 {
+    if (connection->has_unread_bytes())
+    {
+        return;
+    }
     auto& connections = this->idle[target];
     if (connections.size() < max_idle_connections_per_target)
     {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "units/invariant.hpp"
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <algorithm>
@@ -65,4 +67,10 @@
                       hash_of(identity)) == this->carried.end());
 }
 
+bool http_connection::has_unread_bytes() const
+{
+    bufferevent* link = evhttp_connection_get_bufferevent(this->connection);
+    return evbuffer_get_length(bufferevent_get_input(link)) > 0;
+}
+
 } // namespace parsleytrack::net::detail
--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -99,6 +99,29 @@
     }
 }
 
+// Guards against sending a request on a connection on which a second response
+// waits already: it would cost the request its attempt.
+TEST(relay_replica_protocol, a_connection_with_a_second_response_is_not_reused)
+{
+    relay_fleet fleet(1);
+    fleet.store.erase("servers/i-web");
+    raw_replica faulty(fleet.loop, "i-extra",
+                       raw_replica::fault::extra_response);
+    fleet.store.put("servers/" + faulty.name(), faulty.record("web"));
+    CHECK(fleet.wait(
+        [&fleet, &faulty]
+        {
+            fleet.call(0, "POST", "/plain/a", "warm");
+            return !faulty.runs.empty();
+        }));
+    for (int count = 0; count < 10; ++count)
+    {
+        const std::string id = "id" + std::to_string(count);
+        CHECK_EQUAL(200, fleet.call(0, "POST", "/plain/a", id).status);
+        CHECK_EQUAL(1, faulty.runs[id]);
+    }
+}
+
 TEST(relay_replica_protocol, an_endless_event_does_not_block_requests)
 {
     relay_fleet fleet(1);
