Open a connection for the last repeat that a route allows

The last repeat that is allowed uses a new connection now, on which no earlier response can arrive.

relay_repeated_responses -n late_copies failed before (502).

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -204,8 +204,12 @@
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
     sent.send_by = send_by;
-    sent.allow_connection_reuse = repeatable;
-    if (repeatable && this->runs + 1 < this->request.route->max_attempts)
+    const bool may_repeat =
+        repeatable && this->runs + 1 < this->request.route->max_attempts;
+    // On a connection of its own, the last repeat cannot be lost to another
+    // request's late response.
+    sent.allow_connection_reuse = repeatable && (this->runs == 0 || may_repeat);
+    if (may_repeat)
     {
         sent.head_timeout = unresponsive_timeout;
         sent.idle_timeout = unresponsive_timeout;
--- a/tests/relay_process/repeated_response_test.cpp
+++ b/tests/relay_process/repeated_response_test.cpp
@@ -4,7 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -132,3 +134,42 @@
             return test.engine.runs.contains("id");
         }));
 }
+
+// Guards against losing the last attempt that a route allows to another
+// request's response, while the replica's own is on its way.
+TEST(relay_repeated_responses, late_copies_cost_no_response_where_two_may_run)
+{
+    relay_fleet fleet(1);
+    fleet.store.erase("servers/i-web");
+    const auto page = [](const std::string& request, int)
+    {
+        return repeating_replica::reply{
+            repeating_replica::response("200 OK", request, "page"), short_run};
+    };
+    const repeating_replica first(fleet.loop, page);
+    const repeating_replica second(fleet.loop, page);
+    fleet.store.put("servers/i-first", first.record("web"));
+    fleet.store.put("servers/i-second", second.record("web"));
+    CHECK(fleet.wait(
+        [&fleet]
+        { return fleet.call(0, "POST", "/plain/a", "warm").status == 200; }));
+    for (int round = 0; round < 10; ++round)
+    {
+        std::vector<std::shared_ptr<relay_fleet::response>> responses;
+        for (int count = 0; count < 6; ++count)
+        {
+            responses.push_back(std::make_shared<relay_fleet::response>());
+            fleet.start_call(0, "POST", "/plain/a",
+                             "id" + std::to_string(round) + "-" +
+                                 std::to_string(count),
+                             "", responses.back());
+        }
+        for (const auto& response : responses)
+        {
+            CHECK(fleet.wait([&response] { return response->status >= 0; }));
+            CHECK_EQUAL(200, response->status);
+        }
+    }
+    CHECK_FALSE(first.runs.empty());
+    CHECK_FALSE(second.runs.empty());
+}
