--- a/tests/relay_support/fault_proxy.cpp
+++ b/tests/relay_support/fault_proxy.cpp
@@ -132,6 +132,10 @@
     evbuffer* input = bufferevent_get_input(from.link);
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
+    if (this->current_fault == fault::repeating)
+    {
+        this->repeat_response(from, bytes);
+    }
     const bool is_delayed = this->current_fault == fault::delayed;
     from.pending.emplace_back(net::event_loop::now() +
                                   (is_delayed ? delay : duration::zero()),
@@ -139,6 +143,17 @@
     this->flush(from);
 }
 
+void fault_proxy::repeat_response(side& from, const std::string& bytes)
+{
+    if (!from.to_server)
+    {
+        from.last_response += bytes;
+        return;
+    }
+    const std::string repeated = std::exchange(from.other->last_response, {});
+    bufferevent_write(from.link, repeated.data(), repeated.size());
+}
+
 void fault_proxy::end(side& from)
 {
     from.ended = true;
--- a/tests/relay_support/fault_proxy.hpp
+++ b/tests/relay_support/fault_proxy.hpp
@@ -29,7 +29,10 @@
         blocked,
         /// No bytes are forwarded in one direction.
         blocked_to_server,
-        blocked_to_client
+        blocked_to_client,
+        /// The last response of a connection comes a second time when the next
+        /// request is sent on it.
+        repeating
     };
 
     /// \param event_loop Outlives this object.
@@ -59,6 +62,9 @@
         bool to_server = false;
         bool ended = false;
         bool silent = false;
+        /// What the server has sent since the last request, while responses
+        /// are repeated.
+        std::string last_response;
         /// Bytes read here that await forwarding to the other side, each with
         /// the time from which they may be sent.
         std::deque<std::pair<time_point, std::string>> pending;
@@ -74,6 +80,7 @@
         side server;
     };
 
+    void repeat_response(side& from, const std::string& bytes);
     bool is_blocked(const side& from) const;
     void flush();
     void flush(side& from);
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -90,8 +90,12 @@
     response_headers.emplace_back("Parsleytrack-Request-Id", *request);
     response_headers.emplace_back("Parsleytrack-Response-Seal",
                                   "seal-" + *request);
-    if (this->behaviour == fault::failing)
+    const bool is_failed =
+        this->behaviour == fault::failing ||
+        (this->behaviour == fault::failing_once && this->runs[*request] == 1);
+    if (is_failed)
     {
+        ++this->failures[*request];
         exchange->respond(500, response_headers, "failed");
         return;
     }
--- a/tests/soak/fault_kinds.hpp
+++ b/tests/soak/fault_kinds.hpp
@@ -10,7 +10,9 @@
     basic,
     /// In addition, connections to the store go silent for good, and replicas
     /// announce in their responses that they leave.
-    with_silence_and_announcements
+    with_silence_and_announcements,
+    /// In addition to all these, replicas write responses twice.
+    with_repeated_responses
 };
 
 } // namespace parsleytrack::soak
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -22,7 +22,8 @@
     std::pair{fault_proxy::fault::reset, "reset"},
     std::pair{fault_proxy::fault::blocked, "silent"},
     std::pair{fault_proxy::fault::blocked_to_server, "cut to the server"},
-    std::pair{fault_proxy::fault::blocked_to_client, "cut to the client"}};
+    std::pair{fault_proxy::fault::blocked_to_client, "cut to the client"},
+    std::pair{fault_proxy::fault::repeating, "writes responses twice"}};
 /// \returns The end of a process's output, which says why it has aborted.
 std::string last_lines(const std::string& output)
 {
@@ -223,7 +224,7 @@
         *this->fleet.store_proxies[static_cast<std::size_t>(node)];
     const duration span = this->draw_span(300, 4000);
     const std::string name = "node " + std::to_string(node);
-    switch (this->draw(this->has_all_kinds() ? 5 : 4))
+    switch (this->draw(this->has_announcements() ? 5 : 4))
     {
     case 4:
         this->note(name + "'s open connections to the store go silent");
@@ -256,7 +257,8 @@
         this->after(span, [this] { this->note("the store is back"); });
         return;
     default:
-        const auto& [fault, title] = link_faults.at(this->draw(5));
+        const auto& [fault, title] =
+            link_faults.at(this->draw(store_link_faults));
         this->note(name + " and the store: " + title);
         proxy.set_fault(fault);
         this->after(span,
@@ -275,13 +277,18 @@
     replica_stand_in& replica = *this->fleet.engines[chosen];
     fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
     const duration span = this->draw_span(300, 3000);
-    switch (this->draw(this->has_all_kinds() ? 4 : 3))
+    switch (this->draw(this->has_announcements() ? 4 : 3))
     {
     case 0:
     {
-        const auto& [fault, title] = link_faults.at(this->draw(5));
+        const auto& [fault, title] =
+            link_faults.at(this->draw(this->replica_link_faults()));
         this->note("replica " + replica.name() + ": " + title);
         proxy.set_fault(fault);
+        if (fault == fault_proxy::fault::repeating)
+        {
+            replica.behaviour = replica_stand_in::fault::failing_once;
+        }
         break;
     }
     case 1:
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -66,9 +66,17 @@
     std::size_t draw(std::size_t count);
     duration draw_span(std::int64_t least_ms, std::int64_t most_ms);
 
-    bool has_all_kinds() const
+    bool has_announcements() const { return this->kinds != fault_kinds::basic; }
+
+    /// Faults of connections that may come between a node and the store.
+    static constexpr std::size_t store_link_faults = 5;
+
+    /// \returns The same for replicas, which may repeat responses as well.
+    std::size_t replica_link_faults() const
     {
-        return this->kinds == fault_kinds::with_silence_and_announcements;
+        return this->kinds == fault_kinds::with_repeated_responses
+                   ? store_link_faults + 1
+                   : store_link_faults;
     }
 
     relay_support::relay_fleet& fleet;
--- a/tests/soak/job_callers.cpp
+++ b/tests/soak/job_callers.cpp
@@ -15,6 +15,8 @@
 constexpr duration step_interval = std::chrono::milliseconds(60);
 constexpr duration patience = std::chrono::seconds(5);
 constexpr int most_items = 6;
+/// Of the route for jobs in the fleet's configuration.
+constexpr int max_attempts = 2;
 
 } // namespace
 
@@ -146,6 +148,7 @@
                                        id + " got " + entry.dump());
                 }
             }
+            this->check_failures(known, entry);
             known.results.push_back(entry);
         }
         else if (position < known.results.size() &&
@@ -158,6 +161,25 @@
     }
 }
 
+void job_callers::check_failures(const job& known, const json& result)
+{
+    if (known.ended || result["state"] == "completed")
+    {
+        return;
+    }
+    int failures = 0;
+    for (const auto& engine : this->fleet.engines)
+    {
+        failures += engine->failures[result["id"].get<std::string>()];
+    }
+    if (failures < max_attempts)
+    {
+        this->problems.add("an item is given up only after its failures",
+                           result["id"].get<std::string>() + " after " +
+                               std::to_string(failures));
+    }
+}
+
 void job_callers::send(const std::string& method, const std::string& target,
                        const std::string& id, const std::string& body,
                        answer_callback callback)
--- a/tests/soak/job_callers.hpp
+++ b/tests/soak/job_callers.hpp
@@ -52,6 +52,8 @@
     void end(const std::string& id);
     void take_page(const std::string& id, std::size_t after, int status,
                    const std::string& body);
+    /// Checks that replicas have failed an item that was given up.
+    void check_failures(const job& known, const nlohmann::json& result);
     void send(const std::string& method, const std::string& target,
               const std::string& id, const std::string& body,
               answer_callback callback);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,6 +16,9 @@
 DEFINE_bool(silence_and_announcements, false,
             "whether connections also go silent for good and replicas announce "
             "in their responses that they leave");
+DEFINE_bool(repeated_responses, false,
+            "whether replicas also write responses twice, in addition to "
+            "--silence_and_announcements");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -24,9 +27,13 @@
 int run_all()
 {
     using parsleytrack::soak::fault_kinds;
-    const fault_kinds kinds = FLAGS_silence_and_announcements
-                                  ? fault_kinds::with_silence_and_announcements
-                                  : fault_kinds::basic;
+    fault_kinds kinds = FLAGS_silence_and_announcements
+                            ? fault_kinds::with_silence_and_announcements
+                            : fault_kinds::basic;
+    if (FLAGS_repeated_responses)
+    {
+        kinds = fault_kinds::with_repeated_responses;
+    }
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
