Close connections that no request may use any more

A connection carries at most 256 requests with an identity. One that had carried them was kept all the same, and no request for a replica used it. Once 64 of these filled the room for a target's idle connections, each request opened a connection and closed it afterwards, and the 64 stayed open until the replica closed them.

kept_connections -n many_identified failed before: after 16,384 requests one after the other, the next two used two connections.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,7 +44,7 @@
 void http_client::return_connection(
     const endpoint& target, std::unique_ptr<detail::http_connection> connection)
 {
-    if (connection->has_unread_bytes())
+    if (connection->has_unread_bytes() || connection->is_used_up())
     {
         return;
     }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -62,11 +62,16 @@
 bool http_connection::accepts(const std::string& identity) const
 {
     return identity.empty() ||
-           (this->carried.size() < max_identities &&
+           (!this->is_used_up() &&
             std::find(this->carried.begin(), this->carried.end(),
                       hash_of(identity)) == this->carried.end());
 }
 
+bool http_connection::is_used_up() const
+{
+    return this->carried.size() >= max_identities;
+}
+
 bool http_connection::has_unread_bytes() const
 {
     bufferevent* link = evhttp_connection_get_bufferevent(this->connection);
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -37,6 +37,10 @@
     /// one of them had the same identity, nor if there were too many to know.
     bool accepts(const std::string& identity) const;
 
+    /// \returns Whether too many requests with an identity were sent on it for
+    /// another one.
+    bool is_used_up() const;
+
     /// \returns Whether bytes have arrived after the last response. They would
     /// be read as the response to the next request.
     bool has_unread_bytes() const;
