Close a connection that brings an interim response

libevent takes an interim response other than 100, such as 103, for the whole response. The request ended with status 0, and its connection was kept with the request at work on it: a resumable stream went on at another replica meanwhile, and the real response could be taken for that of the next request. On the connection to the store, whose responses bear no id, nothing tells them apart.

Such a request fails now as one whose connection is lost, and its connection is closed.

--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -276,6 +276,17 @@
     {
         transfer->read_head(request);
     }
+    if (!transfer->head_received)
+    {
+        // Closes the connection, on which the response is still to come.
+        transfer->end(
+            error{error_code::connection_lost,
+                  to_string(transfer->target) + " has sent an interim response",
+                  ran_state::unknown,
+                  {}},
+            false);
+        return;
+    }
     transfer->read_body(request);
     if (transfer->ended)
     {
--- a/tests/net/kept_connection_test.cpp
+++ b/tests/net/kept_connection_test.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::net;
@@ -13,9 +14,92 @@
 /// Requests that wear out as many connections as the client keeps for a target.
 constexpr int many_requests = 64 * 256;
 
+/// Answers each request on a connection with the next of some bytes.
+class scripted_server
+{
+public:
+    scripted_server(event_loop& event_loop, std::vector<std::string> answers)
+        : loop(event_loop), script(std::move(answers))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CHECK(::bind(this->listener, reinterpret_cast<sockaddr*>(&address),
+                     sizeof(address)) == 0);
+        ::listen(this->listener, 8);
+        socklen_t length = sizeof(address);
+        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address),
+                      &length);
+        this->port = ntohs(address.sin_port);
+        this->poll = this->loop.call_every(std::chrono::milliseconds(2),
+                                           [this] { this->serve(); });
+    }
+    ~scripted_server()
+    {
+        for (const int link : this->links)
+        {
+            ::close(link);
+        }
+        ::close(this->listener);
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    /// Resets all connections.
+    void reset()
+    {
+        for (const int link : this->links)
+        {
+            const linger abortive{1, 0};
+            ::setsockopt(link, SOL_SOCKET, SO_LINGER, &abortive,
+                         sizeof(abortive));
+            ::close(link);
+        }
+        this->links.clear();
+    }
+
+    std::uint16_t port = 0;
+    std::size_t answered = 0;
+
+private:
+    void serve()
+    {
+        const int accepted =
+            ::accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (accepted >= 0)
+        {
+            this->links.push_back(accepted);
+        }
+        for (const int link : this->links)
+        {
+            char buffer[2048];
+            if (this->answered < this->script.size() &&
+                ::recv(link, buffer, sizeof(buffer), 0) > 0)
+            {
+                const std::string& bytes = this->script[this->answered++];
+                ::send(link, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            }
+        }
+    }
+
+    event_loop& loop;
+    std::vector<std::string> script;
+    int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    std::vector<int> links;
+    timer poll;
+};
+
 } // namespace
 
-TEST_GROUP_BASE(kept_connections, http_pair){};
+TEST_GROUP_BASE(kept_connections, http_pair){
+    /// \returns The number of the connection that carried a request.
+    std::uint64_t connection_of_request(){this->outcome.reset();
+const auto call = this -> send(http_request());
+this->wait();
+return call->connection().connection;
+}
+}
+;
 
 // Guards against keeping connections that no request may use any more: they
 // fill the room for idle ones, and each request opens a connection then.
@@ -57,3 +141,17 @@
     CHECK(this->outcome.has_value());
     CHECK(is_reused);
 }
+
+// Guards against keeping a connection with its request at work: the response
+// would be taken for that of the next request.
+TEST(kept_connections, an_interim_response_ends_no_request)
+{
+    scripted_server other(this->loop,
+                          {"HTTP/1.1 103 Early Hints\r\n\r\n",
+                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    this->address.port = other.port;
+    const std::uint64_t first = this->connection_of_request();
+    CHECK(this->outcome->has_error());
+    CHECK(this->outcome->error().ran == ran_state::unknown);
+    CHECK(this->connection_of_request() != first);
+}
