Keep no connection that the server says it closes

Only a field "Connection: close" of exactly that spelling, as the first such field, ended the use of a connection. One in a list or in a second field did not, and neither did HTTP/1.0 without keep-alive. A request sent there while the server closes the connection loses its attempt, since it may have run.

kept_connections -n will_close failed before.

--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -1,5 +1,7 @@
 #include "net/http_transfer.hpp"
 
+#include "net/connection_reuse.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -44,12 +46,6 @@
     return EVHTTP_REQ_POST;
 }
 
-bool allows_reuse(const http_response& response)
-{
-    const std::string* field = find_header(response.headers, "Connection");
-    return field == nullptr || strcasecmp(field->c_str(), "close") != 0;
-}
-
 } // namespace
 
 http_transfer::http_transfer(http_client& owner, const endpoint& destination,
@@ -292,7 +288,8 @@
     {
         return;
     }
-    const bool reusable = allows_reuse(transfer->response);
+    const bool reusable = allows_reuse(request->major, request->minor,
+                                       transfer->response.headers);
     transfer->end(std::move(transfer->response), reusable);
 }
 
--- a/tests/net/kept_connection_test.cpp
+++ b/tests/net/kept_connection_test.cpp
@@ -155,3 +155,21 @@
     CHECK(this->outcome->error().ran == ran_state::unknown);
     CHECK(this->connection_of_request() != first);
 }
+
+// Guards against sending a request on a connection that is about to close.
+TEST(kept_connections, a_connection_that_will_close_is_not_kept)
+{
+    for (const char* head :
+         {"HTTP/1.1 200 OK\r\nConnection: keep-alive, Close\r\n",
+          "HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nConnection:  close \r\n",
+          "HTTP/1.0 200 OK\r\n"})
+    {
+        const std::string response =
+            std::string(head) + "Content-Length: 0\r\n\r\n";
+        scripted_server other(this->loop, {response, response});
+        this->address.port = other.port;
+        const std::uint64_t first = this->connection_of_request();
+        CHECK(this->outcome->has_value());
+        CHECK(this->connection_of_request() != first);
+    }
+}
