--- a/tests/net/kept_connection_test.cpp
+++ b/tests/net/kept_connection_test.cpp
@@ -173,3 +173,21 @@
         CHECK(this->connection_of_request() != first);
     }
 }
+
+// Guards against taking the part of a response that came before a reset for
+// the whole, where only the end of the connection says that it is complete.
+TEST(kept_connections, a_response_without_a_length_is_not_complete_when_reset)
+{
+    scripted_server other(this->loop,
+                          {"HTTP/1.1 422 Unprocessable\r\n\r\nsome bytes"});
+    this->address.port = other.port;
+    const auto call = this->send(http_request());
+    const time_point limit = event_loop::now() + max_wait;
+    while (other.answered == 0 && event_loop::now() < limit)
+    {
+        this->loop.run_for(std::chrono::milliseconds(2));
+    }
+    other.reset();
+    this->wait();
+    CHECK(this->outcome->has_error());
+}
