Name in a job's record the configuration that accepted it

The preceding mend let an owner wait until its configuration had been confirmed three seconds after the job came to it, since it could not know whether its own was older than the acceptor's. A job whose route is removed just after its acceptance then waits for the next confirmation, up to 25 s, longer than items may stay unlisted.

The record now holds the version by which the job was accepted, and an owner waits only while its own is older. Records of earlier releases have version 0, for which nothing waits, as before.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -27,6 +27,7 @@
     message.route_name = input.route_name;
     message.host = input.host;
     message.submitted_at_ms = input.submitted_at_ms;
+    message.configuration = input.accepted_by.count();
     for (const job_item& item : input.items)
     {
         wire::node_job_item& entry = message.items.emplace_back();
@@ -56,6 +57,7 @@
     input.route_name = message.value().route_name;
     input.host = message.value().host;
     input.submitted_at_ms = message.value().submitted_at_ms;
+    input.accepted_by = configuration_version(message.value().configuration);
     for (wire::node_job_item& entry : message.value().items)
     {
         job_item& item = input.items.emplace_back();
--- a/src/jobs/job_input.hpp
+++ b/src/jobs/job_input.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/job_item.hpp"
 #include "units/ids.hpp"
+#include "units/numbers.hpp"
 
 #include <cstdint>
 #include <string>
@@ -20,6 +21,9 @@
     /// Time of the accepted submission, in Unix milliseconds; for operators
     /// only, since the clocks of instances may jump.
     std::int64_t submitted_at_ms = 0;
+    /// Version of the configuration by which the job was accepted; 0 in records
+    /// of earlier releases.
+    configuration_version accepted_by;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -28,9 +28,6 @@
 /// A store that has not answered reads for this long counts as away for this
 /// node: twice the slowest answers of a store that works, which take 200 ms.
 constexpr duration state_timeout = std::chrono::milliseconds(400);
-/// A node that is in touch with the store, directly or through others, has a
-/// new configuration this much later than another node at most.
-constexpr duration max_configuration_lag = std::chrono::seconds(3);
 
 /// \returns The progress of items that have no outcome.
 jobs::job_progress without_ended(jobs::job_progress known,
@@ -81,8 +78,9 @@
     const bool expired = route != nullptr &&
                          route->retention > duration::zero() &&
                          this->age() > route->retention;
-    if (route == nullptr && this->may_lack_route())
+    if (route == nullptr && table->contents().version < input.accepted_by)
     {
+        // The newer configuration, which has the route, is on its way here.
         return;
     }
     if (route == nullptr || expired)
@@ -111,13 +109,6 @@
     }
 }
 
-bool job_owner::may_lack_route() const
-{
-    const time_point confirmed_at =
-        net::event_loop::now() - this->context.configuration.age();
-    return confirmed_at < this->owned_since + max_configuration_lag;
-}
-
 void job_owner::start_item(std::size_t item, const routing::route& route)
 {
     const jobs::job_input& input = this->owned.input();
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -42,8 +42,7 @@
     job_owner& operator=(const job_owner&) = delete;
 
     /// Starts waiting items, saves progress when due, and abandons the job when
-    /// it has expired or its route is known to be removed. To be called
-    /// periodically.
+    /// it has expired or its route was removed. To be called periodically.
     void start_items();
 
     /// Called when the next owner of a job is written.
@@ -98,9 +97,6 @@
                          const std::string& reason, int max_failures);
     void log_run_end(std::size_t item, const item_run& run, const char* outcome,
                      const std::string& reason) const;
-    /// \returns Whether this node's configuration may be older than the one by
-    /// which the job was accepted.
-    bool may_lack_route() const;
     /// \returns The latest time at which the item may be sent to a replica; if
     /// absent, its run is notified once the job's state has been read.
     std::optional<time_point> may_send(std::size_t item);
@@ -139,7 +135,6 @@
     slot_client& slots;
     usage_tracker& usages;
     const jobs::job_ages& ages;
-    const time_point owned_since = net::event_loop::now();
     jobs::owned_job owned;
     std::function<void()> lost_callback;
     progress_tracker progress;
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -102,6 +102,7 @@
     input.id = job_id(*id);
     input.route_name = route.name;
     input.host = *host;
+    input.accepted_by = table->contents().version;
     const std::size_t limit =
         static_cast<std::size_t>(table->contents().limits.body.count());
     exchange->on_body(limit,
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -23,6 +23,8 @@
   4: list<node_job_item> items;
   // Unix milliseconds of the first submission.
   5: i64 submitted_at_ms;
+  // Version of the configuration by which the job was accepted.
+  6: i64 configuration;
 }
 
 // The outcome of one item. Its position in the list never changes.
--- a/tests/relay_process/later_route_test.cpp
+++ b/tests/relay_process/later_route_test.cpp
@@ -77,8 +77,6 @@
 {
     relay_fleet fleet(relay_fleet_options{.engine_count = 0});
     CHECK_EQUAL(202, fleet.submit(0, "job", 1).status);
-    // Longer than a configuration may take to reach a node.
-    fleet.run_for(std::chrono::milliseconds(3500));
     auto document =
         nlohmann::json::parse(relay_fleet::configuration(4, "/plain/"));
     document["routes"].erase(3);
