Take a read's response only for its own key

A response to a read of one key was believed for any other, for instance after a second copy of an earlier response. Listings, watches and commits name nothing that could be compared.

kv_adapter -n an_item_of_another_key; without the comparison the item was accepted (read in the code, not run).

--- a/tests/platform/kv_adapter_test.cpp
+++ b/tests/platform/kv_adapter_test.cpp
@@ -38,6 +38,15 @@
     CHECK_EQUAL(412, read.value().revision.count());
 }
 
+// Guards against taking the response to another read for this one's.
+TEST(kv_adapter, an_item_of_another_key_is_an_error)
+{
+    CHECK(this->kv
+              .parse_get_response(
+                  "k", response(200, R"({"key":"l","value":"","revision":4})"))
+              .has_error());
+}
+
 TEST(kv_adapter, requests_stale_reads_only_where_allowed)
 {
     CHECK(this->kv.get_request("a/b c", read_freshness::may_be_stale)
