Answer 400 to a job whose id is not UTF-8

A caller that submitted a job with such an id ended the node: the id became a part of keys in a transaction, and nlohmann's dump() throws at bytes that are no UTF-8, in a callback of the event loop, where nothing catches it.

--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -5,6 +5,7 @@
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
 #include "relay/refusal.hpp"
+#include "units/utf8.hpp"
 #include "units/wall_clock.hpp"
 
 #include <algorithm>
@@ -98,6 +99,15 @@
                      {}});
         return;
     }
+    // The id becomes a part of keys, which the store's documents contain.
+    if (!is_utf8(*id))
+    {
+        refuse(*exchange, error{error_code::bad_request,
+                                id_header + " header is not UTF-8",
+                                ran_state::no,
+                                {}});
+        return;
+    }
     jobs::job_input input;
     input.id = job_id(*id);
     input.route_name = route.name;
