Show prompt parts that are not UTF-8 in the status document

A part of a prompt is whatever bytes a caller sends. Once one that is no UTF-8 had crashed replicas, the status document listed it, dump() threw, and the node that was asked for its status ended. The document now contains replacement characters for such bytes.

Evidence: with the program from before, relay_odd_entries.a_prompt_part_that_is_no_text_does_no_harm failed: the status of the node was an empty response.

--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -176,7 +176,10 @@
         {"nodes", describe_nodes(this->context.group)},
         {"jobs", describe_jobs(this->jobs)},
         {"pools", describe_pools(this->server)}};
-    return document.dump();
+    // Callers choose ids and parts of prompts, which need not be UTF-8. The
+    // library throws at such bytes otherwise, which would end the process.
+    using handler = nlohmann::json::error_handler_t;
+    return document.dump(-1, ' ', false, handler::replace);
 }
 
 void status_report::update_gauges(std::size_t open_requests) const
--- a/tests/relay_process/odd_entry_test.cpp
+++ b/tests/relay_process/odd_entry_test.cpp
@@ -229,3 +229,38 @@
     CHECK_EQUAL(202, fleet.submit(0, "job", 1).status);
     CHECK_EQUAL(1, fleet.results(0, "job").size());
 }
+
+// A part of a prompt that is no text is listed in the status document once it
+// has crashed replicas.
+TEST(relay_odd_entries, a_prompt_part_that_is_no_text_does_no_harm)
+{
+    relay_fleet fleet(
+        relay_fleet_options{.node_count = node_count, .engine_count = 8});
+    const std::string bad_part = "\xff\xfe:10";
+    for (auto& engine : fleet.engines)
+    {
+        engine->crashing_part = bad_part;
+        engine->on_crash = [&fleet, &engine]
+        {
+            engine->restart();
+            fleet.store.put("servers/" + engine->name(), engine->record("llm"));
+        };
+    }
+    // The last part of a prompt is the request's own.
+    constexpr int requests = 20;
+    for (int count = 0; count < requests; ++count)
+    {
+        const std::string own = ",e" + std::to_string(count) + ":20";
+        fleet.prompt_parts = "aa:20" + own;
+        fleet.call(count % node_count, "POST", "/once/a", next_id());
+        fleet.prompt_parts = "aa:20," + bad_part + own;
+        fleet.call(count % node_count, "POST", "/once/a", next_id());
+        fleet.run_for(std::chrono::milliseconds(50));
+    }
+    for (int node = 0; node < node_count; ++node)
+    {
+        CHECK_EQUAL(1, fleet.status(node)["prompt_parts"].size());
+    }
+    fleet.prompt_parts.clear();
+    check_all_run(fleet);
+}
