--- a/tests/platform/odd_document_test.cpp
+++ b/tests/platform/odd_document_test.cpp
@@ -77,6 +77,38 @@
 
 TEST_GROUP(odd_documents){};
 
+// A document is copied or freed level by level on the stack, which then
+// overflows and ends the process.
+TEST(odd_documents, a_deeply_nested_entry_does_no_harm)
+{
+    CHECK_FALSE(names_replica(nested_arrays()));
+    CHECK_FALSE(names_replica(nested_objects()));
+    CHECK_FALSE(names_replica(repeated("[", deep)));
+    CHECK_FALSE(names_replica(repeated("{\"a\":", deep)));
+    CHECK(names_replica(replica("10.0.0.1:80", "8")));
+    CHECK_FALSE(names_replica(replica("10.0.0.1:80", nested_arrays())));
+    // An unknown field may have any type.
+    CHECK(names_replica(
+        replica("10.0.0.1:80", "8", ",\"more\":" + nested_objects())));
+}
+
+// As above, for the documents of operators and callers and for the store's
+// responses.
+TEST(odd_documents, other_deeply_nested_documents_do_no_harm)
+{
+    const std::string nested = nested_objects();
+    CHECK(is_configuration(configuration(",\"more\":" + nested)));
+    CHECK(is_configuration(configuration("", nested)));
+    CHECK(is_configuration(
+        configuration("", "{\"more\":" + nested_arrays() + "}")));
+    CHECK_FALSE(decode_submission("{\"items\":[" + nested + "]}").has_value());
+    const kv_adapter kv;
+    const auto listing = kv.parse_list_response(
+        response("{\"items\":[" + nested +
+                 ",{\"key\":\"k\",\"revision\":1,\"more\":" + nested + "}]}"));
+    CHECK_EQUAL(1, listing.value().records.size());
+}
+
 // The library throws at a key that is not UTF-8, which ends the process.
 TEST(odd_documents, a_transaction_with_a_key_that_is_no_text_can_be_encoded)
 {
--- a/tests/relay_process/odd_entry_test.cpp
+++ b/tests/relay_process/odd_entry_test.cpp
@@ -264,3 +264,23 @@
     fleet.prompt_parts.clear();
     check_all_run(fleet);
 }
+
+// A configuration that nests deeply is copied on the stack.
+TEST(relay_odd_entries, an_odd_configuration_does_no_harm)
+{
+    relay_fleet fleet(node_count);
+    nlohmann::json document =
+        nlohmann::json::parse(relay_fleet::configuration(9, "/plain/"));
+    document["limits"]["more"] = "here";
+    std::string text = document.dump();
+    text.replace(text.find("\"here\""), std::string("\"here\"").size(),
+                 repeated("[", nesting) + repeated("]", nesting));
+    fleet.store.put("op/config", text);
+    fleet.run_for(std::chrono::seconds(2));
+    check_all_run(fleet);
+    fleet.store.put("op/config", relay_fleet::configuration(11, "/after/"));
+    CHECK(fleet.wait(
+        [&fleet] {
+            return fleet.call(2, "POST", "/after/a", next_id()).status == 200;
+        }));
+}
