--- a/tests/platform/odd_document_test.cpp
+++ b/tests/platform/odd_document_test.cpp
@@ -109,6 +109,69 @@
     CHECK_EQUAL(1, listing.value().records.size());
 }
 
+// A number of slots that does not fit wraps around to one that does.
+TEST(odd_documents, numbers_out_of_range_name_no_replica)
+{
+    for (const char* slots :
+         {"1e400", "-1e400", "1e300", "8.0", "-1", "0", "100001",
+          "9223372036854775808", "18446744073709551615", "18446744073709551624",
+          "-9223372036854775809", "4294967304", "99999999999999999999999999"})
+    {
+        CHECK_FALSE(names_replica(replica("10.0.0.1:80", slots)));
+    }
+}
+
+// A start that does not fit into 64 bits becomes a negative time.
+TEST(odd_documents, a_start_out_of_range_is_none)
+{
+    const auto entry = decode_replica(
+        replica_id("i"),
+        replica("10.0.0.1:80", "8", ",\"born\":18446744073709551615"));
+    CHECK(entry.has_value());
+    CHECK_FALSE(entry.value().started_at_ms.has_value());
+}
+
+// Converting a number that does not fit is undefined: a huge time becomes the
+// largest or a negative one, and overflows when it is added to another.
+TEST(odd_documents, huge_times_of_a_route_stay_positive_and_can_be_added)
+{
+    const auto read = decode_configuration(configuration(
+        R"(,"timeoutMs":1e300,"targetLatencyMs":1e18,"gapAimMs":1e25,)"
+        R"("retentionS":9223372036854775807,"runTargetMs":-1e300)"));
+    CHECK(read.has_value());
+    const routing::route& route = read.value().routes.front();
+    constexpr duration year = std::chrono::hours(24 * 365);
+    for (const duration time : {route.timeout, route.target_latency,
+                                route.caller_patience, route.retention})
+    {
+        CHECK(time >= year);
+        CHECK(time < duration::max() / 4);
+    }
+    CHECK(route.run_target == duration::zero());
+}
+
+// A number that is cut to 32 bits becomes a small or a negative one.
+TEST(odd_documents, huge_numbers_of_a_route_do_not_wrap_around)
+{
+    const auto read = decode_configuration(
+        R"({"version":7,"routes":[{"host":"h","prefix":"/","kind":"safe",)"
+        R"("trafficSplit":[{"service":"a","weight":4294967296},)"
+        R"({"service":"b","weight":18446744073709551615},)"
+        R"({"service":"c","weight":5}],"maxAttempts":4294967297,)"
+        R"("priority":-9223372036854775808}],"services":[{"name":"a",)"
+        R"("maxConns":4294967295,"engine":{"slots":2147483648}}]})");
+    CHECK(read.has_value());
+    constexpr int most = std::numeric_limits<int>::max();
+    const routing::route& route = read.value().routes.front();
+    CHECK_EQUAL(2, route.services.size());
+    CHECK(route.services.front().weight > 5);
+    CHECK(route.max_attempts > 1);
+    CHECK(route.priority < 0);
+    const routing::service& service = read.value().services.front();
+    CHECK_EQUAL(most, service.max_connections);
+    CHECK_EQUAL(most, service.slots);
+}
+
 // The library throws at a key that is not UTF-8, which ends the process.
 TEST(odd_documents, a_transaction_with_a_key_that_is_no_text_can_be_encoded)
 {
@@ -116,3 +179,25 @@
     transaction.puts = {{"key\xff", "value"}};
     CHECK_FALSE(kv_adapter().commit_request(transaction).body.empty());
 }
+
+// A caller's number of tokens is added to those of others.
+TEST(odd_documents, huge_and_negative_numbers_of_tokens_are_limited)
+{
+    for (const char* tokens : {"9223372036854775807", "-5"})
+    {
+        const auto items = decode_submission(
+            R"({"items":[{"id":"a","path":"/","body":"","tokens":)" +
+            std::string(tokens) + "}]}");
+        CHECK(items.has_value());
+        const std::int64_t count = items.value().front().tokens.count();
+        CHECK(count >= 0);
+        CHECK(count <= 1'000'000'000'000);
+    }
+}
+
+// A version that does not fit into 64 bits became a negative one.
+TEST(odd_documents, a_configuration_with_a_version_out_of_range_is_refused)
+{
+    CHECK_FALSE(
+        is_configuration(R"({"version":18446744073709551615,"routes":[]})"));
+}
