--- a/src/units/endpoint_parser.cpp
+++ b/src/units/endpoint_parser.cpp
@@ -16,7 +16,9 @@
     }
     const std::string host = text.substr(0, colon);
     in_addr address{};
-    if (::inet_pton(AF_INET, host.c_str(), &address) != 1)
+    // The C function reads up to the first null byte only.
+    if (host.find('\0') != std::string::npos ||
+        ::inet_pton(AF_INET, host.c_str(), &address) != 1)
     {
         return false;
     }
--- a/tests/platform/odd_document_test.cpp
+++ b/tests/platform/odd_document_test.cpp
@@ -131,6 +131,74 @@
     CHECK_FALSE(entry.value().started_at_ms.has_value());
 }
 
+// An address that names none must not reach the code that connects.
+TEST(odd_documents, odd_addresses_name_no_replica)
+{
+    for (const char* address : {"10.0.0.1:0",
+                                "10.0.0.1:65536",
+                                "10.0.0.1:99999999999",
+                                "10.0.0.1:+80",
+                                "10.0.0.1: 80",
+                                "10.0.0.1:80 ",
+                                "10.0.0.1:-1",
+                                "10.0.0.1:8e1",
+                                "10.0.0.1:",
+                                "10.0.0.1",
+                                ":80",
+                                "",
+                                "host:80",
+                                "[::1]:80",
+                                "::1:80",
+                                " 10.0.0.1:80",
+                                "10.0.0.256:80",
+                                "10.0.1:80",
+                                "10.0.0.1\\u0000:80",
+                                "10.0.0.1:80\\u0000",
+                                "10.0.0.1\\n:80"})
+    {
+        CHECK_FALSE(names_replica(replica(address, "8")));
+    }
+}
+
+// The id is sent in a header field, which such characters would end.
+TEST(odd_documents, an_id_that_fits_no_header_field_names_no_replica)
+{
+    const std::string good = replica("10.0.0.1:80", "8");
+    using namespace std::string_literals;
+    for (const std::string& id : {""s, "a\nb"s, "a\r\nb: c"s, "a\0b"s, "a b"s,
+                                  " a"s, "a\x7f"s, "a\tb"s})
+    {
+        CHECK_FALSE(names_replica(good, id));
+    }
+    CHECK(names_replica(good, "i-0/a.b_c:d"));
+    CHECK(names_replica(good, std::string(200, 'i')));
+}
+
+// A key that is shorter than the prefix throws when the prefix is cut off.
+TEST(odd_documents, a_key_without_an_id_names_no_replica)
+{
+    const platform_adapter adapter;
+    const std::string good = replica("10.0.0.1:80", "8");
+    CHECK(adapter.parse_replica("servers/i", good).has_value());
+    for (const char* key : {"", "s", "servers", "servers/"})
+    {
+        CHECK_FALSE(adapter.parse_replica(key, good).has_value());
+    }
+}
+
+// A value of megabytes in the reason would be logged at each change.
+TEST(odd_documents, the_reason_does_not_contain_the_entry)
+{
+    const std::string state(1'000'000, 'x');
+    const auto refused = decode_replica(
+        replica_id("i"),
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,)"
+        R"("state":")" +
+            state + "\"}");
+    CHECK(refused.has_error());
+    CHECK(refused.error().message.size() < 200);
+}
+
 // Converting a number that does not fit is undefined: a huge time becomes the
 // largest or a negative one, and overflows when it is added to another.
 TEST(odd_documents, huge_times_of_a_route_stay_positive_and_can_be_added)
