Cut log lines that a pipe may not take at once

The log's writer asks poll() first, which reports a pipe as writable once it takes PIPE_BUF bytes. The write of a longer line then waits for the reader, and the node with it. Lines contain values of other writers, such as the keys and states of entries, and were not limited.

Evidence: bounded_sink.cuts_a_line_that_the_pipe_may_not_take_at_once waited until its alarm before.

--- a/src/logging/bounded_sink.cpp
+++ b/src/logging/bounded_sink.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <climits>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,11 @@
     this->report_dropped();
     spdlog::memory_buf_t line;
     this->formatter_->format(message, line);
+    if (line.size() > PIPE_BUF)
+    {
+        line.resize(PIPE_BUF);
+        line[PIPE_BUF - 1] = '\n';
+    }
     if (!this->write_line(line.data(), line.size()))
     {
         ++this->total_dropped;
@@ -49,7 +55,7 @@
 
 bool bounded_sink::write_line(const char* data, std::size_t size)
 {
-    // Lines are shorter than PIPE_BUF, so a writable pipe accepts a whole line.
+    // No line is longer than PIPE_BUF, so a writable pipe accepts a whole line.
     pollfd poll_entry{this->descriptor, POLLOUT, 0};
     if (::poll(&poll_entry, 1, 0) != 1 || (poll_entry.revents & POLLOUT) == 0)
     {
--- a/src/logging/bounded_sink.hpp
+++ b/src/logging/bounded_sink.hpp
@@ -13,7 +13,8 @@
 
 /// Writes log lines to a file descriptor without ever blocking on its reader.
 /// Lines that exceed the rate limit or do not fit into the pipe are dropped and
-/// counted; the count is logged before the next line that passes the limit.
+/// counted; the count is logged before the next line that passes the limit. A
+/// line longer than PIPE_BUF, which a pipe may not take at once, is cut off.
 class bounded_sink
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
--- a/tests/logging/bounded_sink_test.cpp
+++ b/tests/logging/bounded_sink_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <climits>
 #include <memory>
 #include <string>
 
@@ -62,6 +63,23 @@
     CHECK(this->sink->dropped() > 400);
 }
 
+// A pipe that can take PIPE_BUF bytes is writable, and the write of a longer
+// line then waits for the reader. Values in lines come from other writers.
+TEST(bounded_sink, cuts_a_line_that_the_pipe_may_not_take_at_once)
+{
+    CHECK(::fcntl(this->pipe_ends[1], F_SETPIPE_SZ, PIPE_BUF) > 0);
+    // Ends the process instead of hanging if a write waits.
+    ::alarm(5);
+    this->logger->info(std::string(1'000'000, 'x'));
+    ::alarm(0);
+    const std::string text = this->read_some();
+    CHECK_EQUAL(PIPE_BUF, text.size());
+    CHECK_EQUAL('\n', text.back());
+    this->logger->info("event=after");
+    STRCMP_EQUAL("event=after\n", this->read_some().c_str());
+    CHECK_EQUAL(0, this->sink->dropped());
+}
+
 TEST(bounded_sink, limits_the_rate_and_reports_dropped_lines)
 {
     CHECK(::fcntl(this->pipe_ends[1], F_SETPIPE_SZ, 1 << 20) > 0);
