Test nodes with odd entries in the list of replicas

Three nodes get 19 odd entries one after the other: deeply nested, with numbers and ports out of range, with odd ids, and of a megabyte. All go on, learn of a new replica within three seconds, also after a restart, and the calls to the store stay few; the same with nodes that may follow others (most_nodes_alone of 1).

The store's stand-in returns listings in pages, as the platform's does: a list of several megabytes in one page is more than a node accepts.

--- a/tests/relay_process/odd_entry_test.cpp
+++ b/tests/relay_process/odd_entry_test.cpp
@@ -209,6 +209,44 @@
 
 TEST_GROUP(relay_odd_entries){};
 
+// An odd entry ended the nodes that read it, or was read again and again while
+// later changes did not arrive.
+TEST(relay_odd_entries, nodes_that_watch_the_store_skip_them_and_follow_on)
+{
+    check_odd_entries(node_count);
+}
+
+// A node passes an odd entry on to those that follow it, which may end or read
+// the store instead.
+TEST(relay_odd_entries, nodes_that_follow_others_skip_them_and_follow_on)
+{
+    check_odd_entries(1);
+}
+
+// An odd entry in the place of a replica's own names no replica.
+TEST(relay_odd_entries, a_replica_whose_entry_becomes_odd_is_no_longer_used)
+{
+    relay_fleet fleet(relay_fleet_options{.node_count = node_count,
+                                          .max_direct_followers = 1});
+    for (const std::string& odd :
+         {entry("127.0.0.1:65536", "4"), repeated("[", nesting),
+          entry(to_string(fleet.engines[0]->listen_address()), "1e400")})
+    {
+        fleet.store.put("servers/i-0", odd);
+        fleet.run_for(learn_time);
+        for (int node = 0; node < node_count; ++node)
+        {
+            CHECK_FALSE(uses_replica(fleet, node, *fleet.engines[0]));
+        }
+        fleet.store.put("servers/i-0", fleet.engines[0]->record("llm"));
+        fleet.run_for(learn_time);
+        for (int node = 0; node < node_count; ++node)
+        {
+            CHECK(uses_replica(fleet, node, *fleet.engines[0]));
+        }
+    }
+}
+
 // The store's documents are text: an id that is none must not end the process
 // that encodes it.
 TEST(relay_odd_entries, a_job_whose_id_is_no_text_does_no_harm)
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::size_t max_body_bytes = 8 * 1024 * 1024;
+/// The platform's bounds of one page of a listing.
+constexpr std::size_t max_page_items = 500;
+constexpr std::size_t max_page_bytes = 1024 * 1024;
 
 std::string query(const net::http_exchange& exchange, const char* name)
 {
@@ -179,16 +182,26 @@
 {
     const std::string prefix = query(exchange, "prefix");
     json items = json::array();
+    bool truncated = false;
+    std::size_t page_bytes = 0;
     for (const auto& [key, entry] : this->keys)
     {
-        if (!entry.deleted && key.starts_with(prefix) &&
-            key > query(exchange, "after"))
+        if (entry.deleted || !key.starts_with(prefix) ||
+            key <= query(exchange, "after"))
         {
-            items.push_back(this->item(key, entry));
+            continue;
+        }
+        page_bytes += entry.value.size();
+        truncated = !items.empty() && (items.size() == max_page_items ||
+                                       page_bytes > max_page_bytes);
+        if (truncated)
+        {
+            break;
         }
+        items.push_back(this->item(key, entry));
     }
     exchange.respond_json(200, json{{"items", items},
-                                    {"truncated", false},
+                                    {"truncated", truncated},
                                     {"currentRev", this->revision}}
                                    .dump());
 }
