--- a/tests/relay_process/odd_entry_test.cpp
+++ b/tests/relay_process/odd_entry_test.cpp
@@ -275,6 +275,7 @@
     relay_fleet fleet(
         relay_fleet_options{.node_count = node_count, .engine_count = 8});
     const std::string bad_part = "\xff\xfe:10";
+    const std::string parts = "aa:20," + bad_part;
     for (auto& engine : fleet.engines)
     {
         engine->crashing_part = bad_part;
@@ -291,7 +292,7 @@
         const std::string own = ",e" + std::to_string(count) + ":20";
         fleet.prompt_parts = "aa:20" + own;
         fleet.call(count % node_count, "POST", "/once/a", next_id());
-        fleet.prompt_parts = "aa:20," + bad_part + own;
+        fleet.prompt_parts = parts + own;
         fleet.call(count % node_count, "POST", "/once/a", next_id());
         fleet.run_for(std::chrono::milliseconds(50));
     }
