Let a stopped replica of the tests refuse connections

Tests see relay_crashing_requests, items_that_had_just_begun_do_not_wait fail now and then with "expected <3> but was <2>" at its count of crashes; callers of the product see nothing.

Cause: the third request went to the replica that the second one had just ended. It came within a millisecond of the crash, before the broker knew of it. The stand-in stayed listening while it was stopped, and cut each request that it had accepted; the node then cannot know whether it ran, and sends a request that must not run twice to no other replica. The port of a process that has ended refuses connections, so that the request has not run and goes to another replica. Now the stand-in does the same; it holds its port meanwhile. The test itself is unchanged.

--- a/tests/relay_process/crashing_request_test.cpp
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -233,3 +233,17 @@
     CHECK_EQUAL(crash_limit, crashing.crashes());
     CHECK_EQUAL(12, fleet.results(1, "job").size());
 }
+
+// Guards against failing requests that reach a replica right after its end,
+// before the nodes exclude it: its port refuses them, so they have not run.
+TEST(relay_crashing_requests, a_replica_that_has_ended_fails_no_request)
+{
+    constexpr int requests = 24;
+    crashing_fleet crashing("/once/a", "llm", crash_limit);
+    crashing.fleet.engines.front()->stop();
+    for (int count = 0; count < requests; ++count)
+    {
+        const int status = crashing.send_sound(count % node_count);
+        CHECK_EQUAL(200, status);
+    }
+}
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -37,6 +37,25 @@
                           this->started);
 }
 
+void replica_stand_in::restart()
+{
+    ++this->started;
+    if (this->refused_port)
+    {
+        this->server.listen(this->address).value();
+        this->refused_port.reset();
+    }
+}
+
+void replica_stand_in::stop()
+{
+    if (!this->refused_port)
+    {
+        this->server.stop_accepting();
+        this->refused_port.emplace(this->address);
+    }
+}
+
 bool replica_stand_in::is_crashing(const net::http_request_head& head,
                                    const std::string& body) const
 {
@@ -54,7 +73,7 @@
     const std::shared_ptr<net::http_exchange>& exchange,
     const std::string& body)
 {
-    if (this->down)
+    if (this->refused_port)
     {
         exchange->abort();
         return;
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -3,11 +3,13 @@
 #include "net/event_loop.hpp"
 #include "net/http_exchange.hpp"
 #include "net/http_server.hpp"
+#include "relay_support/held_port.hpp"
 #include "units/endpoint.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,14 +45,11 @@
 
     /// Makes record() describe another process of the replica, which accepts
     /// requests.
-    void restart()
-    {
-        ++this->started;
-        this->down = false;
-    }
+    void restart();
 
-    /// Closes all connections until restart() is called.
-    void stop() { this->down = true; }
+    /// Refuses connections until restart() is called, as the port of a process
+    /// that has ended does, and closes open ones at their next request.
+    void stop();
 
     /// Sets the address that record() contains.
     void advertise(const endpoint& advertised)
@@ -116,10 +115,11 @@
     net::event_loop& loop;
     std::string id;
     int started = 1;
-    bool down = false;
     net::http_server server;
     endpoint address{"127.0.0.1", 0};
     endpoint advertised_address;
+    /// Present while the replica is stopped.
+    std::optional<held_port> refused_port;
     std::map<std::uint64_t, stream> streams;
     std::uint64_t next_stream = 1;
     net::timer crash_timer;
