Show whom each node knows when a fleet of the tests does not start

Nothing changes for callers. process_bad_input, process_batch_calls and process_batch_freeze failed once with only "all nodes know each other", which does not say whether a node had ended, was frozen or knew too few others. Now the failure shows what each node's /v1/nodes returns, and for each process whether it runs or with which code it ended. The condition and its time limit are unchanged.

--- a/tests/process_support/test_fleet.cpp
+++ b/tests/process_support/test_fleet.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint16_t first_port = 7000;
 constexpr std::uint16_t peer_port_offset = 1000;
 constexpr duration start_limit = std::chrono::seconds(20);
+/// Time for a node to tell whom it knows after the fleet failed to start.
+constexpr duration view_limit = std::chrono::seconds(1);
 constexpr std::size_t shown_log_bytes = 1500;
 const std::vector<std::string> zones{"qc-east-a", "qc-east-b", "qc-east-c"};
 const char* const first_note = R"({"note_id":"opening","added":[
@@ -233,15 +235,7 @@
     {
         this->launch(node);
     }
-    this->wait(
-        "all nodes know each other",
-        [this]
-        {
-            return std::all_of(this->nodes.begin(), this->nodes.end(),
-                               [this](const test_process& node)
-                               { return this->knows_all(node); });
-        },
-        start_limit);
+    this->wait_until_joined();
     this->apply_note(first_note);
     this->wait(
         "all engines have the first model",
@@ -254,6 +248,29 @@
         start_limit);
 }
 
+void test_fleet::wait_until_joined()
+{
+    const auto joined = [this]
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [this](const test_process& node)
+                           { return this->knows_all(node); });
+    };
+    if (this->client.wait(joined, start_limit))
+    {
+        return;
+    }
+    net::http_request request;
+    request.target = "/v1/nodes";
+    request.total_timeout = view_limit;
+    for (const test_process& node : this->nodes)
+    {
+        std::cerr << node.name << " knows "
+                  << this->client.call(node.address, request)->body() << '\n';
+    }
+    this->fail("all nodes know each other");
+}
+
 bool test_fleet::knows_all(const test_process& node)
 {
     const auto answer = this->client.call(node.address, "GET", "/v1/nodes");
@@ -338,7 +355,12 @@
         if (process.child)
         {
             const std::string log = process.child->output();
-            std::cerr << "--- " << process.name << '\n'
+            std::cerr << "--- " << process.name << " ("
+                      << (process.child->has_ended()
+                              ? "ended with " +
+                                    std::to_string(process.child->exit_code())
+                              : "running")
+                      << ")\n"
                       << log.substr(log.size() > shown_log_bytes
                                         ? log.size() - shown_log_bytes
                                         : 0)
--- a/tests/process_support/test_fleet.hpp
+++ b/tests/process_support/test_fleet.hpp
@@ -61,6 +61,8 @@
     test_process make(const std::string& name, const std::string& program,
                       const std::vector<std::string>& flags);
     void launch(test_process& process);
+    /// Waits until all nodes know each other, or shows whom each one knows.
+    void wait_until_joined();
     bool knows_all(const test_process& node);
     bool has_model(const test_process& engine);
 
