Answer requests whose head is half read when a planned stop ends

Callers whose request arrives in pieces, the first before the stopping node accepts no more and the last after it, see the connection closed without a response when the node has no other open request; they cannot know whether the request ran. Now they get a response, usually that it did not run.

Cause: a request counts as open from the end of its head. A connection with a part of a head held up nothing, and was closed when the process ended. It now counts as well, as long as the time limit of a head and of the stop allow.

The raw caller of protocol_test.cpp moves to the support library for the new test.

Ruled out: a body that is half read; its request is open and was served before.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <evhtp.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -103,6 +104,14 @@
         detail::timeout_check_interval, [this] { this->enforce_timeouts(); });
 }
 
+std::size_t http_server::partial_heads() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(),
+                      [](const detail::server_connection* connection)
+                      { return connection->reads_head(); }));
+}
+
 void http_server::enforce_timeouts()
 {
     const time_point now = event_loop::now();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -60,6 +60,10 @@
     /// \returns Number of requests without a complete response.
     std::size_t open_requests() const { return this->open_request_count; }
 
+    /// \returns Number of connections on which part of a request's head has
+    /// arrived.
+    std::size_t partial_heads() const;
+
     /// \param callback Called for every request.
     void set_handler(handler callback);
 
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -31,6 +31,10 @@
     /// Ends the connection if it has exceeded a time limit.
     void enforce_timeouts(time_point now);
 
+    /// \returns Whether part of a request's head has arrived and the rest is
+    /// still accepted.
+    bool reads_head() const { return this->has_partial_head && !this->refused; }
+
     /// For the libevhtp hooks only.
     void handle_readable();
     void handle_written();
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -303,7 +303,8 @@
         return;
     }
     this->front.stop_accepting();
-    const std::size_t open = this->front.open_requests();
+    const std::size_t open =
+        this->front.open_requests() + this->front.partial_heads();
     if (!this->stop->is_over(now, open))
     {
         return;
--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -1,74 +1,16 @@
 #include "relay_support/expected_output.hpp"
+#include "relay_support/raw_caller.hpp"
 #include "relay_support/raw_replica.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
 
 namespace
 {
 
-constexpr duration read_timeout = std::chrono::seconds(10);
-
-/// A caller's connection over which arbitrary bytes can be sent.
-class raw_caller
-{
-public:
-    raw_caller(net::event_loop& event_loop, const endpoint& node)
-        : loop(event_loop), descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        ::inet_pton(AF_INET, node.host.c_str(), &target.sin_addr);
-        target.sin_port = htons(node.port);
-        CHECK(::connect(this->descriptor, reinterpret_cast<sockaddr*>(&target),
-                        sizeof(target)) == 0);
-    }
-    ~raw_caller() { ::close(this->descriptor); }
-    raw_caller(const raw_caller&) = delete;
-    raw_caller& operator=(const raw_caller&) = delete;
-
-    void send(const std::string& text) const
-    {
-        ::send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL);
-    }
-
-    /// Reads until the node closes the connection.
-    std::string read_to_end() const
-    {
-        std::string text;
-        const time_point limit = net::event_loop::now() + read_timeout;
-        while (net::event_loop::now() < limit)
-        {
-            char buffer[4096];
-            const ssize_t length =
-                ::recv(this->descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
-            if (length == 0)
-            {
-                return text;
-            }
-            if (length > 0)
-            {
-                text.append(buffer, static_cast<std::size_t>(length));
-            }
-            this->loop.run_for(std::chrono::milliseconds(5));
-        }
-        FAIL("the connection was not closed");
-        return text;
-    }
-
-private:
-    net::event_loop& loop;
-    int descriptor;
-};
-
 /// Half of the smallest limit of the deployments.
 constexpr std::size_t max_node_bytes = 44 * 1024 * 1024;
 
