Read the requests that wait before a planned stop ends

Callers whose requests reached a stopping node while its process was paused, just before it accepted no more, see their connections reset; they cannot know whether the requests ran. Now each gets a response.

Cause: after a pause, the loop runs its timers before it reads its sockets. The timer of the stop closed the listener, with the connections that waited there, and ended the process in the same call.

Evidence: relay_stop_stages, requests_not_read_yet_are_answered failed before ("the connection was reset") in one of one play, and passed in three of three.

--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -64,6 +64,8 @@
     /// arrived.
     std::size_t partial_heads() const;
 
+    bool is_accepting() const { return this->accepting; }
+
     /// \param callback Called for every request.
     void set_handler(handler callback);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -112,6 +112,7 @@
     net::timer stop_timer;
     net::timer store_calls_timer;
     std::optional<stop_schedule> stop;
+    bool acceptance_ended = false;
 
     result<bool> listen();
     void apply_limits();
@@ -302,7 +303,18 @@
     {
         return;
     }
-    this->front.stop_accepting();
+    // After a pause of the process, timers run before its sockets are read. So
+    // each step leaves the loop the time to accept the connections that wait,
+    // and to read the requests on them.
+    if (!std::exchange(this->acceptance_ended, true))
+    {
+        return;
+    }
+    if (this->front.is_accepting())
+    {
+        this->front.stop_accepting();
+        return;
+    }
     const std::size_t open =
         this->front.open_requests() + this->front.partial_heads();
     if (!this->stop->is_over(now, open))
--- a/tests/relay_process/stop_stage_test.cpp
+++ b/tests/relay_process/stop_stage_test.cpp
@@ -4,7 +4,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -83,6 +85,31 @@
     CHECK(is_definite(response));
 }
 
+// Guards against ending with requests unread that came just before the last
+// moment, while the node was frozen.
+TEST(relay_stop_stages, requests_not_read_yet_are_answered)
+{
+    relay_fleet fleet(2);
+    fleet.process(0).signal(SIGTERM);
+    fleet.run_for(shortly_before);
+    fleet.process(0).signal(SIGSTOP);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int count = 0; count < 8; ++count)
+    {
+        callers.push_back(
+            std::make_unique<raw_caller>(fleet.loop, fleet.front_address(0)));
+        callers.back()->send(head("x") + body);
+    }
+    fleet.run_for(from_before_to_after);
+    fleet.process(0).signal(SIGCONT);
+    for (const auto& caller : callers)
+    {
+        const std::string response = caller->read_to_end();
+        CHECK_TEXT(is_definite(response), response.c_str());
+    }
+    CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
+}
+
 // Guards against holding up a stop for a caller that sends nothing more.
 TEST(relay_stop_stages, a_head_that_never_ends_does_not_hold_up_the_stop)
 {
