--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -1,74 +1,16 @@
 #include "relay_support/expected_output.hpp"
+#include "relay_support/raw_caller.hpp"
 #include "relay_support/raw_replica.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
 
 namespace
 {
 
-constexpr duration read_timeout = std::chrono::seconds(10);
-
-/// A caller's connection over which arbitrary bytes can be sent.
-class raw_caller
-{
-public:
-    raw_caller(net::event_loop& event_loop, const endpoint& node)
-        : loop(event_loop), descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        ::inet_pton(AF_INET, node.host.c_str(), &target.sin_addr);
-        target.sin_port = htons(node.port);
-        CHECK(::connect(this->descriptor, reinterpret_cast<sockaddr*>(&target),
-                        sizeof(target)) == 0);
-    }
-    ~raw_caller() { ::close(this->descriptor); }
-    raw_caller(const raw_caller&) = delete;
-    raw_caller& operator=(const raw_caller&) = delete;
-
-    void send(const std::string& text) const
-    {
-        ::send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL);
-    }
-
-    /// Reads until the node closes the connection.
-    std::string read_to_end() const
-    {
-        std::string text;
-        const time_point limit = net::event_loop::now() + read_timeout;
-        while (net::event_loop::now() < limit)
-        {
-            char buffer[4096];
-            const ssize_t length =
-                ::recv(this->descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
-            if (length == 0)
-            {
-                return text;
-            }
-            if (length > 0)
-            {
-                text.append(buffer, static_cast<std::size_t>(length));
-            }
-            this->loop.run_for(std::chrono::milliseconds(5));
-        }
-        FAIL("the connection was not closed");
-        return text;
-    }
-
-private:
-    net::event_loop& loop;
-    int descriptor;
-};
-
 /// Half of the smallest limit of the deployments.
 constexpr std::size_t max_node_bytes = 44 * 1024 * 1024;
 
@@ -269,7 +211,7 @@
 {
     // The fleet's configuration allows 16 KiB of headers.
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
                 "Parsleytrack-Request-Id: id1\r\nFiller: " +
                 std::string(20'000, 'x') + "\r\n\r\n");
@@ -280,7 +222,7 @@
 TEST(relay_caller_limits, a_head_that_does_not_end_in_time_is_refused)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send("POST /plain/a HTTP/1.1\r\nHost: h\r\n");
     STRCMP_CONTAINS("HTTP/1.1 408 ", caller.read_to_end().c_str());
 }
@@ -288,7 +230,7 @@
 TEST(relay_caller_limits, a_body_that_does_not_end_in_time_is_refused)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send(
         "POST /plain/a HTTP/1.1\r\n" + head_fields +
         "Parsleytrack-Request-Id: id1\r\nContent-Length: 10\r\n\r\nabc");
@@ -299,7 +241,7 @@
 TEST(relay_caller_limits, an_idle_connection_is_closed_after_its_limit)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     const time_point begin = net::event_loop::now();
     caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
                 "Parsleytrack-Request-Id: id1\r\nContent-Length: 0\r\n\r\n");
