Join no run to a stream that does not go on with it

Errors with an error's status reached no stream. Text, JSON and a whole response head within the body reached the caller, and the stream ended as complete after them. A run that began two events later left out a piece; one without numbers began anew in the middle of the stream; one from the first event was cut down to its later events, pieces of another run. In an item's output the same bytes were left out silently, so that the output ended early as completed, and gaps were not noticed at all.

A run's events are now checked one by one. Lines that are neither comments nor fields end the attempt, as do numbers that go back. The first event of a further run must be the next one, if the numbers left none out so far, and must have a number. An item's events are numbered from 1 without gaps, since any replica resumes at n + 1. Events before the fault are kept, and the stream goes on at another replica or ends without its last chunk.

relay_broken_streams -n bytes_that_are_no_event and -n a_run_that_does_not (2 tests each) failed before.

--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include "relay/event_splitter.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -30,10 +31,38 @@
     return line;
 }
 
+/// \returns Whether event streams define a field of this name.
+bool is_event_field(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> names = {"data", "event", "id",
+                                                       "retry"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// \returns Whether the line may stand in an event: a comment or a field, whose
+/// name has only characters of fields and of lowercase header names.
+bool is_field(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos)
+    {
+        return is_event_field(name);
+    }
+    return std::all_of(name.begin(), name.end(),
+                       [](char letter)
+                       {
+                           return (letter >= 'a' && letter <= 'z') ||
+                                  (letter >= '0' && letter <= '9') ||
+                                  letter == '-';
+                       });
+}
+
 stream_event parse_event(std::string raw)
 {
     stream_event event;
-    bool has_data = false;
+    bool has_field = false;
+    bool is_comment = true;
     std::string_view rest = raw;
     while (!rest.empty())
     {
@@ -41,11 +70,14 @@
         const std::string_view line = rest.substr(0, end);
         rest.remove_prefix(end == std::string_view::npos ? rest.size()
                                                          : end + 1);
+        event.is_sound = event.is_sound && (line.empty() || is_field(line));
+        is_comment = is_comment && (line.empty() || line.front() == ':');
+        has_field = has_field || is_event_field(line.substr(0, line.find(':')));
         if (const auto data = field_value(line, "data"))
         {
-            event.data += has_data ? "\n" : "";
+            event.data += event.has_data ? "\n" : "";
             event.data += *data;
-            has_data = true;
+            event.has_data = true;
         }
         else if (const auto id = field_value(line, "id"))
         {
@@ -58,6 +90,7 @@
             }
         }
     }
+    event.is_sound = event.is_sound && (has_field || is_comment);
     event.raw = std::move(raw);
     return event;
 }
@@ -84,22 +117,4 @@
     return events;
 }
 
-std::vector<stream_event> event_splitter::feed_new(std::string_view chunk,
-                                                   std::int64_t& last_event)
-{
-    std::vector<stream_event> events = this->feed(chunk);
-    std::erase_if(events,
-                  [&last_event](const stream_event& event)
-                  {
-                      if (!event.number)
-                      {
-                          return false;
-                      }
-                      const bool is_duplicate = *event.number <= last_event;
-                      last_event = std::max(last_event, *event.number);
-                      return is_duplicate;
-                  });
-    return events;
-}
-
 } // namespace parsleytrack::relay
--- a/src/relay/event_splitter.hpp
+++ b/src/relay/event_splitter.hpp
@@ -2,7 +2,6 @@
 
 #include "relay/stream_event.hpp"
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,13 +20,6 @@
     /// \returns The events that this chunk completes.
     std::vector<stream_event> feed(std::string_view chunk);
 
-    /// Like feed(), but drops numbered events that were received before.
-    ///
-    /// \param last_event Number of the last event received; raised to the
-    /// highest number returned.
-    std::vector<stream_event> feed_new(std::string_view chunk,
-                                       std::int64_t& last_event);
-
     /// \returns Whether an incomplete event is buffered.
     bool has_partial_event() const { return !this->pending.empty(); }
 
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -37,7 +37,8 @@
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), progress(known_progress),
       may_send(std::move(check)), ended_callback(std::move(on_end)),
-      traits(node.adapter.parse_prompt_parts(run_item.headers))
+      traits(node.adapter.parse_prompt_parts(run_item.headers)),
+      sequence(event_numbering::consecutive, known_progress.last_event)
 {
 }
 
@@ -207,29 +208,39 @@
     {
         return;
     }
-    bool has_events = this->progress.last_event > 0;
-    for (const stream_event& event :
-         this->splitter.feed_new(chunk, this->progress.last_event))
+    const char* problem = nullptr;
+    for (const stream_event& event : this->splitter.feed(chunk))
     {
+        const bool has_output = this->sequence.has_events();
+        problem = this->sequence.append(event);
+        if (problem != nullptr)
+        {
+            break;
+        }
         // Comments of the event stream carry no data.
         if (!event.number)
         {
             continue;
         }
-        if (std::exchange(has_events, true))
+        if (has_output)
         {
             this->progress.output += '\n';
         }
         this->progress.output += event.data;
+        this->progress.last_event = this->sequence.last_number();
         this->restart_stall_timer();
         if (++this->events == crash_guard::surviving_events)
         {
             this->context.crashes.handle_survival(this->traits);
         }
     }
-    if (this->splitter.is_too_long())
+    if (problem == nullptr && this->splitter.is_too_long())
+    {
+        problem = "an event exceeds the size limit";
+    }
+    if (problem != nullptr)
     {
-        this->attempt->abort("an event exceeds the size limit");
+        this->attempt->abort(problem);
     }
 }
 
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/item_progress.hpp"
 #include "jobs/job_item.hpp"
+#include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/replica_exchange.hpp"
@@ -114,6 +115,7 @@
     /// Events that this run has received.
     int events = 0;
     event_splitter splitter;
+    event_sequence sequence;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     net::timer stall_timer;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -163,6 +163,7 @@
     }
     ++this->sends;
     this->splitter = event_splitter();
+    this->sequence.begin_run();
     this->attempt_events = 0;
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
@@ -200,7 +201,7 @@
 {
     net::http_request sent =
         replica_request(this->exchange->head(), this->context.adapter.headers(),
-                        this->remaining(), this->last_event);
+                        this->remaining(), this->sequence.last_number());
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
     sent.send_by = send_by;
@@ -229,9 +230,14 @@
         return;
     }
     std::string ready;
-    for (const stream_event& event :
-         this->splitter.feed_new(chunk, this->last_event))
+    const char* problem = nullptr;
+    for (const stream_event& event : this->splitter.feed(chunk))
     {
+        problem = this->sequence.append(event);
+        if (problem != nullptr)
+        {
+            break;
+        }
         ready += event.raw;
         ++this->attempt_events;
         if (this->attempt_events == crash_guard::surviving_events)
@@ -239,14 +245,21 @@
             this->context.crashes.handle_survival(this->traits);
         }
     }
-    if (this->splitter.is_too_long())
+    if (problem == nullptr && this->splitter.is_too_long())
     {
-        this->attempt->abort("an event exceeds the size limit");
-        return;
+        problem = "an event exceeds the size limit";
     }
-    if (ready.empty())
+    if (this->pass_on(ready) && problem != nullptr)
     {
-        return;
+        this->attempt->abort(problem);
+    }
+}
+
+bool online_call::pass_on(const std::string& events)
+{
+    if (events.empty())
+    {
+        return true;
     }
     if (!this->response_started)
     {
@@ -256,14 +269,16 @@
             this->collected_status,
             end_to_end_headers(this->attempt->head_fields()));
     }
-    this->exchange->write_chunk(ready);
-    if (this->exchange->pending_output_bytes() > max_unread_bytes)
+    this->exchange->write_chunk(events);
+    if (this->exchange->pending_output_bytes() <= max_unread_bytes)
     {
-        this->fail(error{error_code::deadline_exceeded,
-                         "the caller does not read the response",
-                         ran_state::unknown,
-                         {}});
+        return true;
     }
+    this->fail(error{error_code::deadline_exceeded,
+                     "the caller does not read the response",
+                     ran_state::unknown,
+                     {}});
+    return false;
 }
 
 duration online_call::remaining() const
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_exchange.hpp"
+#include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/online_request.hpp"
 #include "relay/relay_context.hpp"
@@ -8,7 +9,6 @@
 #include "relay/slot_client.hpp"
 #include "routing/replica_entry.hpp"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -53,6 +53,10 @@
     void send(const replica_id& replica);
     net::http_request make_request(time_point send_by) const;
     void handle_chunk(std::string_view chunk);
+    /// Passes events on to the caller.
+    ///
+    /// \returns Whether the call goes on.
+    bool pass_on(const std::string& events);
     void handle_end(attempt_outcome outcome, net::http_response response,
                     const std::string& reason);
     bool handle_response(net::http_response response);
@@ -96,7 +100,7 @@
     int collected_status = 0;
     std::string collected_body;
     event_splitter splitter;
-    std::int64_t last_event = 0;
+    event_sequence sequence{event_numbering::increasing};
     /// Events that the current attempt has delivered.
     int attempt_events = 0;
     bool ended = false;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -123,7 +123,7 @@
                {"earlier_requests", this->last_connection.earlier_requests},
                {"sends", this->sends},
                {"runs", this->runs},
-               {"after_event", this->last_event},
+               {"after_event", this->sequence.last_number()},
                {"reason", reason}});
     this->request_slot();
 }
--- a/src/relay/stream_event.hpp
+++ b/src/relay/stream_event.hpp
@@ -16,6 +16,9 @@
     std::optional<std::int64_t> number;
     /// Its data lines, joined by line feeds.
     std::string data;
+    bool has_data = false;
+    /// Whether it consists of fields and comments only.
+    bool is_sound = true;
 };
 
 } // namespace parsleytrack::relay
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -50,3 +50,36 @@
     this->splitter.feed(std::string(event_splitter::max_event_bytes + 1, 'x'));
     CHECK(this->splitter.is_too_long());
 }
+
+// Guards against taking an error's head or text for an event.
+TEST(event_splitter, knows_what_is_no_event)
+{
+    for (const char* text :
+         {"HTTP/1.1 500 Internal Server Error\n\n",
+          "id: 4\ndata: tHTTP/1.1 500 E\r\nContent-Length: 4\r\n\r\na\n\n",
+          "id: 4\ndata: a\r\ncontent-length: 4\r\n\r\na\n\n",
+          "{\"error\":\"failed\"}\n\n", "upstream failed\n\n", "failed\n\n",
+          "error: 500\n\n", "id: 4\ndata: a\n<html>\n\n"})
+    {
+        const auto events = event_splitter().feed(text);
+        CHECK_EQUAL_TEXT(1, events.size(), text);
+        CHECK_FALSE_TEXT(events[0].is_sound, text);
+    }
+}
+
+// Guards against ending streams for events that the pages allow.
+TEST(event_splitter, knows_unusual_events)
+{
+    for (const char* text :
+         {": a comment\n\n", ":\n\n", "id: 4\ndata\n\n", "id:4\ndata:\n\n",
+          "parsleytrack-weight-versions: 7\nid: 4\ndata: a\n\n",
+          "event: piece\ndata: a\n\n", "retry: 1000\n\n",
+          "id: 4\ndata: HTTP/1.1 500 Internal Server Error\n\n",
+          "\nid: 4\n: inside\ndata: {\"error\":\"x\"}\n\n",
+          "id: 4\r\ndata: a\r\n\n"})
+    {
+        const auto events = event_splitter().feed(text);
+        CHECK_EQUAL_TEXT(1, events.size(), text);
+        CHECK_TEXT(events[0].is_sound, text);
+    }
+}
--- a/tests/relay_process/broken_stream_test.cpp
+++ b/tests/relay_process/broken_stream_test.cpp
@@ -31,6 +31,46 @@
     }
 }
 
+// Guards against passing on, or taking for the end of the stream, what a
+// replica sends with a success and what is no event.
+TEST(relay_broken_streams, bytes_that_are_no_event_reach_no_stream)
+{
+    for (const answer_case& entry : answers_without_events())
+    {
+        broken_streams().check_resumed(entry);
+        broken_streams().check_broken_off(entry);
+    }
+}
+
+// The same for the output of an item, which must not look complete.
+TEST(relay_broken_streams, bytes_that_are_no_event_end_no_output)
+{
+    for (const answer_case& entry : answers_without_events())
+    {
+        broken_streams().check_item(entry);
+    }
+}
+
+// Guards against joining a stream with a run that does not go on where the
+// stream broke off: pieces would be missing or of two runs.
+TEST(relay_broken_streams, a_run_that_does_not_go_on_reaches_no_stream)
+{
+    for (const answer_case& entry : answers_out_of_order())
+    {
+        broken_streams().check_resumed(entry);
+        broken_streams().check_broken_off(entry);
+    }
+}
+
+// The same for the output of an item.
+TEST(relay_broken_streams, a_run_that_does_not_go_on_reaches_no_output)
+{
+    for (const answer_case& entry : answers_out_of_order())
+    {
+        broken_streams().check_item(entry);
+    }
+}
+
 // Guards against sending a stream that has all its events again and again, or
 // breaking it off: a whole answer without events says that none is left.
 TEST(relay_broken_streams, a_whole_answer_without_events_ends_the_stream)
