End no stream for an answer that does not say it has ended

Any 2xx response in which no event was incomplete ended a resumed stream and an item's output: one whose connection ended right after its head, as when the next replica stops there, a 202 or 204, and an empty one that is no event stream. So did a first run that had sent nothing but a comment.

A stream is complete now only if some run has sent an event, and if the last run has sent one or its response has a length or chunks, which say that nothing is left. A further run's response must have the status of the stream and must not have another content type or a content encoding.

If it brings no event at all it counts as broken off: a replica that stops before its first event looks the same, and the other attempts can tell. A whole answer without events ends the stream, as before.

relay_broken_streams -n is_no_stream_completes (2 tests) and -n a_comment_alone failed before (streams and outputs complete after event 3, and a complete stream of one comment).

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -1,6 +1,7 @@
 #include "relay/item_run.hpp"
 
 #include "relay/hop_headers.hpp"
+#include "relay/stream_head.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -170,6 +171,11 @@
     hooks.on_head = [this](const net::http_response& head)
     {
         this->status = head.status;
+        if (head.status == status_ok && this->sequence.has_events() &&
+            !may_be_event_stream(head.headers))
+        {
+            this->attempt->abort("the response is no stream that goes on");
+        }
     };
     hooks.on_chunk = [this](std::string_view chunk)
     {
@@ -250,7 +256,8 @@
 {
     const bool answered = outcome == attempt_outcome::answered;
     if (answered && response.status == status_ok &&
-        !this->splitter.has_partial_event() && this->progress.last_event > 0)
+        !this->splitter.has_partial_event() && this->progress.last_event > 0 &&
+        (this->sequence.run_has_events() || has_marked_end(response.headers)))
     {
         if (this->events < crash_guard::surviving_events)
         {
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -3,6 +3,7 @@
 #include "relay/hop_headers.hpp"
 #include "relay/replica_request.hpp"
 #include "relay/request_content.hpp"
+#include "relay/stream_head.hpp"
 
 #include <algorithm>
 #include <random>
@@ -177,7 +178,7 @@
     };
     hooks.on_head = [this](const net::http_response& head)
     {
-        this->collected_status = head.status;
+        this->handle_head(head);
     };
     if (this->request.route->kind == routing::request_kind::streaming)
     {
@@ -218,6 +219,18 @@
     return sent;
 }
 
+void online_call::handle_head(const net::http_response& head)
+{
+    this->collected_status = head.status;
+    // The first replica's head is passed on, so that the others must agree.
+    if (this->response_started && net::is_success(head.status) &&
+        (head.status != this->stream_status ||
+         !may_be_event_stream(head.headers)))
+    {
+        this->attempt->abort("the response is no stream that goes on");
+    }
+}
+
 void online_call::handle_chunk(std::string_view chunk)
 {
     if (!net::is_success(this->collected_status))
@@ -264,6 +277,7 @@
     if (!this->response_started)
     {
         this->response_started = true;
+        this->stream_status = this->collected_status;
         this->first_output_at = net::event_loop::now();
         this->exchange->start_stream(
             this->collected_status,
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -52,6 +52,7 @@
     duration time_to_abandonment() const;
     void send(const replica_id& replica);
     net::http_request make_request(time_point send_by) const;
+    void handle_head(const net::http_response& head);
     void handle_chunk(std::string_view chunk);
     /// Passes events on to the caller.
     ///
@@ -60,6 +61,8 @@
     void handle_end(attempt_outcome outcome, net::http_response response,
                     const std::string& reason);
     bool handle_response(net::http_response response);
+    /// \returns Whether the end of the response is the end of the stream.
+    bool completes_stream(const net::http_response& response) const;
     /// Reports an attempt that ended as if its replica had crashed.
     void report_crash(attempt_outcome outcome);
     bool may_send_again() const;
@@ -95,6 +98,8 @@
     int sends = 0;
     int runs = 0;
     bool response_started = false;
+    /// Status of the stream that the caller receives.
+    int stream_status = 0;
     /// Status of the response, and its body unless it is streamed to the
     /// caller.
     int collected_status = 0;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -4,6 +4,7 @@
 #include "relay/hop_headers.hpp"
 #include "relay/online_call.hpp"
 #include "relay/refusal.hpp"
+#include "relay/stream_head.hpp"
 
 #include <utility>
 
@@ -59,7 +60,7 @@
     const int status = response.status;
     if (this->response_started)
     {
-        if (!net::is_success(status) || this->splitter.has_partial_event())
+        if (!this->completes_stream(response))
         {
             return false;
         }
@@ -91,6 +92,17 @@
     return true;
 }
 
+bool online_call::completes_stream(const net::http_response& response) const
+{
+    if (!net::is_success(response.status) ||
+        this->splitter.has_partial_event() || !this->sequence.has_events())
+    {
+        return false;
+    }
+    // A connection that just ends does not say that no event was left to send.
+    return this->sequence.run_has_events() || has_marked_end(response.headers);
+}
+
 bool online_call::may_send_again() const
 {
     if (this->sends >= max_sends ||
--- a/tests/relay_process/broken_stream_test.cpp
+++ b/tests/relay_process/broken_stream_test.cpp
@@ -71,6 +71,37 @@
     }
 }
 
+// Guards against a stream that looks complete although no replica has said that
+// it is.
+TEST(relay_broken_streams, an_answer_that_is_no_stream_completes_no_stream)
+{
+    for (const answer_case& entry : answers_without_end())
+    {
+        broken_streams().check_resumed(entry);
+        broken_streams().check_broken_off(entry);
+    }
+}
+
+// The same for the output of an item.
+TEST(relay_broken_streams, an_answer_that_is_no_stream_completes_no_output)
+{
+    for (const answer_case& entry : answers_without_end())
+    {
+        broken_streams().check_item(entry);
+    }
+}
+
+// Guards against taking a run that has sent a comment only for a whole stream.
+TEST(relay_broken_streams, a_comment_alone_is_no_whole_stream)
+{
+    broken_streams test;
+    const auto outcome = test.call({whole_answer("200 OK", "", ": comment\n\n"),
+                                    slow_stream(std::chrono::milliseconds(1))});
+    STRCMP_EQUAL((": comment\n\n" + expected_stream()).c_str(),
+                 outcome.body.c_str());
+    CHECK(outcome.is_complete);
+}
+
 // Guards against sending a stream that has all its events again and again, or
 // breaking it off: a whole answer without events says that none is left.
 TEST(relay_broken_streams, a_whole_answer_without_events_ends_the_stream)
--- a/tests/relay_process/broken_streams.cpp
+++ b/tests/relay_process/broken_streams.cpp
@@ -77,6 +77,19 @@
     return seen;
 }
 
+/// \returns A stream without the comments that replicas of these tests send,
+/// which may stand anywhere.
+std::string without_comments(std::string stream)
+{
+    const std::string comment = ": comment\n\n";
+    for (std::size_t at = stream.find(comment); at != std::string::npos;
+         at = stream.find(comment))
+    {
+        stream.erase(at, comment.size());
+    }
+    return stream;
+}
+
 } // namespace
 
 broken_streams::broken_streams()
@@ -149,7 +162,8 @@
                     slow_stream(std::chrono::milliseconds(1))});
     CHECK_EQUAL_TEXT(1, seen.heads, name);
     CHECK_EQUAL_TEXT(200, seen.status, name);
-    STRCMP_EQUAL_TEXT(expected_stream().c_str(), seen.body.c_str(), name);
+    STRCMP_EQUAL_TEXT(expected_stream().c_str(),
+                      without_comments(seen.body).c_str(), name);
     CHECK_TEXT(seen.is_complete, name);
     STRCMP_CONTAINS_TEXT("First: 1", seen.head.c_str(), name);
 }
@@ -161,8 +175,9 @@
         this->call({cut_after(events_before_break), entry.answer});
     CHECK_EQUAL_TEXT(1, seen.heads, name);
     CHECK_EQUAL_TEXT(200, seen.status, name);
-    CHECK_TEXT(expected_stream().starts_with(seen.body), seen.body.c_str());
-    CHECK_TEXT(seen.body.ends_with("\n\n"), seen.body.c_str());
+    const std::string body = without_comments(seen.body);
+    CHECK_TEXT(expected_stream().starts_with(body), seen.body.c_str());
+    CHECK_TEXT(body.ends_with("\n\n"), seen.body.c_str());
     CHECK_FALSE_TEXT(seen.is_complete, name);
 }
 
