Allow streams the pauses that their route names

Another attempt followed after 600 ms without a byte, whatever the route says of its pauses; gapAimMs only set how long callers wait. The limit is now twice the pause that the route names, and 600 ms at least, so that nothing changes up to 300 ms. That of the response's head is as it was.

relay_broken_streams -n a_slow_stream failed before (3 attempts instead of 1). Passed before: -n pauses_between (270 of 300 ms, both kinds of route) and -n a_stream_that_completes (a byte now and then, not resumable: ends at its deadline without its last chunk).

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -19,9 +19,11 @@
 /// when judging whether a response can still be on time.
 constexpr int replica_time_divisor = 4;
 /// A replica that sends nothing for this long counts as unresponsive if the
-/// request may be retried on another one. Twice the longest pause between
+/// request may be retried on another one. Twice the usual longest pause between
 /// events that still counts as on time.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
+/// The same as a multiple of the longest pause that a route names.
+constexpr int unresponsive_pauses = 2;
 /// Most bytes of a stream that are buffered for a slow caller. A caller that
 /// keeps up has a few events buffered; a node has memory for dozens of slow
 /// callers.
@@ -206,19 +208,30 @@
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
     sent.send_by = send_by;
-    const bool may_repeat =
-        repeatable && this->runs + 1 < this->request.route->max_attempts;
+    const bool may_repeat = this->may_repeat();
     // On a connection of its own, the last repeat cannot be lost to another
     // request's late response.
     sent.allow_connection_reuse = repeatable && (this->runs == 0 || may_repeat);
     if (may_repeat)
     {
         sent.head_timeout = unresponsive_timeout;
-        sent.idle_timeout = unresponsive_timeout;
+        sent.idle_timeout = this->longest_silence();
     }
     return sent;
 }
 
+bool online_call::may_repeat() const
+{
+    const routing::route& route = *this->request.route;
+    return route.is_repeatable() && this->runs + 1 < route.max_attempts;
+}
+
+duration online_call::longest_silence() const
+{
+    return std::max(unresponsive_timeout,
+                    unresponsive_pauses * this->request.route->longest_pause);
+}
+
 void online_call::handle_head(const net::http_response& head)
 {
     this->collected_status = head.status;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -52,6 +52,11 @@
     duration time_to_abandonment() const;
     void send(const replica_id& replica);
     net::http_request make_request(time_point send_by) const;
+    /// \returns Whether another attempt may follow the current one if that has
+    /// run.
+    bool may_repeat() const;
+    /// \returns How long a response may pause before another attempt follows.
+    duration longest_silence() const;
     void handle_head(const net::http_response& head);
     void handle_chunk(std::string_view chunk);
     /// Passes events on to the caller.
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -37,6 +37,9 @@
     /// How long a caller waits for the first event of a stream before it
     /// leaves; zero when it waits for as long as it says.
     duration caller_patience = duration::zero();
+    /// Longest pause between events of a stream that is on time; zero if the
+    /// operator does not say.
+    duration longest_pause = duration::zero();
     /// 0 is the most urgent.
     int priority = 0;
     /// Whether a stream may be resumed on another replica.
--- a/tests/platform/configuration_decoder_test.cpp
+++ b/tests/platform/configuration_decoder_test.cpp
@@ -38,6 +38,7 @@
     CHECK(stream.resumable);
     CHECK_EQUAL(2, stream.max_attempts);
     CHECK(stream.target_latency == std::chrono::milliseconds(300));
+    CHECK(stream.longest_pause == std::chrono::milliseconds(250));
     CHECK(stream.caller_patience == std::chrono::seconds(2));
     const routing::route& split = contents.routes[1];
     CHECK(split.kind == routing::request_kind::at_most_once);
--- a/tests/relay_process/broken_stream_test.cpp
+++ b/tests/relay_process/broken_stream_test.cpp
@@ -190,3 +190,47 @@
         CHECK(!outcome.is_complete || outcome.body == expected_stream());
     }
 }
+
+// Guards against ending sound streams whose pauses the route allows: each would
+// be read again by further replicas and break off at the last.
+TEST(relay_broken_streams, a_slow_stream_stays_at_its_replica)
+{
+    constexpr duration longest_pause = std::chrono::milliseconds(800);
+    broken_streams test;
+    test.apply_longest_pause(longest_pause);
+    const auto outcome = test.call({slow_stream(longest_pause * 9 / 10, 3)});
+    CHECK_EQUAL(1, outcome.resumed_after.size());
+    CHECK(outcome.is_complete);
+    STRCMP_EQUAL("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n",
+                 outcome.body.c_str());
+}
+
+// The same where the route names the usual pause.
+TEST(relay_broken_streams, pauses_between_events_end_no_stream)
+{
+    constexpr duration longest_pause = std::chrono::milliseconds(300);
+    broken_streams test;
+    test.apply_longest_pause(longest_pause);
+    for (const char* path : {"/once/a", "/stream/a"})
+    {
+        const auto outcome =
+            test.call({slow_stream(longest_pause * 9 / 10, 6)}, path);
+        CHECK_EQUAL(1, outcome.resumed_after.size());
+        CHECK(outcome.is_complete);
+    }
+}
+
+// Guards against a stream that completes no event and outlives its deadline
+// where it may not be sent again, or looks complete.
+TEST(relay_broken_streams, a_stream_that_completes_no_event_ends_in_time)
+{
+    broken_streams test;
+    const time_point begin = net::event_loop::now();
+    const auto outcome = test.call(
+        {trickle_after(3, std::chrono::milliseconds(200))}, "/once/a");
+    CHECK(net::event_loop::now() - begin < std::chrono::seconds(4));
+    CHECK_EQUAL(1, outcome.resumed_after.size());
+    CHECK_EQUAL(1, outcome.heads);
+    CHECK_FALSE(outcome.is_complete);
+    CHECK(expected_stream().starts_with(outcome.body));
+}
--- a/tests/relay_process/broken_streams.cpp
+++ b/tests/relay_process/broken_streams.cpp
@@ -4,6 +4,7 @@
 #include "relay_support/raw_request.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <string_view>
@@ -154,6 +155,20 @@
     return seen;
 }
 
+void broken_streams::apply_longest_pause(duration pause)
+{
+    // The new prefix shows when the configuration is in force.
+    auto document =
+        nlohmann::json::parse(relay_fleet::configuration(4, "/changed/"));
+    document["routes"][1]["gapAimMs"] = to_milliseconds(pause);
+    this->fleet.store.put("op/config", document.dump());
+    CHECK(this->fleet.wait(
+        [this] {
+            return this->fleet.call(0, "POST", "/changed/a", "probe").status ==
+                   200;
+        }));
+}
+
 void broken_streams::check_resumed(const answer_case& entry)
 {
     const char* name = entry.name.c_str();
