Leave a replica that completes no event of a stream

The caller of a stream that may be resumed got nothing more until its deadline, though other replicas were free. For items such a replica was left before.

Only bytes were counted, and each of them began the time anew. An attempt at a stream now also ends when it completes neither an event nor a comment for twice that time, 1.2 s at least, if another attempt may follow. The last attempt that a route allows, routes that may not be sent again, and bodies of errors keep their deadline as the only limit.

relay_broken_streams -n a_replica_that_completes failed before (one attempt in 3 s, and the stream broken off).

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -24,6 +24,9 @@
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
 /// The same as a multiple of the longest pause that a route names.
 constexpr int unresponsive_pauses = 2;
+/// A replica that completes no event for this many times as long is stalled,
+/// also if it sends a byte now and then.
+constexpr int stalled_silences = 2;
 /// Most bytes of a stream that are buffered for a slow caller. A caller that
 /// keeps up has a few events buffered; a node has memory for dozens of slow
 /// callers.
@@ -235,13 +238,30 @@
 void online_call::handle_head(const net::http_response& head)
 {
     this->collected_status = head.status;
+    if (!net::is_success(head.status))
+    {
+        return;
+    }
     // The first replica's head is passed on, so that the others must agree.
-    if (this->response_started && net::is_success(head.status) &&
-        (head.status != this->stream_status ||
-         !may_be_event_stream(head.headers)))
+    if (this->response_started && (head.status != this->stream_status ||
+                                   !may_be_event_stream(head.headers)))
     {
         this->attempt->abort("the response is no stream that goes on");
+        return;
+    }
+    this->restart_stall_timer();
+}
+
+void online_call::restart_stall_timer()
+{
+    if (this->request.route->kind != routing::request_kind::streaming ||
+        !this->may_repeat())
+    {
+        return;
     }
+    this->stall_timer = this->context.loop.call_after(
+        stalled_silences * this->longest_silence(),
+        [this] { this->attempt->abort("the replica completes no event"); });
 }
 
 void online_call::handle_chunk(std::string_view chunk)
@@ -287,6 +307,7 @@
     {
         return true;
     }
+    this->restart_stall_timer();
     if (!this->response_started)
     {
         this->response_started = true;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -59,6 +59,9 @@
     duration longest_silence() const;
     void handle_head(const net::http_response& head);
     void handle_chunk(std::string_view chunk);
+    /// Ends the attempt if no event is completed for some time and another one
+    /// may follow.
+    void restart_stall_timer();
     /// Passes events on to the caller.
     ///
     /// \returns Whether the call goes on.
@@ -96,6 +99,7 @@
     std::set<replica_id> excluded;
     net::connection_use last_connection;
     net::timer deadline_timer;
+    net::timer stall_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
 
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -142,6 +142,7 @@
 
 void online_call::release_attempt()
 {
+    this->stall_timer.cancel();
     if (!this->attempt)
     {
         return;
--- a/tests/relay_process/broken_stream_test.cpp
+++ b/tests/relay_process/broken_stream_test.cpp
@@ -220,6 +220,19 @@
     }
 }
 
+// Guards against waiting to the deadline for a replica that sends a byte now
+// and then, while another could go on with the stream.
+TEST(relay_broken_streams, a_replica_that_completes_no_event_is_left)
+{
+    broken_streams test;
+    const auto outcome =
+        test.call({trickle_after(3, std::chrono::milliseconds(200)),
+                   slow_stream(std::chrono::milliseconds(1))});
+    CHECK_EQUAL(2, outcome.resumed_after.size());
+    CHECK(outcome.is_complete);
+    STRCMP_EQUAL(expected_stream().c_str(), outcome.body.c_str());
+}
+
 // Guards against a stream that completes no event and outlives its deadline
 // where it may not be sent again, or looks complete.
 TEST(relay_broken_streams, a_stream_that_completes_no_event_ends_in_time)
