--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -3,6 +3,7 @@
 #include "relay/hop_headers.hpp"
 #include "relay/replica_request.hpp"
 #include "relay/request_content.hpp"
+#include "relay/stream_head.hpp"
 
 #include <algorithm>
 #include <random>
@@ -18,9 +19,14 @@
 /// when judging whether a response can still be on time.
 constexpr int replica_time_divisor = 4;
 /// A replica that sends nothing for this long counts as unresponsive if the
-/// request may be retried on another one. Twice the longest pause between
+/// request may be retried on another one. Twice the usual longest pause between
 /// events that still counts as on time.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
+/// The same as a multiple of the longest pause that a route names.
+constexpr int unresponsive_pauses = 2;
+/// A replica that completes no event for this many times as long is stalled,
+/// also if it sends a byte now and then.
+constexpr int stalled_silences = 2;
 /// Most bytes of a stream that are buffered for a slow caller. A caller that
 /// keeps up has a few events buffered; a node has memory for dozens of slow
 /// callers.
@@ -163,6 +169,7 @@
     }
     ++this->sends;
     this->splitter = event_splitter();
+    this->sequence.begin_run();
     this->attempt_events = 0;
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
@@ -176,7 +183,7 @@
     };
     hooks.on_head = [this](const net::http_response& head)
     {
-        this->collected_status = head.status;
+        this->handle_head(head);
     };
     if (this->request.route->kind == routing::request_kind::streaming)
     {
@@ -200,23 +207,63 @@
 {
     net::http_request sent =
         replica_request(this->exchange->head(), this->context.adapter.headers(),
-                        this->remaining(), this->last_event);
+                        this->remaining(), this->sequence.last_number());
     sent.body = this->request.body;
     const bool repeatable = this->request.route->is_repeatable();
     sent.send_by = send_by;
-    const bool may_repeat =
-        repeatable && this->runs + 1 < this->request.route->max_attempts;
+    const bool may_repeat = this->may_repeat();
     // On a connection of its own, the last repeat cannot be lost to another
     // request's late response.
     sent.allow_connection_reuse = repeatable && (this->runs == 0 || may_repeat);
     if (may_repeat)
     {
         sent.head_timeout = unresponsive_timeout;
-        sent.idle_timeout = unresponsive_timeout;
+        sent.idle_timeout = this->longest_silence();
     }
     return sent;
 }
 
+bool online_call::may_repeat() const
+{
+    const routing::route& route = *this->request.route;
+    return route.is_repeatable() && this->runs + 1 < route.max_attempts;
+}
+
+duration online_call::longest_silence() const
+{
+    return std::max(unresponsive_timeout,
+                    unresponsive_pauses * this->request.route->longest_pause);
+}
+
+void online_call::handle_head(const net::http_response& head)
+{
+    this->collected_status = head.status;
+    if (!net::is_success(head.status))
+    {
+        return;
+    }
+    // The first replica's head is passed on, so that the others must agree.
+    if (this->response_started && (head.status != this->stream_status ||
+                                   !may_be_event_stream(head.headers)))
+    {
+        this->attempt->abort("the response is no stream that goes on");
+        return;
+    }
+    this->restart_stall_timer();
+}
+
+void online_call::restart_stall_timer()
+{
+    if (this->request.route->kind != routing::request_kind::streaming ||
+        !this->may_repeat())
+    {
+        return;
+    }
+    this->stall_timer = this->context.loop.call_after(
+        stalled_silences * this->longest_silence(),
+        [this] { this->attempt->abort("the replica completes no event"); });
+}
+
 void online_call::handle_chunk(std::string_view chunk)
 {
     if (!net::is_success(this->collected_status))
@@ -229,9 +276,14 @@
         return;
     }
     std::string ready;
-    for (const stream_event& event :
-         this->splitter.feed_new(chunk, this->last_event))
+    const char* problem = nullptr;
+    for (const stream_event& event : this->splitter.feed(chunk))
     {
+        problem = this->sequence.append(event);
+        if (problem != nullptr)
+        {
+            break;
+        }
         ready += event.raw;
         ++this->attempt_events;
         if (this->attempt_events == crash_guard::surviving_events)
@@ -239,31 +291,42 @@
             this->context.crashes.handle_survival(this->traits);
         }
     }
-    if (this->splitter.is_too_long())
+    if (problem == nullptr && this->splitter.is_too_long())
     {
-        this->attempt->abort("an event exceeds the size limit");
-        return;
+        problem = "an event exceeds the size limit";
     }
-    if (ready.empty())
+    if (this->pass_on(ready) && problem != nullptr)
     {
-        return;
+        this->attempt->abort(problem);
+    }
+}
+
+bool online_call::pass_on(const std::string& events)
+{
+    if (events.empty())
+    {
+        return true;
     }
+    this->restart_stall_timer();
     if (!this->response_started)
     {
         this->response_started = true;
+        this->stream_status = this->collected_status;
         this->first_output_at = net::event_loop::now();
         this->exchange->start_stream(
             this->collected_status,
             end_to_end_headers(this->attempt->head_fields()));
     }
-    this->exchange->write_chunk(ready);
-    if (this->exchange->pending_output_bytes() > max_unread_bytes)
+    this->exchange->write_chunk(events);
+    if (this->exchange->pending_output_bytes() <= max_unread_bytes)
     {
-        this->fail(error{error_code::deadline_exceeded,
-                         "the caller does not read the response",
-                         ran_state::unknown,
-                         {}});
+        return true;
     }
+    this->fail(error{error_code::deadline_exceeded,
+                     "the caller does not read the response",
+                     ran_state::unknown,
+                     {}});
+    return false;
 }
 
 duration online_call::remaining() const
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_exchange.hpp"
+#include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/online_request.hpp"
 #include "relay/relay_context.hpp"
@@ -8,7 +9,6 @@
 #include "relay/slot_client.hpp"
 #include "routing/replica_entry.hpp"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -52,10 +52,25 @@
     duration time_to_abandonment() const;
     void send(const replica_id& replica);
     net::http_request make_request(time_point send_by) const;
+    /// \returns Whether another attempt may follow the current one if that has
+    /// run.
+    bool may_repeat() const;
+    /// \returns How long a response may pause before another attempt follows.
+    duration longest_silence() const;
+    void handle_head(const net::http_response& head);
     void handle_chunk(std::string_view chunk);
+    /// Ends the attempt if no event is completed for some time and another one
+    /// may follow.
+    void restart_stall_timer();
+    /// Passes events on to the caller.
+    ///
+    /// \returns Whether the call goes on.
+    bool pass_on(const std::string& events);
     void handle_end(attempt_outcome outcome, net::http_response response,
                     const std::string& reason);
     bool handle_response(net::http_response response);
+    /// \returns Whether the end of the response is the end of the stream.
+    bool completes_stream(const net::http_response& response) const;
     /// Reports an attempt that ended as if its replica had crashed.
     void report_crash(attempt_outcome outcome);
     bool may_send_again() const;
@@ -84,6 +99,7 @@
     std::set<replica_id> excluded;
     net::connection_use last_connection;
     net::timer deadline_timer;
+    net::timer stall_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
 
@@ -91,12 +107,14 @@
     int sends = 0;
     int runs = 0;
     bool response_started = false;
+    /// Status of the stream that the caller receives.
+    int stream_status = 0;
     /// Status of the response, and its body unless it is streamed to the
     /// caller.
     int collected_status = 0;
     std::string collected_body;
     event_splitter splitter;
-    std::int64_t last_event = 0;
+    event_sequence sequence{event_numbering::increasing};
     /// Events that the current attempt has delivered.
     int attempt_events = 0;
     bool ended = false;
--- a/tests/relay_process/protocol_test.cpp
+++ b/tests/relay_process/protocol_test.cpp
@@ -211,7 +211,7 @@
 {
     // The fleet's configuration allows 16 KiB of headers.
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
                 "Parsleytrack-Request-Id: id1\r\nFiller: " +
                 std::string(20'000, 'x') + "\r\n\r\n");
@@ -222,7 +222,7 @@
 TEST(relay_caller_limits, a_head_that_does_not_end_in_time_is_refused)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send("POST /plain/a HTTP/1.1\r\nHost: h\r\n");
     STRCMP_CONTAINS("HTTP/1.1 408 ", caller.read_to_end().c_str());
 }
@@ -230,7 +230,7 @@
 TEST(relay_caller_limits, a_body_that_does_not_end_in_time_is_refused)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send(
         "POST /plain/a HTTP/1.1\r\n" + head_fields +
         "Parsleytrack-Request-Id: id1\r\nContent-Length: 10\r\n\r\nabc");
@@ -241,7 +241,7 @@
 TEST(relay_caller_limits, an_idle_connection_is_closed_after_its_limit)
 {
     relay_fleet fleet(1);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     const time_point begin = net::event_loop::now();
     caller.send("POST /plain/a HTTP/1.1\r\n" + head_fields +
                 "Parsleytrack-Request-Id: id1\r\nContent-Length: 0\r\n\r\n");
--- a/tests/relay_process/stop_stage_test.cpp
+++ b/tests/relay_process/stop_stage_test.cpp
@@ -49,7 +49,7 @@
 {
     fleet.process(0).signal(SIGTERM);
     fleet.run_for(first_at);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send(first);
     fleet.run_for(second_after);
     caller.send(second);
@@ -116,7 +116,7 @@
     relay_fleet fleet(2);
     fleet.process(0).signal(SIGTERM);
     fleet.run_for(shortly_before);
-    const raw_caller caller(fleet.loop, fleet.front_address(0));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
     caller.send(head("x").substr(0, 10));
     const time_point begin = net::event_loop::now();
     CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
--- a/tests/relay_support/raw_caller.hpp
+++ b/tests/relay_support/raw_caller.hpp
@@ -3,6 +3,7 @@
 #include "net/event_loop.hpp"
 #include "units/endpoint.hpp"
 
+#include <optional>
 #include <string>
 
 namespace parsleytrack::relay_support
@@ -12,9 +13,7 @@
 class raw_caller
 {
 public:
-    /// Connects. Fails the test if the node refuses.
-    ///
-    /// \param event_loop Outlives this object.
+    /// Throws if the connection cannot be opened.
     raw_caller(net::event_loop& event_loop, const endpoint& node);
     ~raw_caller();
     raw_caller(const raw_caller&) = delete;
@@ -22,13 +21,30 @@
 
     void send(const std::string& text) const;
 
-    /// Reads until the node closes the connection. Fails the test if it resets
-    /// the connection, or keeps it open for ten seconds.
-    std::string read_to_end() const;
+    /// Reads until the node closes the connection; throws if it does not, or
+    /// resets the connection.
+    std::string read_to_end();
+
+    /// Reads until the bytes received so far contain a text.
+    ///
+    /// \returns Whether they do before the connection ends or the wait times
+    /// out.
+    bool read_until(const std::string& wanted);
 
 private:
+    enum class read_result
+    {
+        nothing,
+        bytes,
+        end,
+        reset
+    };
+
+    read_result read();
+
     net::event_loop& loop;
     int descriptor;
+    std::string received;
 };
 
 } // namespace parsleytrack::relay_support
