--- a/tests/relay_support/raw_caller.hpp
+++ b/tests/relay_support/raw_caller.hpp
@@ -25,6 +25,10 @@
     /// resets the connection.
     std::string read_to_end();
 
+    /// The same, but the node may also reset the connection, as it may when it
+    /// breaks a response off while the caller sends.
+    std::string read_until_lost();
+
     /// Reads until the bytes received so far contain a text.
     ///
     /// \returns Whether they do before the connection ends or the wait times
@@ -41,6 +45,8 @@
     };
 
     read_result read();
+    /// \returns Whether the connection has ended in order or by a reset.
+    read_result read_all();
 
     net::event_loop& loop;
     int descriptor;
