--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -98,6 +98,7 @@
         return;
     }
     ++this->runs[*request];
+    ++this->run_count;
     const std::string* remaining_ms =
         net::find_header(headers, "Parsleytrack-Deadline-Ms");
     if (remaining_ms != nullptr)
@@ -111,7 +112,9 @@
                                   "seal-" + *request);
     const bool is_failed =
         this->behaviour == fault::failing ||
-        (this->behaviour == fault::failing_once && this->runs[*request] == 1);
+        (this->behaviour == fault::failing_once && this->runs[*request] == 1) ||
+        (this->behaviour == fault::failing_by_turns &&
+         this->run_count % 2 == 1);
     if (is_failed)
     {
         ++this->failures[*request];
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -32,7 +32,9 @@
         /// Responds with status 500.
         failing,
         /// Responds with status 500 to the first run of each request.
-        failing_once
+        failing_once,
+        /// Responds with status 500 to every other run, from the first.
+        failing_by_turns
     };
 
     replica_stand_in(net::event_loop& event_loop, std::string replica_name);
@@ -84,6 +86,8 @@
     std::map<std::string, int> runs;
     /// Number of responses with status 500 by request id.
     std::map<std::string, int> failures;
+    /// Number of runs of all requests.
+    int run_count = 0;
     /// When each request arrived, including those that were not run.
     std::vector<time_point> arrivals;
     /// A part of a prompt under which the replica crashes as it begins to
