--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -79,7 +79,7 @@
                          this->age() > route->retention;
     if (route == nullptr && table->contents().version < input.accepted_by)
     {
-        // The newer configuration, which has the route, is on its way here.
+        // The configuration by which the job was accepted has not arrived yet.
         return;
     }
     if (route == nullptr || expired)
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -67,7 +67,7 @@
     }
 }
 
-// Guards against ending streams for events that the pages allow.
+// Guards against ending streams for unusual events that are valid.
 TEST(event_splitter, knows_unusual_events)
 {
     for (const char* text :
--- a/tests/relay_process/broken_stream_test.cpp
+++ b/tests/relay_process/broken_stream_test.cpp
@@ -134,7 +134,7 @@
     CHECK(outcome.head.find("First: 1") == std::string::npos);
 }
 
-// Guards against ending streams for what the pages allow.
+// Guards against ending streams for what is valid, if unusual.
 TEST(relay_broken_streams, unusual_events_are_passed_on_unchanged)
 {
     const std::string text =
