Show with tests that streams go on at another software version

Callers saw 200 and a text joined from two versions. Cause, to be mended next: no choice of a replica knows its software version, and nothing remembers which version began a stream.

The test fleet can run storage nodes, and replicas have a version.

--- /dev/null
+++ b/tests/relay_process/stream_version_test.cpp
@@ -0,0 +1,373 @@
+#include "relay_support/expected_output.hpp"
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+/// Last event that a caller has received when it takes a stream up again.
+constexpr int last_event = 3;
+
+/// Runs replicas of two software versions; those of the newer one are chosen
+/// first when nothing else decides, since their ids sort first.
+class two_versions
+{
+public:
+    explicit two_versions(const relay_fleet_options& options) : fleet(options)
+    {
+    }
+
+    void start_newer_replicas()
+    {
+        for (const char* name : {"a-0", "a-1"})
+        {
+            auto& replica = this->newer.emplace_back(
+                std::make_unique<replica_stand_in>(this->fleet.loop, name));
+            replica->version = "v2";
+            this->fleet.store.put("servers/" + std::string(name),
+                                  replica->record("llm"));
+        }
+        this->wait_for_list(0, [](const std::string& text)
+                            { return text.find("a-1") != std::string::npos; });
+    }
+
+    /// Removes the replicas that were there from the beginning.
+    ///
+    /// \param node A node that runs.
+    void remove_older_replicas(int node)
+    {
+        this->erase_older_replicas();
+        this->wait_for_list(node, [](const std::string& text)
+                            { return text.find("i-0") == std::string::npos; });
+    }
+
+    /// Does so while the first node does not run, and starts it.
+    void remove_older_replicas_and_restart()
+    {
+        this->erase_older_replicas();
+        this->restart(0);
+    }
+
+    /// Starts a stream at the first node, which sends events until the node is
+    /// killed.
+    void begin_stream(const std::string& id)
+    {
+        for (const auto& engine : this->fleet.engines)
+        {
+            engine->event_interval = std::chrono::milliseconds(50);
+            engine->event_count = 1000;
+        }
+        this->fleet.start_call(0, "POST", "/stream/a", id, "",
+                               this->first_response);
+        CHECK(this->fleet.wait(
+            [this]
+            {
+                std::size_t open = 0;
+                for (const auto& engine : this->fleet.engines)
+                {
+                    open += engine->open_streams();
+                }
+                return open > 0;
+            }));
+        this->fleet.run_for(std::chrono::milliseconds(50 * (last_event + 1)));
+    }
+
+    /// Lets streams end as usual again.
+    void end_streams()
+    {
+        for (const auto& engine : this->fleet.engines)
+        {
+            engine->event_interval = std::chrono::milliseconds(5);
+            engine->event_count = replica_stand_in::stream_events;
+        }
+    }
+
+    /// Takes a stream up as the caller that began it.
+    relay_fleet::response take_up(int node, const std::string& first_request)
+    {
+        this->fleet.caller_headers = {
+            {"Last-Event-Id", std::to_string(last_event)},
+            {"Resumes", first_request}};
+        const relay_fleet::response response =
+            this->fleet.call(node, "POST", "/stream/a", "again");
+        this->fleet.caller_headers.clear();
+        return response;
+    }
+
+    void restart(int node)
+    {
+        this->fleet.start(node);
+        this->fleet.wait_ready(node);
+    }
+
+    /// \returns How many runs at newer replicas went on after an event.
+    int resumed_at_newer() const { return resumed(this->newer); }
+    int resumed_at_older() const { return resumed(this->fleet.engines); }
+
+    relay_fleet fleet;
+    std::vector<std::unique_ptr<replica_stand_in>> newer;
+    /// The response to the stream that begin_stream() has started.
+    std::shared_ptr<relay_fleet::response> first_response =
+        std::make_shared<relay_fleet::response>();
+
+private:
+    using replicas = std::vector<std::unique_ptr<replica_stand_in>>;
+
+    static int resumed(const replicas& engines)
+    {
+        int count = 0;
+        for (const auto& engine : engines)
+        {
+            for (const auto& [request, starts] : engine->resumed_after)
+            {
+                for (const int after : starts)
+                {
+                    count += after > 0 ? 1 : 0;
+                }
+            }
+        }
+        return count;
+    }
+
+    void erase_older_replicas()
+    {
+        for (const auto& engine : this->fleet.engines)
+        {
+            this->fleet.store.erase("servers/" + engine->name());
+        }
+    }
+
+    template <typename Condition>
+    void wait_for_list(int node, Condition condition)
+    {
+        CHECK(this->fleet.wait(
+            [this, node, &condition] {
+                return condition(this->fleet.status(node)["replicas"].dump());
+            }));
+    }
+};
+
+std::string stream_after_last_event()
+{
+    std::string text;
+    for (int number = last_event + 1; number <= replica_stand_in::stream_events;
+         ++number)
+    {
+        text += "id: " + std::to_string(number) + "\ndata: t" +
+                std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+relay_fleet_options with_one_replica(int nodes)
+{
+    relay_fleet_options options;
+    options.node_count = nodes;
+    options.engine_count = 1;
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(relay_stream_versions){};
+
+// Guards against one answer that holds events of two software versions: its
+// replica breaks off, and the next one runs another version.
+TEST(relay_stream_versions, an_answer_goes_on_at_the_version_that_began_it)
+{
+    relay_fleet_options options;
+    options.engine_count = 2;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    for (const auto& engine : test.fleet.engines)
+    {
+        if (engine->open_streams() > 0)
+        {
+            engine->behaviour = replica_stand_in::fault::truncating;
+            continue;
+        }
+        engine->event_count = replica_stand_in::stream_events;
+    }
+    CHECK(
+        test.fleet.wait([&test] { return test.first_response->status >= 0; }));
+    CHECK_EQUAL(200, test.first_response->status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+    CHECK_EQUAL(1, test.resumed_at_older());
+}
+
+// The same where no other replica of the version is left.
+TEST(relay_stream_versions, an_answer_breaks_off_when_its_version_has_left)
+{
+    two_versions test(with_one_replica(1));
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.fleet.engines[0]->behaviour = replica_stand_in::fault::truncating;
+    CHECK(
+        test.fleet.wait([&test] { return test.first_response->status >= 0; }));
+    CHECK_EQUAL(0, test.first_response->status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
+// Guards against a caller's stream that goes on at another version because the
+// node that knows the version is gone.
+TEST(relay_stream_versions, another_node_goes_on_at_the_same_version)
+{
+    relay_fleet_options options = with_one_replica(2);
+    options.storage_count = 2;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.fleet.process(0).kill();
+    test.end_streams();
+    const auto response = test.take_up(1, "one");
+    CHECK_EQUAL(200, response.status);
+    STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
+// Guards against the same when all nodes that callers use were killed at once:
+// nothing that they knew is left.
+TEST(relay_stream_versions, streams_go_on_after_all_nodes_were_killed)
+{
+    relay_fleet_options options = with_one_replica(2);
+    options.storage_count = 2;
+    two_versions test(options);
+    test.start_newer_replicas();
+    // The newer replicas begin no stream.
+    for (const auto& replica : test.newer)
+    {
+        replica->behaviour = replica_stand_in::fault::full;
+    }
+    test.begin_stream("one");
+    for (const auto& replica : test.newer)
+    {
+        replica->behaviour = replica_stand_in::fault::none;
+    }
+    test.fleet.process(0).kill();
+    test.fleet.process(1).kill();
+    test.end_streams();
+    test.restart(0);
+    test.restart(1);
+    const auto response = test.take_up(1, "one");
+    CHECK_EQUAL(200, response.status);
+    STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
+// The same for a stream that began while there was one version only.
+TEST(relay_stream_versions, streams_begun_before_a_release_go_on_after_a_kill)
+{
+    relay_fleet_options options = with_one_replica(2);
+    options.storage_count = 2;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.fleet.run_for(std::chrono::milliseconds(200));
+    test.fleet.process(0).kill();
+    test.fleet.process(1).kill();
+    test.end_streams();
+    test.restart(0);
+    test.restart(1);
+    const auto response = test.take_up(0, "one");
+    CHECK_EQUAL(200, response.status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
+// Guards against an answer of 200 that is joined from two versions: the one
+// that began the stream has just left, and nothing tells the restarted nodes
+// which it was.
+TEST(relay_stream_versions, a_stream_of_unknown_version_is_refused)
+{
+    two_versions test(with_one_replica(1));
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.fleet.process(0).kill();
+    test.end_streams();
+    test.remove_older_replicas_and_restart();
+    const auto response = test.take_up(0, "one");
+    CHECK_EQUAL(503, response.status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
+// Guards against the same where the version is known and no replica is left.
+TEST(relay_stream_versions, a_stream_whose_version_has_left_is_refused)
+{
+    relay_fleet_options options = with_one_replica(2);
+    options.storage_count = 1;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.remove_older_replicas(1);
+    test.fleet.process(0).kill();
+    test.fleet.run_for(std::chrono::seconds(1));
+    const auto response = test.take_up(1, "one");
+    CHECK_EQUAL(503, response.status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+    // A new stream is served.
+    CHECK_EQUAL(200, test.fleet.call(1, "POST", "/stream/a", "new").status);
+}
+
+// Guards against refusing streams whose version is certain: after a restart of
+// all nodes no other version has been in service.
+TEST(relay_stream_versions, streams_of_the_only_version_go_on_after_a_kill)
+{
+    relay_fleet_options options = with_one_replica(1);
+    options.storage_count = 1;
+    two_versions test(options);
+    // For longer than a stream lasts.
+    test.fleet.run_for(std::chrono::seconds(7));
+    test.begin_stream("one");
+    test.fleet.process(0).kill();
+    test.end_streams();
+    test.restart(0);
+    const auto response = test.take_up(0, "one");
+    CHECK_EQUAL(200, response.status);
+    STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
+}
+
+// Guards against the output of an item that is joined from two versions, by an
+// owner that takes the job over.
+TEST(relay_stream_versions, items_go_on_at_the_version_that_began_them)
+{
+    two_versions test(with_one_replica(1));
+    test.fleet.engines[0]->event_interval = std::chrono::milliseconds(500);
+    CHECK_EQUAL(202, test.fleet.submit(0, "job", 2).status);
+    test.fleet.run_for(std::chrono::seconds(4));
+    test.start_newer_replicas();
+    test.fleet.process(0).kill();
+    test.end_streams();
+    test.restart(0);
+    CHECK_EQUAL(2, test.fleet.results(0, "job").size());
+    CHECK_EQUAL(0, test.resumed_at_newer());
+    CHECK(test.resumed_at_older() > 0);
+}
+
+// Guards against items that wait for ever for a version that has left, or that
+// go on at another one: they start anew.
+TEST(relay_stream_versions, items_start_anew_when_their_version_has_left)
+{
+    two_versions test(with_one_replica(1));
+    test.fleet.engines[0]->event_interval = std::chrono::milliseconds(500);
+    CHECK_EQUAL(202, test.fleet.submit(0, "job", 2).status);
+    test.fleet.run_for(std::chrono::seconds(4));
+    test.start_newer_replicas();
+    test.fleet.process(0).kill();
+    test.remove_older_replicas_and_restart();
+    const nlohmann::json results = test.fleet.results(0, "job");
+    CHECK_EQUAL(2, results.size());
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL(expected_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
+    }
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -129,7 +129,8 @@
     }
     this->web = add_replica("i-web", "web");
     this->store.put("servers/i-broken", "{\"service\":1}");
-    this->nodes.resize(static_cast<std::size_t>(node_count));
+    const int process_count = node_count + this->options.storage_count;
+    this->nodes.resize(static_cast<std::size_t>(process_count));
     // All nodes use the same peer port, each at its own address.
     port_allocator ports(this->loop, this->nodes.size());
     const std::uint16_t peer_port = ports.next();
@@ -150,7 +151,7 @@
                 std::make_unique<fault_proxy>(this->loop, entry.store));
         }
     }
-    for (int number = 0; number < node_count; ++number)
+    for (int number = 0; number < process_count; ++number)
     {
         this->write_settings(static_cast<std::size_t>(number));
         this->start(number);
@@ -179,22 +180,26 @@
     const endpoint& store_address = this->options.has_proxies
                                         ? this->store_proxies[number]->address()
                                         : entry.store;
+    const auto entry_nodes = static_cast<std::size_t>(this->options.node_count);
     json seeds = json::array();
-    for (const node& other : this->nodes)
+    for (std::size_t other = 0; other < entry_nodes; ++other)
+    {
+        seeds.push_back(to_string(this->nodes[other].peer));
+    }
+    json listen{{"peer", to_string(entry.peer)},
+                {"metrics", to_string(entry.metrics)}};
+    if (number < entry_nodes)
     {
-        seeds.push_back(to_string(other.peer));
+        listen["front"] = to_string(entry.front);
+        listen["ready"] = to_string(entry.ready);
+        listen["directory"] = to_string(entry.directory);
     }
     const json document{
         {"node",
          {{"id", "n" + std::to_string(number)},
           {"region", "r"},
           {"availability_zone", "z"}}},
-        {"listen",
-         {{"front", to_string(entry.front)},
-          {"ready", to_string(entry.ready)},
-          {"directory", to_string(entry.directory)},
-          {"peer", to_string(entry.peer)},
-          {"metrics", to_string(entry.metrics)}}},
+        {"listen", listen},
         {"seeds", seeds},
         {"store",
          {{"address", to_string(store_address)},
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -62,6 +62,9 @@
     /// Prompt parts of the requests sent from now on, as callers list them.
     std::string prompt_parts;
 
+    /// Header fields of the requests sent from now on, in addition.
+    net::http_header_list caller_headers;
+
     /// Submits a job with a number of items.
     response submit(int node, const std::string& job, int items);
 
@@ -79,6 +82,7 @@
     /// Waits until a node reports that it is ready; throws when it times out.
     void wait_ready(int node);
 
+    /// Starts a node; the storage nodes follow the others.
     void start(int node);
     process_support::child_process& process(int node)
     {
--- a/tests/relay_support/relay_fleet_calls.cpp
+++ b/tests/relay_support/relay_fleet_calls.cpp
@@ -33,6 +33,8 @@
         request.headers.emplace_back("Parsleytrack-Prompt-Prefix",
                                      this->prompt_parts);
     }
+    request.headers.insert(request.headers.end(), this->caller_headers.begin(),
+                           this->caller_headers.end());
     const endpoint& target =
         number < 0 ? this->nodes.front().directory
                    : this->nodes.at(static_cast<std::size_t>(number)).front;
--- a/tests/relay_support/relay_fleet_options.hpp
+++ b/tests/relay_support/relay_fleet_options.hpp
@@ -12,6 +12,8 @@
     /// Number of nodes up to which every node watches the store itself.
     int max_direct_followers = 16;
     int engine_count = 3;
+    /// Number of storage nodes, which callers do not use.
+    int storage_count = 0;
     /// Whether the connections from each node to the store and those to each
     /// replica pass through a proxy that can inject faults.
     bool has_proxies = false;
--- a/tests/relay_support/replica_record.hpp
+++ b/tests/relay_support/replica_record.hpp
@@ -14,14 +14,16 @@
 /// \param state State that the replica reports.
 /// \param slots Number of requests that the replica runs concurrently.
 /// \param started When the replica's process started, in Unix milliseconds.
+/// \param version Version of the replica's software.
 /// \returns The replica's record in the store, as JSON.
 inline std::string replica_record(const std::string& service,
                                   const endpoint& address,
                                   const std::string& state = "ready",
-                                  int slots = 4, int started = 1)
+                                  int slots = 4, int started = 1,
+                                  const std::string& version = "v1")
 {
     return nlohmann::json{{"service", service}, {"address", to_string(address)},
-                          {"zone", "z"},        {"version", "v1"},
+                          {"zone", "z"},        {"version", version},
                           {"slots", slots},     {"state", state},
                           {"seq", 1},           {"born", started}}
         .dump();
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -34,7 +34,7 @@
 {
     constexpr int slots = 4;
     return replica_record(service, this->advertised_address, state, slots,
-                          this->started);
+                          this->started, this->version);
 }
 
 void replica_stand_in::restart()
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -70,6 +70,8 @@
     static constexpr int stream_events = 12;
 
     fault behaviour = fault::none;
+    /// Version of the replica's software.
+    std::string version = "v1";
     /// Header fields that each response gets in addition.
     net::http_header_list extra_headers;
     /// Number of events after which a stream ends.
