--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -83,6 +83,12 @@
     /// \returns The replica of the last attempt; empty if there was none.
     const replica_id& last_replica() const { return this->replica.id; }
 
+    /// \returns The software version of the replica of the last attempt.
+    const software_version& last_version() const
+    {
+        return this->replica.version;
+    }
+
     /// \returns The connection of the last attempt.
     net::connection_use last_connection() const { return this->connection; }
 
--- a/src/relay/replica_follower.cpp
+++ b/src/relay/replica_follower.cpp
@@ -158,6 +158,7 @@
         log_event(log_level::info, "replica_changed",
                   {{"replica", id.str()},
                    {"service", entry.value().service.str()},
+                   {"version", entry.value().version.str()},
                    {"address", to_string(entry.value().address)},
                    {"draining", entry.value().draining ? "yes" : "no"},
                    {"revision", change.record.revision.count()}});
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -67,6 +67,7 @@
                  {"service", entry.service.str()},
                  {"address", to_string(entry.address)},
                  {"availability_zone", entry.availability_zone.str()},
+                 {"version", entry.version.str()},
                  {"slots", entry.slots},
                  {"state", usable ? "in_use" : unusable}});
         if (const auto limit =
--- a/src/routing/replica_entry.hpp
+++ b/src/routing/replica_entry.hpp
@@ -17,6 +17,9 @@
     service_name service;
     endpoint address;
     availability_zone_name availability_zone;
+    /// A stream goes on only at replicas of the version that began it, and
+    /// replicas do not check this.
+    software_version version;
     /// Number of requests that it runs concurrently.
     int slots = 1;
     /// Whether it has announced that it will stop.
--- a/src/units/ids.hpp
+++ b/src/units/ids.hpp
@@ -11,6 +11,8 @@
 using replica_id = strong_id<struct replica_id_tag>;
 /// One process of a replica, which may restart under the same replica_id.
 using replica_process_id = strong_id<struct replica_process_id_tag>;
+/// Version of a replica's software; there is no order between versions.
+using software_version = strong_id<struct software_version_tag>;
 /// A service: a set of interchangeable replicas.
 using service_name = strong_id<struct service_name_tag>;
 /// A model that engines can load.
--- a/tests/platform/replica_decoder_test.cpp
+++ b/tests/platform/replica_decoder_test.cpp
@@ -37,6 +37,7 @@
     CHECK_EQUAL(8, read.value().slots);
     CHECK_FALSE(read.value().draining);
     CHECK(read.value().started_at_ms == 1'700'000'000'123);
+    STRCMP_EQUAL("v1", read.value().version.str().c_str());
     CHECK(decode_replica(replica_id("i"), with("ready", "draining"))
               .value()
               .draining);
