Let a stream go on only at the version that began it

Cause: neither a request for a slot nor the broker's choice knew of versions. A request may name one now. The broker grants it only replicas of that version, never more than their slots; refuses it at once where there is none; lets other requests and batch work have the slots of other versions meanwhile; leaves it the slots that new streams can do without; and takes slots back from batch work at replicas that it can use. A stream that has begun waits for its next event and is ranked by that, not by the time of its first one, so that it is not behind all new streams. A node that chooses alone keeps to the version as well.

A replica that starts again under its id with another version is checked against this node's list when the request is sent; a list that is out of date by less than the batch of changes (0.5 s) is not covered.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -95,15 +95,26 @@
     {
         return;
     }
+    if (this->version && !this->context.replicas.registry().has_usable(
+                             this->service, *this->version, this->excluded))
+    {
+        this->fail(error{error_code::no_replica,
+                         "no replica of the stream's software version " +
+                             this->version->str() + " is left",
+                         ran_state::no,
+                         {}});
+        return;
+    }
     slot_request wanted;
     wanted.request = this->request.id;
     wanted.pool.service = this->service;
     wanted.priority = this->request.route->priority;
     wanted.useful_for = this->useful_time();
     wanted.wait_when_late = this->request.elapsed_before > duration::zero() ||
-                            this->response_started || this->sends > 0;
+                            this->version || this->sends > 0;
     wanted.abandoned_in = this->time_to_abandonment();
     wanted.excluded = this->excluded;
+    wanted.version = this->version;
     wanted.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
         wanted,
@@ -120,6 +131,11 @@
 duration online_call::useful_time() const
 {
     const duration target = this->request.route->target_latency;
+    if (this->version)
+    {
+        // The caller has the first event and waits for the next one.
+        return std::max(target, this->request.route->longest_pause);
+    }
     const time_point useful_until = this->request.received -
                                     this->request.elapsed_before + target -
                                     target / replica_time_divisor;
@@ -152,10 +168,10 @@
     }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
-    if (entry == nullptr)
+    if (entry == nullptr || (this->version && *this->version != entry->version))
     {
         this->excluded.insert(granted);
-        this->send_again("the replica is no longer usable");
+        this->send_again("the replica can no longer be used");
         return;
     }
     this->replica = *entry;
@@ -285,6 +301,7 @@
             break;
         }
         ready += event.raw;
+        this->version = this->replica.version;
         ++this->attempt_events;
         if (this->attempt_events == crash_guard::surviving_events)
         {
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -97,6 +97,9 @@
     /// The replica of the current attempt, or else of the last one.
     routing::replica_entry replica;
     std::set<replica_id> excluded;
+    /// The version whose replicas may go on with the stream; absent until it
+    /// has begun.
+    std::optional<software_version> version;
     net::connection_use last_connection;
     net::timer deadline_timer;
     net::timer stall_timer;
--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -52,8 +52,7 @@
     open_request& state = this->requests[number];
     state.request = wanted;
     state.request.node = this->context.group.own().id;
-    state.request.pool.index = this->pools_of(wanted.pool.service)
-                                   .selector.choose(this->context.random);
+    state.request.pool.index = this->choose_pool(wanted);
     state.handlers = std::move(handlers);
     state.opened = net::event_loop::now();
     this->open(number);
@@ -93,6 +92,30 @@
     return known;
 }
 
+int slot_client::choose_pool(const slot_request& wanted)
+{
+    service_pools& known = this->pools_of(wanted.pool.service);
+    std::vector<int> pools;
+    if (wanted.version && known.count > 1)
+    {
+        // Not every pool has replicas of the version.
+        for (const auto* entry :
+             this->context.replicas.registry().usable(wanted.pool.service))
+        {
+            if (entry->version == *wanted.version)
+            {
+                pools.push_back(slots::pool_of(entry->id, known.count));
+            }
+        }
+    }
+    if (pools.empty())
+    {
+        return known.selector.choose(this->context.random);
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, pools.size() - 1);
+    return pools[draw(this->context.random)];
+}
+
 const node_info& slot_client::broker_of(const slot_pool& pool)
 {
     return this->brokers.choose(pool.name(), this->context.group.own(),
@@ -227,7 +250,9 @@
     for (const auto* entry :
          this->context.replicas.registry().usable(state.request.pool.service))
     {
-        if (state.request.excluded.contains(entry->id))
+        const auto& version = state.request.version;
+        if (state.request.excluded.contains(entry->id) ||
+            (version && *version != entry->version))
         {
             continue;
         }
@@ -305,7 +330,8 @@
     const time_point now = net::event_loop::now();
     for (const auto& [number, state] : this->requests)
     {
-        if (state.granted || now - state.opened < rebalance_interval)
+        if (state.granted || state.request.version ||
+            now - state.opened < rebalance_interval)
         {
             continue;
         }
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -112,6 +112,8 @@
     /// Notifies the broker that a request has failed on its replica.
     void report(const replica_report& report);
     service_pools& pools_of(const service_name& service);
+    /// \returns The pool in which a new request waits.
+    int choose_pool(const slot_request& wanted);
     const node_info& broker_of(const slot_pool& pool);
     void open(std::uint64_t number);
     void handle_response(std::uint64_t number, const slot_response& response);
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -103,6 +103,10 @@
     message.availability_zone = request.availability_zone.str();
     message.held_replica = request.held_replica.str();
     message.pool = request.pool.index;
+    if (request.version)
+    {
+        message.__set_version(request.version->str());
+    }
     return wire::encode(message);
 }
 
@@ -134,6 +138,10 @@
     request.availability_zone = availability_zone_name(read.availability_zone);
     request.held_replica = replica_id(read.held_replica);
     request.pool.index = read.pool;
+    if (read.__isset.version)
+    {
+        request.version = software_version(read.version);
+    }
     return request;
 }
 
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -30,6 +30,8 @@
     /// there is no such time.
     std::optional<duration> abandoned_in = std::nullopt;
     std::set<replica_id> excluded;
+    /// The version that the replica must have; any if absent.
+    std::optional<software_version> version = std::nullopt;
     availability_zone_name availability_zone;
     /// Set when the slot is in use already: granted by another broker, or
     /// chosen without one.
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -64,6 +64,7 @@
     }
     wanted.availability_zone = request.availability_zone;
     wanted.excluded = request.excluded;
+    wanted.version = request.version;
     open_request& state = this->requests[ticket];
     state = open_request{request, std::move(callback), false, false, {}};
     this->tickets[request.request] = ticket;
@@ -181,7 +182,7 @@
         {
             usable.push_back(slots::slot_replica{
                 entry->id, entry->availability_zone, entry->slots,
-                this->limit_of(pool, *entry)});
+                this->limit_of(pool, *entry), entry->version});
         }
     }
     broker.set_replicas(usable, net::event_loop::now());
--- a/src/routing/replica_registry.cpp
+++ b/src/routing/replica_registry.cpp
@@ -1,5 +1,7 @@
 #include "routing/replica_registry.hpp"
 
+#include <algorithm>
+
 namespace parsleytrack::routing
 {
 
@@ -103,6 +105,21 @@
     return found;
 }
 
+bool replica_registry::has_usable(const service_name& name,
+                                  const software_version& version,
+                                  const std::set<replica_id>& excluded) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(),
+                       [this, &name, &version, &excluded](const auto& known)
+                       {
+                           const replica_entry& entry = known.second;
+                           return entry.service == name &&
+                                  entry.version == version &&
+                                  !excluded.contains(entry.id) &&
+                                  this->is_usable(entry);
+                       });
+}
+
 const replica_entry* replica_registry::find_usable(const replica_id& id) const
 {
     const auto found = this->entries.find(id);
--- a/src/routing/replica_registry.hpp
+++ b/src/routing/replica_registry.hpp
@@ -63,6 +63,11 @@
     /// \returns The replicas of a service that may get new requests.
     std::vector<const replica_entry*> usable(const service_name& name) const;
 
+    /// \param excluded Replicas that do not count.
+    /// \returns Whether a replica of the version may get new requests.
+    bool has_usable(const service_name& name, const software_version& version,
+                    const std::set<replica_id>& excluded) const;
+
     /// \returns The replica if it may get new requests, otherwise nullptr.
     const replica_entry* find_usable(const replica_id& id) const;
 
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -149,112 +149,100 @@
     this->reclaim_for_waiting(now);
 }
 
-void slot_broker::serve_online(time_point now)
+template <std::predicate Condition>
+void slot_broker::serve_queue(queue& waiting,
+                              const std::set<software_version>& avoided,
+                              Condition may_grant, time_point now)
 {
-    for (auto entry = this->online.begin(); entry != this->online.end();)
+    std::set<software_version> exhausted;
+    auto entry = waiting.begin();
+    while (entry != waiting.end() && may_grant())
     {
-        replica_state* chosen = this->choose(entry->second.request, now);
-        if (chosen == nullptr)
+        const slot_request& wanted = entry->second.request;
+        if (wanted.version && exhausted.contains(*wanted.version))
         {
-            if (entry->second.request.excluded.empty())
-            {
-                return;
-            }
             ++entry;
             continue;
         }
-        this->grant(entry->second, *chosen, now);
-        entry = this->online.erase(entry);
-    }
-}
-
-void slot_broker::serve_batch(time_point now)
-{
-    const int reserve = static_cast<int>(this->current_capacity().slots *
-                                         this->options.online_reserve);
-    auto entry = this->batch.begin();
-    while (entry != this->batch.end() && this->online.empty() &&
-           this->free_slots(now) > reserve)
-    {
-        replica_state* chosen = this->choose(entry->second.request, now);
-        if (chosen == nullptr)
+        replica_state* chosen = this->choose(wanted, avoided, now);
+        if (chosen != nullptr)
         {
-            if (entry->second.request.excluded.empty())
-            {
-                return;
-            }
-            ++entry;
+            this->grant(entry->second, *chosen, now);
+            entry = waiting.erase(entry);
             continue;
         }
-        this->grant(entry->second, *chosen, now);
-        entry = this->batch.erase(entry);
+        if (!wanted.is_restricted())
+        {
+            return;
+        }
+        if (wanted.version && wanted.excluded.empty())
+        {
+            exhausted.insert(*wanted.version);
+        }
+        ++entry;
     }
 }
 
-void slot_broker::reclaim_for_waiting(time_point now)
+void slot_broker::serve_online(time_point now)
 {
-    int wanted = -this->pending_reclaims;
-    for (auto entry = this->online.begin();
-         entry != this->online.end() && !entry->first.late; ++entry)
-    {
-        ++wanted;
-    }
-    if (wanted <= 0 || this->batch_held <= this->pending_reclaims)
+    this->serve_queue(
+        this->online, this->versions_waited_for(), [] { return true; }, now);
+}
+
+void slot_broker::serve_batch(time_point now)
+{
+    // An online request that depends on a version leaves no slot unused that it
+    // could have.
+    const bool online_waits = std::any_of(
+        this->online.begin(), this->online.end(),
+        [](const auto& entry) { return !entry.second.request.version; });
+    if (online_waits)
     {
         return;
     }
-    std::vector<std::pair<time_point, slot_ticket>> candidates;
-    for (const auto& [ticket, slot] : this->held)
+    const int reserve = static_cast<int>(this->current_capacity().slots *
+                                         this->options.online_reserve);
+    this->serve_queue(
+        this->batch, {},
+        [this, reserve, now] { return this->free_slots(now) > reserve; }, now);
+}
+
+std::set<software_version> slot_broker::versions_waited_for() const
+{
+    std::set<software_version> versions;
+    for (const auto& [order, waiting] : this->online)
     {
-        if (slot.reclaimed || slot.request.kind != work_class::batch)
+        if (waiting.request.version)
         {
-            continue;
+            versions.insert(*waiting.request.version);
         }
-        const auto replica = this->replicas.find(slot.replica);
-        if (replica == this->replicas.end() ||
-            replica->second.takes_requests(now))
-        {
-            candidates.emplace_back(slot.request.useful_until, ticket);
-        }
-    }
-    // Reclaim from the work that is due last, as a delay affects it least.
-    std::sort(candidates.rbegin(), candidates.rend());
-    candidates.resize(
-        std::min(candidates.size(), static_cast<std::size_t>(wanted)));
-    for (const auto& [due, ticket] : candidates)
-    {
-        this->held.at(ticket).reclaimed = true;
-        ++this->pending_reclaims;
-        this->commands.push_back(
-            slot_command{ticket,
-                         slot_decision::reclaimed,
-                         {},
-                         {},
-                         0,
-                         static_cast<int>(this->online.size())});
     }
+    return versions;
 }
 
 void slot_broker::refuse_unmeetable_deadlines(time_point now)
 {
     std::size_t ahead = 0;
-    const capacity present = this->current_capacity();
+    std::map<software_version, std::size_t> ahead_at_version;
+    const capacity all = this->current_capacity();
     for (auto entry = this->online.begin(); entry != this->online.end();)
     {
         const waiting_request& waiting = entry->second;
-        const time_point latest = waiting.request.wait_when_late
-                                      ? waiting.request.abandoned_at
-                                      : waiting.request.useful_until;
+        const auto& version = waiting.request.version;
+        const capacity present =
+            version ? this->current_capacity(version) : all;
+        std::size_t& before = version ? ahead_at_version[*version] : ahead;
         // Without any replica nothing is known of when one will be there.
         const bool keeps_waiting =
-            waiting.request.wait_when_late && present.slots <= 0.0;
-        if (keeps_waiting || this->is_meetable(ahead, latest, present, now))
+            waiting.request.wait_when_late && all.slots <= 0.0;
+        if (keeps_waiting || this->is_meetable(before, waiting, present, now))
         {
-            ++ahead;
+            ++before;
+            ahead += version ? 1 : 0;
             ++entry;
             continue;
         }
-        this->refuse(waiting, this->predicted_wait(ahead, present));
+        this->refuse(waiting, this->predicted_wait(before, present));
         entry = this->online.erase(entry);
     }
 }
@@ -322,21 +310,25 @@
                      static_cast<int>(this->online.size())});
 }
 
-slot_broker::replica_state* slot_broker::choose(const slot_request& wanted,
-                                                time_point now)
+slot_broker::replica_state*
+slot_broker::choose(const slot_request& wanted,
+                    const std::set<software_version>& avoided, time_point now)
 {
     replica_state* best = nullptr;
     // Same zone first, then the most free slots. Only the response to a request
     // shows that a limit has ended.
-    std::tuple<bool, bool, int> best_score{false, false, 0};
+    std::tuple<bool, bool, bool, int> best_score{false, false, false, 0};
     for (auto& [id, state] : this->replicas)
     {
-        if (!state.health.usable(now) || wanted.excluded.contains(id))
+        const software_version& version = state.replica.version;
+        if (!state.health.usable(now) || wanted.excluded.contains(id) ||
+            (wanted.version && *wanted.version != version))
         {
             continue;
         }
         const int free = state.free(now);
-        const std::tuple<bool, bool, int> score{
+        const std::tuple<bool, bool, bool, int> score{
+            !avoided.contains(version),
             state.pacer && now - state.pacer->last_taken() >=
                                this->options.limit_check_interval,
             state.replica.availability_zone == wanted.availability_zone, free};
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -8,8 +8,10 @@
 #include "slots/slot_request.hpp"
 #include "units/time.hpp"
 
+#include <concepts>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace parsleytrack::slots
@@ -125,18 +127,37 @@
     void serve(time_point now);
     void serve_online(time_point now);
     void serve_batch(time_point now);
+    /// Grants slots to waiting requests, in their order.
+    ///
+    /// \param avoided Versions that are granted last.
+    /// \param may_grant Asked before each grant.
+    template <std::predicate Condition>
+    void serve_queue(queue& waiting, const std::set<software_version>& avoided,
+                     Condition may_grant, time_point now);
+    /// \returns The versions that waiting online requests depend on.
+    std::set<software_version> versions_waited_for() const;
     void reclaim_for_waiting(time_point now);
+    /// \returns For each waiting online request that can still be on time, and
+    /// for which no reclaimed slot is on its way, the version that it needs.
+    std::vector<std::optional<software_version>> unmet_needs() const;
+    /// \returns The version of the replica whose slot is held; absent when the
+    /// replica is not listed any more.
+    std::optional<software_version> version_of(const held_slot& slot) const;
     void refuse_unmeetable_deadlines(time_point now);
     void expire(time_point now);
     void add_held(slot_ticket ticket, held_slot slot);
     void grant(const waiting_request& waiting, replica_state& chosen,
                time_point now);
     void refuse(const waiting_request& waiting, duration wait);
-    replica_state* choose(const slot_request& wanted, time_point now);
-    capacity current_capacity() const;
+    replica_state* choose(const slot_request& wanted,
+                          const std::set<software_version>& avoided,
+                          time_point now);
+    /// \param version Only replicas of this version count; all if absent.
+    capacity current_capacity(
+        const std::optional<software_version>& version = std::nullopt) const;
     /// \returns Whether a request that others precede in its queue is expected
     /// to get a slot by a time.
-    bool is_meetable(std::size_t ahead, time_point until,
+    bool is_meetable(std::size_t ahead, const waiting_request& waiting,
                      const capacity& present, time_point now) const;
     duration predicted_wait(std::size_t ahead, const capacity& present) const;
     static void update_pacer(replica_state& state, time_point now);
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -72,32 +72,45 @@
     state.pacer->set_rate(*limit, now);
 }
 
-slot_broker::capacity slot_broker::current_capacity() const
+slot_broker::capacity slot_broker::current_capacity(
+    const std::optional<software_version>& version) const
 {
     const double hold_s =
         std::chrono::duration<double>(this->mean_hold).count();
     capacity present;
-    present.reclaimable = this->batch_held;
+    present.reclaimable = version ? 0 : this->batch_held;
     for (const auto& [id, state] : this->replicas)
     {
+        if (version && *version != state.replica.version)
+        {
+            continue;
+        }
         const auto slots = static_cast<double>(state.replica.slots);
         if (!state.pacer)
         {
             present.slots += slots;
             present.unlimited_slots += slots;
+            present.reclaimable += version ? state.used_by_batch : 0;
             continue;
         }
         present.slots +=
             std::min(slots, state.pacer->rate().per_second() * hold_s);
         // What is reclaimed there cannot be granted again before its time.
-        present.reclaimable -= state.used_by_batch;
+        present.reclaimable -= version ? 0 : state.used_by_batch;
     }
     return present;
 }
 
-bool slot_broker::is_meetable(std::size_t ahead, time_point until,
+bool slot_broker::is_meetable(std::size_t ahead, const waiting_request& waiting,
                               const capacity& present, time_point now) const
 {
+    const slot_request& wanted = waiting.request;
+    const time_point until =
+        wanted.wait_when_late ? wanted.abandoned_at : wanted.useful_until;
+    if (wanted.version && present.slots <= 0.0)
+    {
+        return false;
+    }
     if (until == time_point::max())
     {
         return true;
@@ -111,7 +124,8 @@
     }
     for (const auto& [id, state] : this->replicas)
     {
-        if (!state.pacer)
+        if (!state.pacer ||
+            (wanted.version && *wanted.version != state.replica.version))
         {
             continue;
         }
--- a/src/slots/slot_replica.hpp
+++ b/src/slots/slot_replica.hpp
@@ -18,6 +18,7 @@
     /// The requests per second that this broker may send to it; absent when
     /// only the slots limit them.
     std::optional<request_rate> limit = std::nullopt;
+    software_version version = {};
 
     bool operator==(const slot_replica&) const = default;
 };
--- a/src/slots/slot_request.hpp
+++ b/src/slots/slot_request.hpp
@@ -4,6 +4,7 @@
 #include "units/time.hpp"
 #include "units/work_class.hpp"
 
+#include <optional>
 #include <set>
 
 namespace parsleytrack::slots
@@ -28,6 +29,14 @@
     availability_zone_name availability_zone;
     /// Replicas on which this request has failed before.
     std::set<replica_id> excluded;
+    /// The version that replicas must have; any if absent.
+    std::optional<software_version> version = std::nullopt;
+
+    /// \returns Whether some replicas cannot be chosen.
+    bool is_restricted() const
+    {
+        return this->version || !this->excluded.empty();
+    }
 };
 
 } // namespace parsleytrack::slots
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -25,6 +25,8 @@
   11: optional i64 abandoned_in_ms;
   // The node that requests the slot.
   12: string node;
+  // The software version that the replica must have; any if absent.
+  13: optional string version;
 }
 
 enum slot_verdict {
--- a/tests/relay/slot_codec_test.cpp
+++ b/tests/relay/slot_codec_test.cpp
@@ -62,3 +62,18 @@
                 .limit.has_value());
     }
 }
+
+// Guards against a broker that grants a replica of any version to a stream that
+// one version has begun.
+TEST(slot_codec, a_request_may_depend_on_a_version)
+{
+    slot_request request;
+    CHECK_FALSE(decode_slot_request(encode(request)).value().version);
+    request.version = software_version("v1");
+    CHECK(decode_slot_request(encode(request)).value().version ==
+          request.version);
+    // An entry without a version is a version of its own.
+    request.version = software_version();
+    CHECK(decode_slot_request(encode(request)).value().version ==
+          request.version);
+}
