Let an item go on only at the version that began it

Progress names the version now, in memory and in the store. An item waits for a slot at a replica of its version. It starts anew once the last of these has left, or after 2 s if others could run it: starting anew costs about half of a run, and items are repeatable. Progress saved without a version, by an earlier release, is not used.

--- a/src/jobs/item_progress.hpp
+++ b/src/jobs/item_progress.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "units/ids.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -15,6 +17,8 @@
     std::int64_t last_event = 0;
     /// The data of all events, separated by line feeds.
     std::string output;
+    /// The version of the replicas that sent them; no other may go on.
+    software_version version = {};
 
     bool operator==(const item_progress&) const = default;
 };
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -206,6 +206,7 @@
         entry.item = static_cast<std::int32_t>(item);
         entry.last_event = known.last_event;
         entry.output = known.output;
+        entry.__set_version(known.version.str());
     }
     return wire::encode(message);
 }
@@ -224,8 +225,14 @@
         {
             return damaged("item progress has a negative item or event number");
         }
+        if (!entry.__isset.version)
+        {
+            // Written by an earlier release; the item starts anew.
+            continue;
+        }
         progress[static_cast<std::size_t>(entry.item)] =
-            item_progress{entry.last_event, std::move(entry.output)};
+            item_progress{entry.last_event, std::move(entry.output),
+                          software_version(std::move(entry.version))};
     }
     return progress;
 }
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -26,6 +26,9 @@
 /// How long a request for a slot keeps to the replicas that it excludes; the
 /// usable replicas may have changed after this.
 constexpr duration exclusion_timeout = std::chrono::seconds(1);
+/// How long an item waits for a replica of the version that has begun it. About
+/// as long as half of an item runs, which is what starting anew costs.
+constexpr duration version_timeout = std::chrono::seconds(2);
 constexpr int status_ok = 200;
 /// The replica failed the item. Other errors, such as a timeout of the replica,
 /// say nothing about the item.
@@ -112,6 +115,11 @@
     order.useful_for = this->due - net::event_loop::now();
     order.wait_when_late = true;
     order.excluded = this->excluded;
+    if (this->progress.last_event > 0)
+    {
+        order.version = this->progress.version;
+        this->limit_wait_for_version();
+    }
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
         order,
@@ -133,9 +141,33 @@
     }
 }
 
+void item_run::limit_wait_for_version()
+{
+    this->version_timer = this->context.loop.call_every(
+        version_timeout,
+        [this]
+        {
+            const auto usable =
+                this->context.replicas.registry().usable(this->service);
+            const bool has_others =
+                std::any_of(usable.begin(), usable.end(),
+                            [this](const auto* entry) {
+                                return entry->version != this->progress.version;
+                            });
+            if (!has_others)
+            {
+                return;
+            }
+            this->progress = jobs::item_progress();
+            this->finish(item_run_result::interrupted,
+                         "no slot at a replica of the item's version");
+        });
+}
+
 void item_run::handle_grant(const replica_id& granted)
 {
     this->exclusion_timer.cancel();
+    this->version_timer.cancel();
     if (const auto send_by = this->may_send())
     {
         this->send(granted, *send_by);
@@ -179,6 +211,13 @@
                      "replicas crash under a part of the prompt");
         return;
     }
+    if (this->progress.last_event > 0 &&
+        this->progress.version != entry->version)
+    {
+        this->finish(item_run_result::interrupted,
+                     "the replica has another version than the item");
+        return;
+    }
     this->replica = *entry;
     const header_names& names = this->context.adapter.headers();
     net::http_request request;
@@ -272,6 +311,7 @@
         }
         this->progress.output += event.data;
         this->progress.last_event = this->sequence.last_number();
+        this->progress.version = this->replica.version;
         this->restart_stall_timer();
         if (++this->events == crash_guard::surviving_events)
         {
@@ -324,6 +364,7 @@
 {
     this->stall_timer.cancel();
     this->exclusion_timer.cancel();
+    this->version_timer.cancel();
     if (this->attempt)
     {
         this->attempt->cancel();
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -126,6 +126,8 @@
 {
     const jobs::job_input& input = this->owned.input();
     this->run_target = route.run_target;
+    const service_name& service = route.services.front().service;
+    const std::set<replica_id> usable = this->usable_replicas(item, service);
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
         this->progress.progress_of(item),
@@ -135,15 +137,40 @@
         { this->handle_item_end(item, end, reason, max_failures); });
     item_run& started = *run;
     this->runs[item] = std::move(run);
-    const service_name& service = route.services.front().service;
-    std::set<replica_id> usable;
+    started.start(service, route.priority, this->due_in(),
+                  this->retries.avoided(item, usable, net::event_loop::now()));
+}
+
+std::set<replica_id> job_owner::usable_replicas(std::size_t item,
+                                                const service_name& service)
+{
+    std::set<replica_id> all;
+    std::set<replica_id> same_version;
+    jobs::item_progress& known = this->progress.progress_of(item);
     for (const routing::replica_entry* replica :
          this->context.replicas.registry().usable(service))
     {
-        usable.insert(replica->id);
+        all.insert(replica->id);
+        if (replica->version == known.version)
+        {
+            same_version.insert(replica->id);
+        }
     }
-    started.start(service, route.priority, this->due_in(),
-                  this->retries.avoided(item, usable, net::event_loop::now()));
+    if (known.last_event == 0)
+    {
+        return all;
+    }
+    if (same_version.empty() && !all.empty())
+    {
+        log_event(log_level::info, "item_starts_anew",
+                  {{"job", this->owned.input().id.str()},
+                   {"item", this->owned.input().items[item].id},
+                   {"version", known.version.str()},
+                   {"after_event", known.last_event}});
+        known = jobs::item_progress();
+        return all;
+    }
+    return same_version;
 }
 
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -94,6 +95,10 @@
     void confirm_outcomes(time_point sent);
     void fail_unconfirmed();
     void start_item(std::size_t item, const routing::route& route);
+    /// \returns The replicas that may run the item. Its progress is erased if
+    /// those of the version that has begun it have left.
+    std::set<replica_id> usable_replicas(std::size_t item,
+                                         const service_name& service);
     /// Calls start_items() when the next item that pauses may start.
     void schedule_start();
     void handle_item_end(std::size_t item, item_run_result end,
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -61,6 +61,8 @@
   1: i32 item;
   2: i64 last_event;
   3: binary output;
+  // The software version of the replicas that sent the output.
+  4: optional string version;
 }
 
 struct node_job_progress {
--- a/tests/relay/progress_tracker_test.cpp
+++ b/tests/relay/progress_tracker_test.cpp
@@ -1,6 +1,8 @@
 #include "jobs/job_codec.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/progress_tracker.hpp"
+#include "wire/codec.hpp"
+#include "wire/generated/node_jobs_types.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,7 +25,8 @@
 TEST(progress_tracker, writes_unsaved_progress_once)
 {
     CHECK_FALSE(this->tracker.has_unsaved());
-    this->tracker.progress_of(3) = jobs::item_progress{5, "text"};
+    this->tracker.progress_of(3) =
+        jobs::item_progress{5, "text", software_version("v1")};
     CHECK(this->tracker.has_unsaved());
     const auto written = this->save();
     CHECK_EQUAL(1, written.puts.size());
@@ -69,3 +72,17 @@
     const auto read = jobs::decode_progress(this->save().puts[0].value);
     CHECK_EQUAL(1, read.value().size());
 }
+
+// Guards against going on at any version with output that an earlier release of
+// this program has saved, which does not say what began it.
+TEST(progress_tracker, progress_of_an_unknown_version_is_not_used)
+{
+    wire::node_job_progress message;
+    wire::node_job_partial& entry = message.items.emplace_back();
+    entry.item = 2;
+    entry.last_event = 7;
+    entry.output = "seven";
+    CHECK(jobs::decode_progress(wire::encode(message)).value().empty());
+    entry.__set_version("v1");
+    CHECK_EQUAL(1, jobs::decode_progress(wire::encode(message)).value().size());
+}
