Start an item anew only where a slot is free for it

The broker decides it now: a request says after which time other versions will do, and gets one of them only when a slot is free there. The time is what the events received so far took, which is what starting anew costs.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -1,5 +1,6 @@
 #include "relay/item_run.hpp"
 
+#include "logging/log.hpp"
 #include "relay/hop_headers.hpp"
 #include "relay/stream_head.hpp"
 
@@ -26,9 +27,9 @@
 /// How long a request for a slot keeps to the replicas that it excludes; the
 /// usable replicas may have changed after this.
 constexpr duration exclusion_timeout = std::chrono::seconds(1);
-/// How long an item waits for a replica of the version that has begun it. About
-/// as long as half of an item runs, which is what starting anew costs.
-constexpr duration version_timeout = std::chrono::seconds(2);
+/// About how long a replica takes for an event. An item waits for a replica of
+/// the version that has begun it for no longer than starting anew would cost.
+constexpr duration time_per_event = std::chrono::milliseconds(20);
 constexpr int status_ok = 200;
 /// The replica failed the item. Other errors, such as a timeout of the replica,
 /// say nothing about the item.
@@ -118,7 +119,7 @@
     if (this->progress.last_event > 0)
     {
         order.version = this->progress.version;
-        this->limit_wait_for_version();
+        order.any_version_in = this->progress.last_event * time_per_event;
     }
     order.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
@@ -141,33 +142,9 @@
     }
 }
 
-void item_run::limit_wait_for_version()
-{
-    this->version_timer = this->context.loop.call_every(
-        version_timeout,
-        [this]
-        {
-            const auto usable =
-                this->context.replicas.registry().usable(this->service);
-            const bool has_others =
-                std::any_of(usable.begin(), usable.end(),
-                            [this](const auto* entry) {
-                                return entry->version != this->progress.version;
-                            });
-            if (!has_others)
-            {
-                return;
-            }
-            this->progress = jobs::item_progress();
-            this->finish(item_run_result::interrupted,
-                         "no slot at a replica of the item's version");
-        });
-}
-
 void item_run::handle_grant(const replica_id& granted)
 {
     this->exclusion_timer.cancel();
-    this->version_timer.cancel();
     if (const auto send_by = this->may_send())
     {
         this->send(granted, *send_by);
@@ -214,9 +191,12 @@
     if (this->progress.last_event > 0 &&
         this->progress.version != entry->version)
     {
-        this->finish(item_run_result::interrupted,
-                     "the replica has another version than the item");
-        return;
+        log_event(log_level::info, "item_starts_anew",
+                  {{"item", this->item.id},
+                   {"version", this->progress.version.str()},
+                   {"after_event", this->progress.last_event}});
+        this->progress = jobs::item_progress();
+        this->sequence = event_sequence(event_numbering::consecutive, 0);
     }
     this->replica = *entry;
     const header_names& names = this->context.adapter.headers();
@@ -364,7 +344,6 @@
 {
     this->stall_timer.cancel();
     this->exclusion_timer.cancel();
-    this->version_timer.cancel();
     if (this->attempt)
     {
         this->attempt->cancel();
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -97,9 +97,6 @@
 
 private:
     void request_slot();
-    /// Ends a run that gets no slot at a replica of its version soon, so that
-    /// the item starts anew, if replicas of other versions could run it.
-    void limit_wait_for_version();
     /// Waits while a part of the prompt crashes replicas.
     void wait_until_allowed();
     void handle_grant(const replica_id& replica);
@@ -142,8 +139,6 @@
     net::timer block_timer;
     /// Runs while a request waits that excludes replicas.
     net::timer exclusion_timer;
-    /// Runs while a request waits that depends on a version.
-    net::timer version_timer;
     int block_checks = 0;
 };
 
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -107,6 +107,11 @@
     {
         message.__set_version(request.version->str());
     }
+    if (request.any_version_in)
+    {
+        message.__set_any_version_in_ms(
+            to_milliseconds(*request.any_version_in));
+    }
     return wire::encode(message);
 }
 
@@ -142,6 +147,11 @@
     {
         request.version = software_version(read.version);
     }
+    if (read.__isset.any_version_in_ms)
+    {
+        request.any_version_in = std::chrono::milliseconds(
+            std::clamp(read.any_version_in_ms, std::int64_t{0}, max_span_ms));
+    }
     return request;
 }
 
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -32,6 +32,9 @@
     std::set<replica_id> excluded;
     /// The version that the replica must have; any if absent.
     std::optional<software_version> version = std::nullopt;
+    /// Remaining time after which other versions may be granted as well; absent
+    /// if never.
+    std::optional<duration> any_version_in = std::nullopt;
     availability_zone_name availability_zone;
     /// Set when the slot is in use already: granted by another broker, or
     /// chosen without one.
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -65,6 +65,10 @@
     wanted.availability_zone = request.availability_zone;
     wanted.excluded = request.excluded;
     wanted.version = request.version;
+    if (request.any_version_in)
+    {
+        wanted.any_version_from = now + *request.any_version_in;
+    }
     open_request& state = this->requests[ticket];
     state = open_request{request, std::move(callback), false, false, {}};
     this->tickets[request.request] = ticket;
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -159,7 +159,8 @@
     while (entry != waiting.end() && may_grant())
     {
         const slot_request& wanted = entry->second.request;
-        if (wanted.version && exhausted.contains(*wanted.version))
+        const bool depends = wanted.depends_on_version(now);
+        if (depends && exhausted.contains(*wanted.version))
         {
             ++entry;
             continue;
@@ -171,11 +172,11 @@
             entry = waiting.erase(entry);
             continue;
         }
-        if (!wanted.is_restricted())
+        if (!wanted.is_restricted(now))
         {
             return;
         }
-        if (wanted.version && wanted.excluded.empty())
+        if (depends && wanted.excluded.empty())
         {
             exhausted.insert(*wanted.version);
         }
@@ -317,18 +318,19 @@
     replica_state* best = nullptr;
     // Same zone first, then the most free slots. Only the response to a request
     // shows that a limit has ended.
-    std::tuple<bool, bool, bool, int> best_score{false, false, false, 0};
+    std::tuple<bool, bool, bool, bool, int> best_score{};
     for (auto& [id, state] : this->replicas)
     {
         const software_version& version = state.replica.version;
+        const bool fits = !wanted.version || *wanted.version == version;
         if (!state.health.usable(now) || wanted.excluded.contains(id) ||
-            (wanted.version && *wanted.version != version))
+            (!fits && wanted.depends_on_version(now)))
         {
             continue;
         }
         const int free = state.free(now);
-        const std::tuple<bool, bool, bool, int> score{
-            !avoided.contains(version),
+        const std::tuple<bool, bool, bool, bool, int> score{
+            fits, !avoided.contains(version),
             state.pacer && now - state.pacer->last_taken() >=
                                this->options.limit_check_interval,
             state.replica.availability_zone == wanted.availability_zone, free};
--- a/src/slots/slot_request.hpp
+++ b/src/slots/slot_request.hpp
@@ -31,11 +31,19 @@
     std::set<replica_id> excluded;
     /// The version that replicas must have; any if absent.
     std::optional<software_version> version = std::nullopt;
+    /// When the request may be granted other versions as well.
+    time_point any_version_from = time_point::max();
+
+    /// \returns Whether the request depends on its version.
+    bool depends_on_version(time_point now) const
+    {
+        return this->version && now < this->any_version_from;
+    }
 
     /// \returns Whether some replicas cannot be chosen.
-    bool is_restricted() const
+    bool is_restricted(time_point now) const
     {
-        return this->version || !this->excluded.empty();
+        return this->depends_on_version(now) || !this->excluded.empty();
     }
 };
 
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -27,6 +27,8 @@
   12: string node;
   // The software version that the replica must have; any if absent.
   13: optional string version;
+  // Time after which other versions may be granted as well.
+  14: optional i64 any_version_in_ms;
 }
 
 enum slot_verdict {
--- a/tests/relay/slot_codec_test.cpp
+++ b/tests/relay/slot_codec_test.cpp
@@ -72,6 +72,9 @@
     request.version = software_version("v1");
     CHECK(decode_slot_request(encode(request)).value().version ==
           request.version);
+    request.any_version_in = std::chrono::seconds(3);
+    CHECK(decode_slot_request(encode(request)).value().any_version_in ==
+          request.any_version_in);
     // An entry without a version is a version of its own.
     request.version = software_version();
     CHECK(decode_slot_request(encode(request)).value().version ==
--- a/tests/slots/slot_broker_version_test.cpp
+++ b/tests/slots/slot_broker_version_test.cpp
@@ -205,3 +205,27 @@
     CHECK(this->was(this->batch(), slot_decision::granted));
     CHECK_FALSE(this->was(waiting, slot_decision::granted));
 }
+
+// Guards against items that wait for long for a version with few replicas while
+// others could start them anew, and against starting them anew too soon.
+TEST(slot_broker_version, an_item_may_get_another_version_after_some_time)
+{
+    this->set_replicas(1, 1);
+    this->batch("old");
+    this->batch("old");
+    slot_request wanted;
+    wanted.kind = work_class::batch;
+    wanted.useful_until = this->now + std::chrono::seconds(18);
+    wanted.version = software_version("old");
+    wanted.any_version_from = this->now + std::chrono::seconds(2);
+    const slot_ticket waiting(this->next_ticket++);
+    this->broker.request(waiting, wanted, this->now);
+    this->now += std::chrono::seconds(1);
+    this->broker.tick(this->now);
+    this->collect();
+    STRCMP_EQUAL("", this->replica_of(waiting).c_str());
+    this->now += std::chrono::seconds(1);
+    this->broker.tick(this->now);
+    this->collect();
+    STRCMP_EQUAL("new1", this->replica_of(waiting).c_str());
+}
