Take a stream up at the version that began it

Cause: a take-up was a new request for the node. Nothing read the id of the attempt that it resumes, and nothing remembered which version began a stream.

Each node remembers the service and the version that it sends a stream to, by the attempt that brings the first event, before the stream can have an event. While a service has or had several versions (or a route several services), it also tells the storage nodes, in groups of 5 ms; when a second version appears, it tells them of the streams that go on. The storage nodes announce their addresses in the store. A take-up asks them, one round trip. If nobody knows the stream, it goes on only if somebody has followed the list of replicas for as long as the stream may have lasted and nobody has seen a second version in that time; otherwise, and if no replica of the version is left, it is refused as not run.

Weighed: peers in other zones know nothing after a kill of all nodes; grouped writes to the store, at 10 a second and node, would be 3900 a second in a fleet of 390 nodes, of which the store takes 400. Lost: what a node began in its last 5 ms, and everything when all storage nodes are killed at the same moment; such take-ups are refused while several versions serve. In steady state nothing is sent; the cost is one watch a node, and a watch of the replicas a storage node.

--- a/src/relay/header_names.hpp
+++ b/src/relay/header_names.hpp
@@ -17,6 +17,9 @@
     std::string expected_replica;
     /// Number of the last event received of a stream that is resumed.
     std::string resume_after;
+    /// In a request that takes a stream up again: the id of the caller's
+    /// attempt that brought the stream's first event.
+    std::string resumed_request;
     /// Longest time in milliseconds that a read may wait for results.
     std::string wait_ms;
     /// In a response: the replica did not run the request.
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -72,6 +72,11 @@
         });
     this->deadline_timer = this->context.loop.call_after(
         this->remaining(), [this] { this->expire(); });
+    if (this->takes_up_stream())
+    {
+        this->find_origin();
+        return;
+    }
     this->request_slot();
 }
 
@@ -184,6 +189,7 @@
             this->sent_at - this->request.received);
     }
     ++this->sends;
+    this->record_origin(*entry);
     this->splitter = event_splitter();
     this->sequence.begin_run();
     this->attempt_events = 0;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -4,6 +4,7 @@
 #include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/online_request.hpp"
+#include "relay/origin_search.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/replica_exchange.hpp"
 #include "relay/slot_client.hpp"
@@ -45,6 +46,17 @@
     ///
     /// \returns Whether it was rejected.
     bool reject_if_blocked();
+    /// \returns Whether the caller has events of the stream from an earlier
+    /// attempt.
+    bool takes_up_stream() const;
+    /// Finds out which version began the stream before a slot is requested.
+    void find_origin();
+    void handle_origin(const std::optional<stream_origin>& origin);
+    /// Records that the stream is sent to a replica of this version.
+    void record_origin(const routing::replica_entry& target);
+    /// \returns The attempt that brought the first event: the one that the
+    /// caller names, or this one. Empty if the caller does not name it.
+    request_id first_attempt() const;
     void request_slot();
     duration useful_time() const;
     /// \returns How much longer a slot is of use to a caller who accepts that
@@ -92,6 +104,7 @@
     /// What the request may have in common with others that crash replicas.
     std::vector<request_trait> traits;
 
+    std::unique_ptr<origin_search> search;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     /// The replica of the current attempt, or else of the last one.
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -200,6 +200,7 @@
     this->report_end(outcome, status);
     this->release_attempt();
     this->lease.reset();
+    this->search.reset();
     const auto callback = std::move(this->ended_callback);
     callback();
 }
--- /dev/null
+++ b/src/relay/online_call_origin.cpp
@@ -0,0 +1,116 @@
+// How a stream keeps to the software version that began it.
+
+#include "logging/log.hpp"
+#include "relay/online_call.hpp"
+
+#include <algorithm>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// How long a caller may take a stream up after its deadline; covers the delays
+/// between nodes.
+constexpr duration keep_margin = std::chrono::seconds(2);
+/// Longest time since the first event where a route names no timeout.
+constexpr duration default_lifetime = std::chrono::seconds(30);
+/// Another node may reach a storage node that this one does not reach.
+constexpr duration retry_after_unknown = std::chrono::milliseconds(300);
+
+} // namespace
+
+bool online_call::takes_up_stream() const
+{
+    const routing::route& route = *this->request.route;
+    const std::string* last =
+        net::find_header(this->exchange->head().headers,
+                         this->context.adapter.headers().resume_after.c_str());
+    return route.kind == routing::request_kind::streaming && route.resumable &&
+           last != nullptr && *last != "0";
+}
+
+request_id online_call::first_attempt() const
+{
+    if (!this->takes_up_stream())
+    {
+        return this->request.id;
+    }
+    const std::string* named = net::find_header(
+        this->exchange->head().headers,
+        this->context.adapter.headers().resumed_request.c_str());
+    return named == nullptr ? request_id() : request_id(*named);
+}
+
+void online_call::find_origin()
+{
+    const routing::route& route = *this->request.route;
+    origin_inquiry inquiry;
+    inquiry.request = this->first_attempt();
+    for (const routing::weighted_service& choice : route.services)
+    {
+        inquiry.services.push_back(choice.service);
+    }
+    inquiry.within =
+        keep_margin +
+        (route.timeout > duration::zero() ? route.timeout : default_lifetime);
+    this->search = std::make_unique<origin_search>(
+        this->context.loop, this->context.origins, std::move(inquiry),
+        [this](const std::optional<stream_origin>& origin)
+        { this->handle_origin(origin); });
+}
+
+void online_call::handle_origin(const std::optional<stream_origin>& origin)
+{
+    // This is a callback of the search.
+    this->context.loop.free_later(std::move(this->search));
+    log_event(log_level::info, "stream_taken_up",
+              {{"request", this->request.id.str()},
+               {"resumes", this->first_attempt().str()},
+               {"service", origin ? origin->service.str() : ""},
+               {"version", origin ? origin->version.str() : "unknown"}});
+    this->context.metrics.count("parsleytrack_streams_taken_up_total",
+                                {{"version", origin ? "known" : "unknown"}});
+    if (!origin)
+    {
+        this->fail(error{error_code::no_replica,
+                         "the software version that began the stream cannot be "
+                         "found out",
+                         ran_state::no, retry_after_unknown});
+        return;
+    }
+    const auto& choices = this->request.route->services;
+    const bool is_served =
+        std::any_of(choices.begin(), choices.end(),
+                    [&origin](const routing::weighted_service& choice)
+                    { return choice.service == origin->service; });
+    if (!is_served)
+    {
+        this->fail(error{error_code::no_replica,
+                         "the route no longer names the service that began the "
+                         "stream",
+                         ran_state::no,
+                         {}});
+        return;
+    }
+    this->service = origin->service;
+    this->version = origin->version;
+    this->request_slot();
+}
+
+void online_call::record_origin(const routing::replica_entry& target)
+{
+    const routing::route& route = *this->request.route;
+    const request_id first = this->first_attempt();
+    if (route.kind != routing::request_kind::streaming || !route.resumable ||
+        first.empty())
+    {
+        return;
+    }
+    this->context.origins.record(
+        first, stream_origin{this->service, target.version},
+        this->remaining() + keep_margin, route.services.size() > 1);
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/origin_search.cpp
@@ -0,0 +1,109 @@
+#include "relay/origin_search.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleytrack::relay
+{
+
+namespace
+{
+
+/// How long a node that has just started waits for the list of storage nodes.
+constexpr duration directory_timeout = std::chrono::milliseconds(600);
+constexpr duration directory_check_interval = std::chrono::milliseconds(50);
+
+} // namespace
+
+origin_search::origin_search(net::event_loop& event_loop,
+                             stream_origins& memory, origin_inquiry wanted,
+                             callback on_end)
+    : loop(event_loop), origins(memory), inquiry(std::move(wanted)),
+      ended_callback(std::move(on_end)),
+      ask_until(net::event_loop::now() + directory_timeout)
+{
+    this->next_step =
+        this->loop.call_after(duration::zero(), [this] { this->start(); });
+}
+
+void origin_search::start()
+{
+    if (const auto known = this->origins.find(this->inquiry.request))
+    {
+        this->finish(known);
+        return;
+    }
+    this->ask();
+}
+
+void origin_search::ask()
+{
+    if (!this->origins.knows_storage_nodes() &&
+        net::event_loop::now() < this->ask_until)
+    {
+        this->next_step = this->loop.call_after(directory_check_interval,
+                                                [this] { this->ask(); });
+        return;
+    }
+    this->calls = this->origins.ask(this->inquiry,
+                                    [this](const result<origin_reply>& reply)
+                                    { this->handle_reply(reply); });
+    this->pending = this->calls.size();
+    if (this->pending == 0)
+    {
+        this->add(this->origins.own_view(this->inquiry));
+        this->finish(this->only_candidate());
+    }
+}
+
+void origin_search::handle_reply(const result<origin_reply>& reply)
+{
+    if (!this->ended_callback)
+    {
+        return;
+    }
+    --this->pending;
+    if (reply.has_value())
+    {
+        if (reply.value().origin)
+        {
+            this->finish(reply.value().origin);
+            return;
+        }
+        this->add(reply.value());
+    }
+    if (this->pending > 0)
+    {
+        return;
+    }
+    this->add(this->origins.own_view(this->inquiry));
+    this->finish(this->only_candidate());
+}
+
+void origin_search::add(const origin_reply& reply)
+{
+    this->is_observed = this->is_observed || reply.has_observed;
+    for (const stream_origin& candidate : reply.candidates)
+    {
+        if (std::find(this->candidates.begin(), this->candidates.end(),
+                      candidate) == this->candidates.end())
+        {
+            this->candidates.push_back(candidate);
+        }
+    }
+}
+
+std::optional<stream_origin> origin_search::only_candidate() const
+{
+    return this->is_observed && this->candidates.size() == 1
+               ? std::optional(this->candidates.front())
+               : std::nullopt;
+}
+
+void origin_search::finish(const std::optional<stream_origin>& origin)
+{
+    const callback on_end = std::exchange(this->ended_callback, nullptr);
+    on_end(origin);
+}
+
+} // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/origin_search.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "relay/stream_origins.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace parsleytrack::relay
+{
+
+/// Finds out what began a stream that a caller takes up again: from memory,
+/// from the storage nodes, or because only one version was in use.
+class origin_search
+{
+public:
+    /// \param origin Absent if it cannot be known.
+    using callback =
+        std::function<void(const std::optional<stream_origin>& origin)>;
+
+    /// \param event_loop Outlives this object, as does \p memory.
+    /// \param on_end Called once, never from the constructor; must not destroy
+    /// this object.
+    origin_search(net::event_loop& event_loop, stream_origins& memory,
+                  origin_inquiry wanted, callback on_end);
+
+private:
+    void start();
+    void ask();
+    void handle_reply(const result<origin_reply>& reply);
+    void add(const origin_reply& reply);
+    /// \returns What began the stream if nothing else can have begun it.
+    std::optional<stream_origin> only_candidate() const;
+    void finish(const std::optional<stream_origin>& origin);
+
+    net::event_loop& loop;
+    stream_origins& origins;
+    origin_inquiry inquiry;
+    callback ended_callback;
+    std::vector<std::unique_ptr<wire::peer_call>> calls;
+    std::size_t pending = 0;
+    /// Whether a node has observed the list of replicas for long enough.
+    bool is_observed = false;
+    std::vector<stream_origin> candidates;
+    net::timer next_step;
+    time_point ask_until;
+};
+
+} // namespace parsleytrack::relay
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -9,6 +9,7 @@
 #include "relay/crash_guard.hpp"
 #include "relay/relay_adapter.hpp"
 #include "relay/replica_follower.hpp"
+#include "relay/stream_origins.hpp"
 #include "settings/relay_settings.hpp"
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
@@ -30,6 +31,7 @@
     configuration_follower& configuration;
     replica_follower& replicas;
     crash_guard& crashes;
+    stream_origins& origins;
     metrics::registry& metrics;
     random_source& random;
 };
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -98,10 +98,20 @@
     replica_follower replicas;
     metrics::registry metrics;
     crash_guard crashes{this->loop, this->peers, this->group, this->metrics};
+    storage_directory storage_nodes{
+        this->loop,
+        this->store,
+        this->peers,
+        this->group,
+        this->random,
+        static_cast<std::size_t>(this->settings.max_direct_followers)};
+    stream_origins origins{this->loop, this->peers, this->replicas,
+                           this->storage_nodes};
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
-        this->replicas, this->crashes, this->metrics, this->random};
+        this->replicas, this->crashes, this->origins, this->metrics,
+        this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
@@ -349,6 +359,7 @@
     self.configuration.on_change([&self] { self.apply_limits(); });
     self.configuration.start();
     self.replicas.start();
+    self.storage_nodes.start();
     self.store_calls_timer = self.loop.call_every(
         store_calls_interval, [&self] { self.status.log_store_calls(); });
     log_event(log_level::info, "started",
--- a/src/relay/run.cpp
+++ b/src/relay/run.cpp
@@ -16,6 +16,22 @@
 
 constexpr int exit_refused = 1;
 
+/// \returns The exit code of the program.
+template <class Node>
+int run(Node& node)
+{
+    const result<bool> started = node.start();
+    if (started.has_error())
+    {
+        log_event(log_level::error, "cannot_start",
+                  {{"reason", to_string(started.error().code)},
+                   {"message", started.error().message}});
+        return exit_refused;
+    }
+    node.run();
+    return 0;
+}
+
 } // namespace
 
 int run_node(const std::string& settings_path, const relay_adapter& adapter)
@@ -31,20 +47,10 @@
     if (!settings.front)
     {
         storage_node node(settings, adapter);
-        node.run();
-        return 0;
+        return run(node);
     }
     relay_node node(settings, settings_path, adapter);
-    const result<bool> started = node.start();
-    if (started.has_error())
-    {
-        log_event(log_level::error, "cannot_start",
-                  {{"reason", to_string(started.error().code)},
-                   {"message", started.error().message}});
-        return exit_refused;
-    }
-    node.run();
-    return 0;
+    return run(node);
 }
 
 } // namespace parsleytrack::relay
--- /dev/null
+++ b/src/relay/storage_directory.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "feeds/record_feed.hpp"
+#include "units/endpoint.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace parsleytrack::relay
+{
+
+/// Prefix of the records with which storage nodes announce their peer
+/// addresses.
+inline const std::string storage_node_prefix = "parsleytrack/storage/";
+
+/// Follows the addresses of the storage nodes.
+class storage_directory
+{
+public:
+    /// \param event_loop Outlives this object, as do the other references.
+    storage_directory(net::event_loop& event_loop,
+                      key_value::record_client& client,
+                      wire::peer_network& network, peering::peer_group& nodes,
+                      random_source& random_numbers,
+                      std::size_t max_direct_followers);
+
+    void start() { this->feed.start(); }
+
+    /// \returns Whether the list of storage nodes is known.
+    bool is_known() const { return this->feed.is_known(); }
+
+    /// \returns The peer addresses of the storage nodes, by their keys. Nodes
+    /// that are gone for good may still be listed.
+    const std::map<std::string, endpoint>& nodes() const
+    {
+        return this->addresses;
+    }
+
+    /// \param callback Called when a storage node has started, with its
+    /// address.
+    void on_start(std::function<void(const endpoint&)> callback)
+    {
+        this->start_callback = std::move(callback);
+    }
+
+private:
+    void apply_listing(const key_value::record_listing& listing);
+    void apply_record(const key_value::stored_record& record);
+
+    std::map<std::string, endpoint> addresses;
+    std::function<void(const endpoint&)> start_callback;
+    feeds::record_feed feed;
+};
+
+} // namespace parsleytrack::relay
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -1,6 +1,7 @@
 #include "relay/storage_node.hpp"
 
 #include "logging/log.hpp"
+#include "relay/storage_directory.hpp"
 
 #include <csignal>
 #include <random>
@@ -14,6 +15,8 @@
 
 constexpr duration report_timeout = std::chrono::seconds(5);
 constexpr duration report_retry_delay = std::chrono::milliseconds(500);
+/// As on the nodes that use the replicas.
+constexpr duration change_batch_window = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -29,10 +32,85 @@
                duration::zero(),
                key_value::record_follower::each_record(
                    [this](const key_value::stored_record& record)
-                   { this->handle_record(record); }))
+                   { this->handle_record(record); })),
+      peers(this->loop), origins(this->peers),
+      replica_list(this->loop, this->store, this->random,
+                   protocol_adapter.keys().replica_prefix, change_batch_window,
+                   {[this](const key_value::record_listing& listing, bool)
+                    { this->apply_listing(listing); },
+                    [this](const std::vector<key_value::record_change>& changes)
+                    {
+                        for (const key_value::record_change& change : changes)
+                        {
+                            this->apply_change(change);
+                        }
+                        this->origins.observe(this->replicas);
+                    },
+                    {}})
 {
 }
 
+result<bool> storage_node::start()
+{
+    const auto port = this->peers.listen(this->settings.peer);
+    if (port.has_error())
+    {
+        return port.error();
+    }
+    this->follower.start();
+    this->replica_list.start();
+    this->announce();
+    return true;
+}
+
+void storage_node::announce()
+{
+    key_value::record_transaction transaction;
+    transaction.puts = {{storage_node_prefix + this->settings.id.str(),
+                         to_string(this->settings.peer)}};
+    this->store.commit(
+        std::move(transaction), report_timeout,
+        [this](const result<key_value::transaction_outcome>& outcome)
+        {
+            if (outcome.has_value())
+            {
+                return;
+            }
+            log_event(log_level::info, "address_not_announced",
+                      {{"reason", outcome.error().message}});
+            this->announcement_timer = this->loop.call_after(
+                report_retry_delay, [this] { this->announce(); });
+        });
+}
+
+void storage_node::apply_listing(const key_value::record_listing& listing)
+{
+    this->replicas.clear();
+    for (const key_value::stored_record& record : listing.records)
+    {
+        this->apply_change(key_value::record_change{record, false});
+    }
+    this->origins.observe(this->replicas);
+}
+
+void storage_node::apply_change(const key_value::record_change& change)
+{
+    const key_value::stored_record& record = change.record;
+    const replica_id id(
+        record.key.substr(this->adapter.keys().replica_prefix.size()));
+    this->replicas.erase(id);
+    if (change.deleted)
+    {
+        return;
+    }
+    // The nodes that use the replicas log entries that cannot be read.
+    auto entry = this->adapter.parse_replica(record.key, record.value);
+    if (entry.has_value())
+    {
+        this->replicas.emplace(id, std::move(entry.value()));
+    }
+}
+
 void storage_node::run()
 {
     const auto stop = [this]
@@ -43,7 +121,6 @@
     const net::timer on_interrupt = this->loop.on_signal(SIGINT, stop);
     const net::timer on_reload = this->loop.on_signal(
         SIGHUP, [] { log_event(log_level::info, "reload_without_effect"); });
-    this->follower.start();
     log_event(log_level::info, "started",
               {{"zone", this->settings.availability_zone.str()},
                {"store", to_string(this->settings.store)}});
@@ -70,6 +147,7 @@
         this->adapter.keys().retirement_state_prefix + this->settings.id.str();
     key_value::record_transaction transaction;
     transaction.puts = {{key, this->adapter.format_retirement_state(true)}};
+    transaction.erased = {storage_node_prefix + this->settings.id.str()};
     this->store.commit(
         std::move(transaction), report_timeout,
         [this](const result<key_value::transaction_outcome>& outcome)
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -49,7 +49,12 @@
     configuration_feed = 96,
     /// Relay: parts of prompts under which replicas crash.
     trait_inquiry = 97,
-    trait_verdicts = 98
+    trait_verdicts = 98,
+    /// Relay: which software version began a stream, to storage nodes.
+    stream_origin_notice = 100,
+    stream_origin_inquiry = 101,
+    /// Relay: the list of storage nodes, as for replica_feed.
+    storage_feed = 102
 };
 
 } // namespace parsleytrack::wire
