--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -151,6 +151,10 @@
                 std::make_unique<fault_proxy>(this->loop, entry.store));
         }
     }
+    if (this->options.has_node_links)
+    {
+        this->add_node_links();
+    }
     for (int number = 0; number < process_count; ++number)
     {
         this->write_settings(static_cast<std::size_t>(number));
@@ -172,6 +176,35 @@
         });
 }
 
+void relay_fleet::add_node_links()
+{
+    std::vector<const replica_stand_in*> replicas{this->web.get()};
+    for (const auto& engine : this->engines)
+    {
+        replicas.push_back(engine.get());
+    }
+    for (const node& entry : this->nodes)
+    {
+        auto& links = this->node_links.emplace_back();
+        for (const replica_stand_in* replica : replicas)
+        {
+            links.push_back(std::make_unique<fault_proxy>(
+                this->loop, replica->listen_address()));
+            this->store.replace_at(entry.store,
+                                   to_string(replica->listen_address()),
+                                   to_string(links.back()->address()));
+        }
+    }
+}
+
+void relay_fleet::set_replica_links(int node, fault_proxy::fault fault)
+{
+    for (const auto& link : this->node_links.at(static_cast<std::size_t>(node)))
+    {
+        link->set_fault(fault);
+    }
+}
+
 void relay_fleet::write_settings(std::size_t number)
 {
     node& entry = this->nodes[number];
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -118,6 +118,10 @@
     std::vector<std::unique_ptr<fault_proxy>> store_proxies;
     std::vector<std::unique_ptr<fault_proxy>> replica_proxies;
 
+    /// Cuts a node off from all replicas, or ends that. All others still reach
+    /// it.
+    void set_replica_links(int node, fault_proxy::fault fault);
+
 private:
     struct node
     {
@@ -131,10 +135,13 @@
         std::unique_ptr<process_support::child_process> process;
     };
 
+    void add_node_links();
     void write_settings(std::size_t number);
     std::string operator_page(int node, const std::string& target);
 
     net::http_client client{this->loop};
+    /// One proxy per replica for each node, if has_node_links is set.
+    std::vector<std::vector<std::unique_ptr<fault_proxy>>> node_links;
     process_support::temporary_folder folder;
     relay_fleet_options options;
     std::vector<node> nodes;
--- a/tests/relay_support/relay_fleet_options.hpp
+++ b/tests/relay_support/relay_fleet_options.hpp
@@ -17,6 +17,8 @@
     /// Whether the connections from each node to the store and those to each
     /// replica pass through a proxy that can inject faults.
     bool has_proxies = false;
+    /// Whether each node reaches the replicas through proxies of its own.
+    bool has_node_links = false;
 };
 
 } // namespace parsleytrack::relay_support
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -75,6 +75,13 @@
                          { return entry.address == address; });
 }
 
+void store_stand_in::replace_at(const endpoint& address,
+                                const std::string& text,
+                                const std::string& replacement)
+{
+    this->find(address).replacements.emplace_back(text, replacement);
+}
+
 void store_stand_in::set_refusing(const endpoint& address, bool refusing)
 {
     this->find(address).refusing = refusing;
@@ -130,11 +137,11 @@
     }
     else if (path == "/v1/kv-key")
     {
-        this->get(*exchange);
+        this->get(entry, *exchange);
     }
     else if (path == "/v1/kv-range")
     {
-        this->list(*exchange);
+        this->list(entry, *exchange);
     }
     else if (path == "/v1/kv-watch")
     {
@@ -156,17 +163,31 @@
     }
 }
 
-json store_stand_in::item(const std::string& key, const stored& entry) const
+json store_stand_in::item(const std::string& key, const stored& entry,
+                          const access_point* source) const
 {
+    std::string value = entry.value;
+    if (source != nullptr)
+    {
+        for (const auto& [text, replacement] : source->replacements)
+        {
+            const std::size_t begin = value.find(text);
+            if (begin != std::string::npos)
+            {
+                value.replace(begin, text.size(), replacement);
+            }
+        }
+    }
     return {{"key", key},
-            {"value", key_value::encode_base64(entry.value)},
+            {"value", key_value::encode_base64(value)},
             {"revision", entry.revision},
             {"createRev", entry.created},
             {"lease", 0},
             {"currentRev", this->revision}};
 }
 
-void store_stand_in::get(net::http_exchange& exchange)
+void store_stand_in::get(const access_point& entry,
+                         net::http_exchange& exchange)
 {
     const std::string key = query(exchange, "key");
     const auto found = this->keys.find(key);
@@ -175,10 +196,11 @@
         exchange.respond(404, {}, "");
         return;
     }
-    exchange.respond_json(200, this->item(key, found->second).dump());
+    exchange.respond_json(200, this->item(key, found->second, &entry).dump());
 }
 
-void store_stand_in::list(net::http_exchange& exchange)
+void store_stand_in::list(const access_point& source,
+                          net::http_exchange& exchange)
 {
     const std::string prefix = query(exchange, "prefix");
     json items = json::array();
@@ -198,7 +220,7 @@
         {
             break;
         }
-        items.push_back(this->item(key, entry));
+        items.push_back(this->item(key, entry, &source));
     }
     exchange.respond_json(200, json{{"items", items},
                                     {"truncated", truncated},
@@ -206,7 +228,8 @@
                                    .dump());
 }
 
-json store_stand_in::events(const std::string& prefix, std::int64_t after) const
+json store_stand_in::events(const access_point& source,
+                            const std::string& prefix, std::int64_t after) const
 {
     json found = json::array();
     for (const auto& [key, entry] : this->keys)
@@ -215,7 +238,7 @@
         {
             continue;
         }
-        json event = this->item(key, entry);
+        json event = this->item(key, entry, &source);
         if (entry.deleted)
         {
             event.erase("value");
@@ -249,7 +272,8 @@
 {
     for (auto entry = this->watches.begin(); entry != this->watches.end();)
     {
-        const json found = this->events(entry->prefix, entry->after);
+        const json found = this->events(this->find(entry->address),
+                                        entry->prefix, entry->after);
         if (entry->exchange->is_open() && found.empty())
         {
             ++entry;
@@ -294,7 +318,7 @@
             current_revision == condition["revision"].get<std::int64_t>();
         if (exists)
         {
-            current.push_back(this->item(key, found->second));
+            current.push_back(this->item(key, found->second, nullptr));
         }
     }
     if (conditions_hold)
--- a/tests/relay_support/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace parsleytrack::relay_support
@@ -37,6 +38,11 @@
     /// \returns The values of all keys that start with a prefix.
     std::vector<std::string> values(const std::string& prefix) const;
 
+    /// Replaces a text in all values that are read at an address, so that one
+    /// node reaches a replica in another way than the others.
+    void replace_at(const endpoint& address, const std::string& text,
+                    const std::string& replacement);
+
     /// Sets whether all calls at an address are refused with status 503.
     void set_refusing(const endpoint& address, bool refusing);
 
@@ -91,18 +97,22 @@
         bool refusing = false;
         bool holding_transactions = false;
         bool holding_reads = false;
+        std::vector<std::pair<std::string, std::string>> replacements;
     };
 
     access_point& find(const endpoint& address);
     void handle_request(const access_point& entry,
                         const std::shared_ptr<net::http_exchange>& exchange);
-    void get(net::http_exchange& exchange);
-    void list(net::http_exchange& exchange);
+    void get(const access_point& entry, net::http_exchange& exchange);
+    void list(const access_point& entry, net::http_exchange& exchange);
     void watch(const access_point& entry,
                const std::shared_ptr<net::http_exchange>& exchange);
     void commit(net::http_exchange& exchange, const std::string& body);
-    nlohmann::json item(const std::string& key, const stored& entry) const;
-    nlohmann::json events(const std::string& prefix, std::int64_t after) const;
+    /// \param source Where the record is read; nullptr for unchanged values.
+    nlohmann::json item(const std::string& key, const stored& entry,
+                        const access_point* source) const;
+    nlohmann::json events(const access_point& source, const std::string& prefix,
+                          std::int64_t after) const;
     void write(const std::string& key, const std::string& value, bool deleted);
     void notify_watches();
 
