Serve callers through other nodes when all links to replicas are lost

Cause: each failed connection counted as the failure of its replica. Nothing asked whether any connection opens, and no request had another way.

- relay::link_monitor: when a request has failed, connections to other replicas are opened, first one, then more, up to ten.
If none of them opens, the node is stranded, and tries three a second until one does.
One failed connection to one replica, or a silent replica, strands no node.
- A stranded node sends its callers' requests to the front address of a node that is not, in the same availability zone if there is one (bytes between zones cost more), and passes the answer on.
The request says how often it may have run and which version began the stream.
A node that gets such a request sends it on to no other.
- The membership tells all nodes who is stranded.
The directory leaves them out while there are others, so that most callers take no second hop; they are no slot brokers; they request no slots.
- Failures are not reported to brokers, and lost connections not counted as crashes, while the first connection to another replica has failed as well.

--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -245,6 +245,23 @@
     }
 }
 
+void membership::announce_reachability(bool reaches_replicas)
+{
+    if (this->own.node.reaches_replicas == reaches_replicas)
+    {
+        return;
+    }
+    this->own.node.reaches_replicas = reaches_replicas;
+    this->own.node.incarnation = this->own.node.incarnation.next();
+    this->updates.add(this->own.node.id);
+    this->commands.emplace_back(view_changed_command{});
+    for (const node_id& target :
+         this->pick_random_nodes(stop_announcement_fanout, node_id()))
+    {
+        this->send_gossip(target);
+    }
+}
+
 void membership::announce_leaving()
 {
     this->own.leaving = true;
--- a/src/decisions/membership.hpp
+++ b/src/decisions/membership.hpp
@@ -60,6 +60,9 @@
     /// Merges the response to a request of this node.
     void handle_exchange_response(time_point now, const view_message& response);
 
+    /// Announces whether this node can open connections to backend servers.
+    void announce_reachability(bool reaches_replicas);
+
     /// Announces that this node will stop, while it still serves.
     void announce_leaving();
 
--- a/src/decisions/node_info.hpp
+++ b/src/decisions/node_info.hpp
@@ -20,6 +20,8 @@
     bool keeper = false;
     /// The CPU capacity that the node may use, in thousandths of a core.
     int capacity = 1000;
+    /// Whether the node can open connections to backend servers.
+    bool reaches_replicas = true;
     node_state state = node_state::alive;
     /// Orders claims about the node; increases with each claim that the node
     /// refutes.
--- a/src/peering/membership_conversion.cpp
+++ b/src/peering/membership_conversion.cpp
@@ -55,6 +55,10 @@
     message.keeper = node.keeper;
     message.capacity = node.capacity;
     message.started_as = node.process.count();
+    if (!node.reaches_replicas)
+    {
+        message.__set_stranded(true);
+    }
     return message;
 }
 
@@ -118,6 +122,7 @@
     record.node.keeper = message.keeper;
     record.node.capacity = message.capacity;
     record.node.process = process_number(message.started_as);
+    record.node.reaches_replicas = !message.stranded;
     return record;
 }
 
--- a/src/peering/peer_group.cpp
+++ b/src/peering/peer_group.cpp
@@ -1,5 +1,6 @@
 #include "peering/peer_group.hpp"
 
+#include "decisions/nodes_with_replicas.hpp"
 #include "logging/log.hpp"
 #include "peering/group_options.hpp"
 
@@ -70,6 +71,7 @@
     std::copy_if(all.begin(), all.end(), std::back_inserter(this->live),
                  [](const node_info& node)
                  { return node.state == node_state::alive; });
+    this->serving = nodes_with_replicas(this->live);
     for (const node_info& node : this->live)
     {
         if (before.erase(node.id) == 0)
@@ -111,6 +113,12 @@
     this->change_callbacks.push_back(std::move(callback));
 }
 
+void peer_group::announce_reachability(bool reaches_replicas)
+{
+    this->members.announce_reachability(reaches_replicas);
+    this->driver.execute_commands();
+}
+
 void peer_group::announce_leaving()
 {
     this->members.announce_leaving();
--- a/src/peering/peer_group.hpp
+++ b/src/peering/peer_group.hpp
@@ -30,6 +30,12 @@
     /// \returns Nodes considered live, including this one but not leaving ones.
     const std::vector<node_info>& live_nodes() const { return this->live; }
 
+    /// \returns The live nodes that reach replicas; all live ones if none does.
+    const std::vector<node_info>& serving_nodes() const
+    {
+        return this->serving;
+    }
+
     /// \returns All known nodes, including dead ones.
     std::vector<node_info> all() const { return this->members.nodes(); }
 
@@ -45,6 +51,8 @@
     /// \param callback Called after each change of the view.
     void on_change(std::function<void()> callback);
 
+    /// Announces whether this node can open connections to replicas.
+    void announce_reachability(bool reaches_replicas);
     void announce_leaving();
     void announce_gone();
 
@@ -56,6 +64,7 @@
     membership members;
     membership_driver driver;
     std::vector<node_info> live;
+    std::vector<node_info> serving;
     std::vector<std::function<void()>> change_callbacks;
 };
 
--- a/src/relay/address_service.cpp
+++ b/src/relay/address_service.cpp
@@ -23,7 +23,7 @@
     const std::shared_ptr<net::http_exchange>& exchange,
     const address_request& request)
 {
-    std::vector<node_info> nodes = this->context.group.live_nodes();
+    std::vector<node_info> nodes = this->context.group.serving_nodes();
     std::erase_if(nodes, [](const node_info& node) { return !node.entry; });
     std::shuffle(nodes.begin(), nodes.end(), this->context.random);
     std::stable_partition(
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -62,6 +62,7 @@
         [this]
         {
             if (this->attempt && !this->attempt->has_head() &&
+                this->peer == exchange_peer::replica &&
                 net::event_loop::now() - this->sent_at > unresponsive_timeout)
             {
                 this->slots.report_failure(this->request.id, this->service,
@@ -72,7 +73,16 @@
         });
     this->deadline_timer = this->context.loop.call_after(
         this->remaining(), [this] { this->expire(); });
-    if (this->takes_up_stream())
+    if (this->request.hop)
+    {
+        this->runs = this->request.hop->runs;
+        if (const auto& origin = this->request.hop->origin)
+        {
+            this->service = origin->service;
+            this->version = origin->version;
+        }
+    }
+    if (!this->version && this->takes_up_stream())
     {
         this->find_origin();
         return;
@@ -171,6 +181,12 @@
     {
         return;
     }
+    if (this->context.link.is_stranded())
+    {
+        this->lease.reset();
+        this->relay();
+        return;
+    }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
     if (entry == nullptr || (this->version && *this->version != entry->version))
@@ -179,7 +195,14 @@
         this->send_again("the replica can no longer be used");
         return;
     }
-    this->replica = *entry;
+    this->begin_attempt(*entry, exchange_peer::replica, send_by);
+}
+
+void online_call::begin_attempt(const routing::replica_entry& target,
+                                exchange_peer kind, time_point send_by)
+{
+    this->replica = target;
+    this->peer = kind;
     this->sent_at = net::event_loop::now();
     if (this->sends == 0)
     {
@@ -189,20 +212,26 @@
             this->sent_at - this->request.received);
     }
     ++this->sends;
-    this->record_origin(*entry);
+    if (kind == exchange_peer::replica)
+    {
+        this->record_origin(target);
+    }
     this->splitter = event_splitter();
     this->sequence.begin_run();
     this->attempt_events = 0;
     this->collected_body.clear();
     replica_exchange::callbacks hooks;
-    hooks.on_leaving = [this]
-    {
-        this->slots.report_leaving(this->service, this->replica);
-    };
-    hooks.on_limit = [this](const routing::limit_observation& observation)
+    if (kind == exchange_peer::replica)
     {
-        this->slots.report_limit(this->service, this->replica, observation);
-    };
+        hooks.on_leaving = [this]
+        {
+            this->slots.report_leaving(this->service, this->replica);
+        };
+        hooks.on_limit = [this](const routing::limit_observation& observation)
+        {
+            this->slots.report_limit(this->service, this->replica, observation);
+        };
+    }
     hooks.on_head = [this](const net::http_response& head)
     {
         this->handle_head(head);
@@ -220,8 +249,8 @@
         this->handle_end(outcome, std::move(response), reason);
     };
     this->attempt = std::make_unique<replica_exchange>(
-        this->context.http, this->context.adapter.headers(), *entry,
-        this->make_request(send_by), this->request.id, std::move(hooks));
+        this->context.http, this->context.adapter.headers(), target,
+        this->make_request(send_by), this->request.id, std::move(hooks), kind);
     this->last_connection = this->attempt->connection();
 }
 
@@ -237,6 +266,19 @@
     // On a connection of its own, the last repeat cannot be lost to another
     // request's late response.
     sent.allow_connection_reuse = repeatable && (this->runs == 0 || may_repeat);
+    if (this->peer == exchange_peer::node)
+    {
+        relay_hop hop{this->runs, std::nullopt};
+        if (this->version)
+        {
+            hop.origin = stream_origin{this->service, *this->version};
+        }
+        const net::http_header_list fields = to_headers(hop);
+        sent.headers.insert(sent.headers.end(), fields.begin(), fields.end());
+        // The other node knows whether a replica is silent.
+        sent.tcp_keepalive = true;
+        return sent;
+    }
     if (may_repeat)
     {
         sent.head_timeout = unresponsive_timeout;
@@ -260,6 +302,13 @@
 void online_call::handle_head(const net::http_response& head)
 {
     this->collected_status = head.status;
+    if (this->peer == exchange_peer::node)
+    {
+        const std::string* version =
+            net::find_header(head.headers, hop_fields::version);
+        this->replica.version =
+            software_version(version == nullptr ? "" : *version);
+    }
     if (!net::is_success(head.status))
     {
         return;
@@ -277,7 +326,7 @@
 void online_call::restart_stall_timer()
 {
     if (this->request.route->kind != routing::request_kind::streaming ||
-        !this->may_repeat())
+        this->peer == exchange_peer::node || !this->may_repeat())
     {
         return;
     }
@@ -338,7 +387,7 @@
         this->first_output_at = net::event_loop::now();
         this->exchange->start_stream(
             this->collected_status,
-            end_to_end_headers(this->attempt->head_fields()));
+            this->response_headers(this->attempt->head_fields()));
     }
     this->exchange->write_chunk(events);
     if (this->exchange->pending_output_bytes() <= max_unread_bytes)
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -6,6 +6,7 @@
 #include "relay/online_request.hpp"
 #include "relay/origin_search.hpp"
 #include "relay/relay_context.hpp"
+#include "relay/relay_hop.hpp"
 #include "relay/replica_exchange.hpp"
 #include "relay/slot_client.hpp"
 #include "routing/replica_entry.hpp"
@@ -63,6 +64,25 @@
     /// the response is late.
     duration time_to_abandonment() const;
     void send(const replica_id& replica);
+    /// Sends the request to a replica, or to a node that sends it to one.
+    void begin_attempt(const routing::replica_entry& target, exchange_peer kind,
+                       time_point send_by);
+    /// Sends the request to a node that reaches replicas.
+    void relay();
+    /// \returns The node to send the request to; absent if there is none.
+    std::optional<node_info> choose_node() const;
+    /// Refuses another node's request, since this one reaches no replica
+    /// either.
+    void refuse_hop();
+    /// Handles the end of an attempt at another node that did not bring a
+    /// replica's answer.
+    void handle_node_end(attempt_outcome outcome,
+                         const net::http_response& response,
+                         const std::string& reason);
+    /// \returns The header fields for the caller, or for the node that has sent
+    /// the request.
+    net::http_header_list
+    response_headers(const net::http_header_list& received) const;
     net::http_request make_request(time_point send_by) const;
     /// \returns Whether another attempt may follow the current one if that has
     /// run.
@@ -87,6 +107,9 @@
     void report_crash(attempt_outcome outcome);
     bool may_send_again() const;
     void send_again(const std::string& reason);
+    /// Requests the next slot; after several failures once it is known whether
+    /// they are due to the node's own links.
+    void request_slot_when_checked();
     /// Ends the current attempt without any further callback of it.
     void release_attempt();
     void fail(error reason);
@@ -107,8 +130,11 @@
     std::unique_ptr<origin_search> search;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
-    /// The replica of the current attempt, or else of the last one.
+    /// The replica of the current attempt, or else of the last one; describes a
+    /// node if the request is sent to one.
     routing::replica_entry replica;
+    exchange_peer peer = exchange_peer::replica;
+    std::set<node_id> failed_nodes;
     std::set<replica_id> excluded;
     /// The version whose replicas may go on with the stream; absent until it
     /// has begun.
@@ -116,6 +142,7 @@
     net::connection_use last_connection;
     net::timer deadline_timer;
     net::timer stall_timer;
+    net::timer check_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
 
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -18,6 +18,9 @@
 constexpr int max_sends = 5;
 constexpr duration retry_after_refused = std::chrono::milliseconds(300);
 constexpr int first_error_status = 500;
+/// Replicas that may fail a request before the node's links are checked.
+constexpr int sends_before_check = 2;
+constexpr duration check_interval = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -36,6 +39,11 @@
     {
         return;
     }
+    if (this->peer == exchange_peer::node)
+    {
+        this->handle_node_end(outcome, response, reason);
+        return;
+    }
     this->report_crash(outcome);
     this->slots.report_failure(this->request.id, this->service, this->replica,
                                outcome);
@@ -47,6 +55,10 @@
     // A stream without a length that ends early looks like an answer.
     const bool ended_early = outcome == attempt_outcome::answered &&
                              net::is_success(this->collected_status);
+    if (this->context.link.is_suspect())
+    {
+        return;
+    }
     if ((ended_early || this->attempt->was_cut()) &&
         this->attempt_events < crash_guard::surviving_events)
     {
@@ -87,7 +99,8 @@
     {
         return false;
     }
-    this->exchange->respond(status, end_to_end_headers(response.headers), body);
+    this->exchange->respond(status, this->response_headers(response.headers),
+                            body);
     this->finish(net::is_success(status) ? "served" : "replica_failed", status);
     return true;
 }
@@ -138,7 +151,18 @@
                {"runs", this->runs},
                {"after_event", this->sequence.last_number()},
                {"reason", reason}});
-    this->request_slot();
+    this->request_slot_when_checked();
+}
+
+void online_call::request_slot_when_checked()
+{
+    if (this->sends < sends_before_check || !this->context.link.is_checking())
+    {
+        this->request_slot();
+        return;
+    }
+    this->check_timer = this->context.loop.call_after(
+        check_interval, [this] { this->request_slot_when_checked(); });
 }
 
 void online_call::release_attempt()
@@ -197,6 +221,7 @@
         return;
     }
     this->deadline_timer.cancel();
+    this->check_timer.cancel();
     this->report_end(outcome, status);
     this->release_attempt();
     this->lease.reset();
--- a/src/relay/online_request.hpp
+++ b/src/relay/online_request.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "relay/relay_hop.hpp"
 #include "routing/route_table.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleytrack::relay
@@ -25,6 +27,8 @@
     /// Estimated time since the caller's first attempt; zero if this is the
     /// first.
     duration elapsed_before = duration::zero();
+    /// Set if another node sends the request because it reaches no replica.
+    std::optional<relay_hop> hop = std::nullopt;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -60,6 +60,7 @@
     request.id = request_id(*id);
     request.route = &route;
     request.received = net::event_loop::now();
+    request.hop = read_hop(exchange->head().headers);
     const auto remaining_time = parse_remaining_time(exchange->head(), names);
     duration allowed = route.timeout;
     if (remaining_time)
--- a/src/relay/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -26,12 +26,15 @@
 
 } // namespace
 
+bool promises_not_run(int status)
+{
+    return status == status_too_many || status == status_unavailable;
+}
+
 int refuse(net::http_exchange& exchange, const error& reason)
 {
     int status = http_status(reason);
-    const bool promises_not_run =
-        status == status_too_many || status == status_unavailable;
-    if (promises_not_run && reason.ran == ran_state::unknown)
+    if (promises_not_run(status) && reason.ran == ran_state::unknown)
     {
         status = status_gateway_timeout;
     }
--- a/src/relay/refusal.hpp
+++ b/src/relay/refusal.hpp
@@ -6,6 +6,9 @@
 namespace parsleytrack::relay
 {
 
+/// \returns Whether a status promises that the request has not run.
+bool promises_not_run(int status);
+
 /// Responds with an error. A status that implies that the request was not run
 /// is only sent when that is known; Retry-After is in seconds with fractions.
 ///
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -7,6 +7,7 @@
 #include "peering/peer_group.hpp"
 #include "relay/configuration_follower.hpp"
 #include "relay/crash_guard.hpp"
+#include "relay/link_monitor.hpp"
 #include "relay/relay_adapter.hpp"
 #include "relay/replica_follower.hpp"
 #include "relay/stream_origins.hpp"
@@ -30,6 +31,7 @@
     key_value::record_client& store;
     configuration_follower& configuration;
     replica_follower& replicas;
+    link_monitor& link;
     crash_guard& crashes;
     stream_origins& origins;
     metrics::registry& metrics;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,6 +97,7 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
+    link_monitor link{this->loop, this->replicas, this->random, this->metrics};
     crash_guard crashes{this->loop, this->peers, this->group, this->metrics};
     storage_directory storage_nodes{
         this->loop,
@@ -110,8 +111,8 @@
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
-        this->replicas, this->crashes, this->origins, this->metrics,
-        this->random};
+        this->replicas, this->link,    this->crashes, this->origins,
+        this->metrics,  this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
@@ -358,6 +359,9 @@
     }
     self.configuration.on_change([&self] { self.apply_limits(); });
     self.configuration.start();
+    self.link.on_change(
+        [&self](bool reaches_replicas)
+        { self.group.announce_reachability(reaches_replicas); });
     self.replicas.start();
     self.storage_nodes.start();
     self.store_calls_timer = self.loop.call_every(
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -3,6 +3,7 @@
 #include "logging/log.hpp"
 #include "net/event_loop.hpp"
 #include "relay/limit_header.hpp"
+#include "relay/refusal.hpp"
 
 #include <strings.h>
 
@@ -45,12 +46,16 @@
                                    const header_names& header_names_in_use,
                                    const routing::replica_entry& target,
                                    net::http_request request,
-                                   request_id request_name, callbacks listener)
+                                   request_id request_name, callbacks listener,
+                                   exchange_peer target_kind)
     : names(header_names_in_use), replica(target.id),
-      id(std::move(request_name)), hooks(std::move(listener))
+      id(std::move(request_name)), hooks(std::move(listener)), peer(target_kind)
 {
-    request.headers.emplace_back(this->names.expected_replica,
-                                 this->replica.str());
+    if (this->peer == exchange_peer::replica)
+    {
+        request.headers.emplace_back(this->names.expected_replica,
+                                     this->replica.str());
+    }
     request.identity = this->id.str();
     net::http_client::callbacks client_hooks;
     client_hooks.on_head = [this](const net::http_response& response)
@@ -169,6 +174,10 @@
         return net::find_header(response.headers, name.c_str());
     };
     const std::string* echoed = field(this->names.request_id);
+    if (this->peer == exchange_peer::node && echoed == nullptr)
+    {
+        return response_kind::from_node;
+    }
     // A replica that cannot read a request refuses it without an id. On a
     // connection in use again it may be an earlier request's refusal.
     const bool is_own = echoed == nullptr ? this->link.earlier_requests == 0
@@ -235,6 +244,12 @@
         callback(attempt_outcome::wrong_replica, std::move(response.value()),
                  seen);
         return;
+    case response_kind::from_node:
+        callback(promises_not_run(response.value().status)
+                     ? attempt_outcome::not_run
+                     : attempt_outcome::may_have_run,
+                 std::move(response.value()), seen);
+        return;
     case response_kind::none:
     case response_kind::mismatched:
         break;
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -34,6 +34,15 @@
     may_have_run
 };
 
+/// What a request is sent to.
+enum class exchange_peer
+{
+    replica,
+    /// Another node, which sends the request to a replica. It refuses requests
+    /// without their ids.
+    node
+};
+
 /// \returns The name used in logs and metric labels.
 const char* to_string(attempt_outcome outcome);
 
@@ -76,9 +85,11 @@
     /// replica's id is added.
     /// \param id The request's id, which the response must carry.
     /// \param hooks Never called before the constructor returns.
+    /// \param target What the request is sent to.
     replica_exchange(net::http_client& client, const header_names& names,
                      const routing::replica_entry& replica,
-                     net::http_request request, request_id id, callbacks hooks);
+                     net::http_request request, request_id id, callbacks hooks,
+                     exchange_peer target = exchange_peer::replica);
 
     /// Calls no callback any more. The connection is closed when this object is
     /// destroyed, which may be in a later turn of the loop than the events that
@@ -112,7 +123,9 @@
         matching,
         mismatched,
         not_run,
-        wrong_replica
+        wrong_replica,
+        /// A response of a node itself.
+        from_node
     };
 
     void handle_head(const net::http_response& response);
@@ -126,6 +139,7 @@
     replica_id replica;
     request_id id;
     callbacks hooks;
+    exchange_peer peer;
     response_kind kind = response_kind::none;
     bool cancelled = false;
     bool head_seen = false;
--- a/src/relay/replica_request.cpp
+++ b/src/relay/replica_request.cpp
@@ -1,6 +1,7 @@
 #include "relay/replica_request.hpp"
 
 #include "relay/hop_headers.hpp"
+#include "relay/relay_hop.hpp"
 
 #include <strings.h>
 
@@ -32,6 +33,7 @@
                (last_event > 0 && is(names.resume_after));
     };
     request.headers = end_to_end_headers(head.headers);
+    erase_hop_fields(request.headers);
     std::erase_if(request.headers, [&is_replaced](const auto& field)
                   { return is_replaced(field.first); });
     request.headers.emplace_back(names.remaining_time_ms,
--- a/src/relay/slot_client_reports.cpp
+++ b/src/relay/slot_client_reports.cpp
@@ -61,6 +61,14 @@
     {
         this->context.replicas.mark_leaving(process, "refused_request");
     }
+    else
+    {
+        this->context.link.handle_failure();
+        if (this->context.link.is_suspect())
+        {
+            return;
+        }
+    }
     this->report(
         replica_report{request, service, replica.id, process, leaving});
 }
--- a/src/slots/broker_selector.cpp
+++ b/src/slots/broker_selector.cpp
@@ -1,6 +1,7 @@
 #include "slots/broker_selector.hpp"
 
 #include "decisions/high_capacity_nodes.hpp"
+#include "decisions/nodes_with_replicas.hpp"
 #include "decisions/rendezvous.hpp"
 
 #include <algorithm>
@@ -51,7 +52,7 @@
     }
     const node_info* best = &own;
     std::uint64_t best_score = 0;
-    candidates = high_capacity_nodes(std::move(candidates));
+    candidates = high_capacity_nodes(nodes_with_replicas(candidates));
     for (const node_info& node : candidates)
     {
         const std::uint64_t score = rendezvous_score(node.id.str(), pool);
--- a/src/wire/membership.thrift
+++ b/src/wire/membership.thrift
@@ -24,6 +24,8 @@
   12: i32 capacity;
   // Identifies the process.
   13: i64 started_as;
+  // The node cannot open connections to backend servers.
+  14: optional bool stranded;
 }
 
 // A value of the gossip board.
--- a/tests/relay_support/fault_proxy.cpp
+++ b/tests/relay_support/fault_proxy.cpp
@@ -59,6 +59,13 @@
                  sizeof(program));
 }
 
+void accept_incoming_packets(int descriptor)
+{
+    const int unused = 0;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+                 sizeof(unused));
+}
+
 } // namespace
 
 fault_proxy::fault_proxy(net::event_loop& event_loop, endpoint target_address)
@@ -80,6 +87,7 @@
 
 void fault_proxy::set_fault(fault next)
 {
+    this->set_dropping(next == fault::unreachable);
     this->current_fault = next;
     if (next == fault::reset)
     {
@@ -90,6 +98,17 @@
     }
 }
 
+void fault_proxy::set_dropping(bool dropping)
+{
+    const auto apply =
+        dropping ? &drop_incoming_packets : &accept_incoming_packets;
+    apply(this->listener.descriptor());
+    for (const auto& connection : this->connections)
+    {
+        apply(bufferevent_getfd(connection->client.link));
+    }
+}
+
 void fault_proxy::silence_open_connections()
 {
     for (const auto& connection : this->connections)
@@ -162,6 +181,7 @@
 bool fault_proxy::is_blocked(const side& from) const
 {
     return from.silent || this->current_fault == fault::blocked ||
+           this->current_fault == fault::unreachable ||
            (this->current_fault == fault::blocked_to_server &&
             from.to_server) ||
            (this->current_fault == fault::blocked_to_client && !from.to_server);
--- a/tests/relay_support/fault_proxy.hpp
+++ b/tests/relay_support/fault_proxy.hpp
@@ -27,6 +27,9 @@
         reset,
         /// No bytes are forwarded in either direction until the fault ends.
         blocked,
+        /// As blocked, and no packet is acknowledged, so that new connections
+        /// hang, as behind a partition.
+        unreachable,
         /// No bytes are forwarded in one direction.
         blocked_to_server,
         blocked_to_client,
@@ -82,6 +85,7 @@
 
     void repeat_response(side& from, const std::string& bytes);
     bool is_blocked(const side& from) const;
+    void set_dropping(bool dropping);
     void flush();
     void flush(side& from);
     void reset(pair& connection);
--- a/tests/relay_support/loopback_listener.cpp
+++ b/tests/relay_support/loopback_listener.cpp
@@ -34,4 +34,9 @@
         net::bound_port(evconnlistener_get_fd(this->listener.get()));
 }
 
+int loopback_listener::descriptor() const
+{
+    return evconnlistener_get_fd(this->listener.get());
+}
+
 } // namespace parsleytrack::relay_support
--- a/tests/relay_support/loopback_listener.hpp
+++ b/tests/relay_support/loopback_listener.hpp
@@ -30,6 +30,9 @@
 
     const endpoint& address() const { return this->bound_address; }
 
+    /// \returns The listening socket.
+    int descriptor() const;
+
 private:
     std::function<void(int)> on_accept;
     std::unique_ptr<evconnlistener, detail::listener_deleter> listener;
