Hand jobs over while their owner reaches no replica

The owner kept requesting slots, and each granted one was held for 1.5 s by a run that reached nobody.

A stranded node starts no item and sends none for which a slot is granted late. After a second it hands its jobs over as in a planned stop, with their outcomes and progress, to a node that is not stranded; new jobs go to such a node at once.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -174,6 +174,12 @@
 void item_run::send(const replica_id& granted, time_point send_by)
 {
     const time_point checked_at = net::event_loop::now();
+    if (this->context.link.is_stranded())
+    {
+        this->finish(item_run_result::interrupted,
+                     "this node reaches no replica");
+        return;
+    }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
     if (entry == nullptr)
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -63,7 +63,8 @@
 
 void job_owner::start_items()
 {
-    if (this->stopped || this->owned.state().is_finished())
+    if (this->stopped || this->owned.state().is_finished() ||
+        this->context.link.is_stranded())
     {
         return;
     }
--- a/src/relay/job_placement.cpp
+++ b/src/relay/job_placement.cpp
@@ -12,7 +12,7 @@
 {
     const node_info* best = &group.own();
     std::uint64_t best_score = 0;
-    for (const node_info& node : group.live_nodes())
+    for (const node_info& node : group.serving_nodes())
     {
         const std::uint64_t score = rendezvous_score(node.id.str(), job.str());
         if (node.entry && score > best_score)
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -70,6 +70,9 @@
     void refresh(const job_id& job);
     void start_job(jobs::owned_job job, jobs::job_progress progress);
     void run_periodic_tasks();
+    /// Hands the jobs over whose items this node cannot run.
+    void hand_over_jobs();
+    void handle_link_change(bool reaches_replicas);
 
     const relay_context& context;
     slot_client& slots;
@@ -82,8 +85,10 @@
     job_takeover takeover;
     job_peers peers;
     std::map<job_id, std::unique_ptr<job_owner>> owned;
-    /// Jobs that this node hands over in a planned stop.
+    /// Jobs that this node hands over.
     std::vector<std::unique_ptr<job_owner>> handed_over;
+    /// When the jobs are handed over, and when those that were are freed.
+    net::timer handover_timer;
     /// When to evict a finished job from memory; it stays in the store.
     std::map<job_id, time_point> evict_at;
     net::timer periodic_timer;
