Refuse requests that a planned stop would cut off

It can happen here: relay_stop_stages, late_requests_are_not_cut_off_at_the_end failed before (with addresses valid for 2 s and a limit of 8 s, as deployed, requests are taken for 5.1 s, and a stream may last for 5 s more).

Cause: the time until which requests are taken reserves 2.5 s for the last ones, whatever time they have. A request whose own time ends after the node closes its connections is refused now, not run, so that its caller uses another node at once. Shorter ones are taken as long as before.

--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// The caller can send the request to another node at once.
+constexpr duration retry_after_stop = std::chrono::milliseconds(10);
+
 std::optional<duration> parse_remaining_time(const net::http_request_head& head,
                                              const header_names& names)
 {
@@ -43,7 +46,7 @@
 void online_service::handle_request(
     const std::shared_ptr<net::http_exchange>& exchange,
     std::shared_ptr<const routing::route_table> table,
-    const routing::route& route)
+    const routing::route& route, std::optional<time_point> closes_at)
 {
     const header_names& names = this->context.adapter.headers();
     const std::string* id =
@@ -72,6 +75,13 @@
             route.name, *remaining_time, request.received);
     }
     request.deadline = request.received + allowed;
+    if (closes_at && request.deadline > *closes_at)
+    {
+        refuse(*exchange, error{error_code::shutting_down,
+                                "this node stops before the request may end",
+                                ran_state::no, retry_after_stop});
+        return;
+    }
     const std::size_t limit =
         static_cast<std::size_t>(table->contents().limits.body.count());
     request.table = std::move(table);
--- a/src/relay/online_service.hpp
+++ b/src/relay/online_service.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace parsleytrack::relay
 {
@@ -25,9 +26,12 @@
     ///
     /// \param table The current configuration.
     /// \param route The route that matches the request.
+    /// \param closes_at When this node closes its connections in a planned
+    /// stop; a request that may last longer is refused.
     void handle_request(const std::shared_ptr<net::http_exchange>& exchange,
                         std::shared_ptr<const routing::route_table> table,
-                        const routing::route& route);
+                        const routing::route& route,
+                        std::optional<time_point> closes_at);
 
     std::size_t open_calls() const { return this->calls.size(); }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -233,7 +233,9 @@
         this->jobs.submit(exchange, table, *route);
         return;
     }
-    this->online.handle_request(exchange, table, *route);
+    this->online.handle_request(
+        exchange, table, *route,
+        this->stop ? std::optional(this->stop->closes_at()) : std::nullopt);
 }
 
 void relay_node::state::handle_readiness(
--- a/src/relay/stop_schedule.hpp
+++ b/src/relay/stop_schedule.hpp
@@ -34,6 +34,9 @@
         return now < this->accept_until;
     }
 
+    /// \returns When the connections that are still open are closed.
+    time_point closes_at() const { return this->end; }
+
     /// \returns Whether the process should exit.
     bool is_over(time_point now, std::size_t open_requests) const;
 
--- a/tests/relay_process/stop_stage_test.cpp
+++ b/tests/relay_process/stop_stage_test.cpp
@@ -122,3 +122,40 @@
     CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
     CHECK(net::event_loop::now() - begin < std::chrono::seconds(4));
 }
+
+// Guards against requests that come late in a planned stop, are passed on, and
+// are cut off at its end: among them such that must not run again.
+TEST(relay_stop_stages, late_requests_are_not_cut_off_at_the_end)
+{
+    relay_fleet_options options;
+    options.node_count = 2;
+    options.address_validity_s = 2;
+    relay_fleet fleet(options);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(350);
+    }
+    fleet.process(0).signal(SIGTERM);
+    std::vector<std::shared_ptr<relay_fleet::response>> responses;
+    while (!fleet.process(0).has_ended() && responses.size() < 24)
+    {
+        responses.push_back(std::make_shared<relay_fleet::response>());
+        fleet.start_call(
+            0, "POST", responses.size() % 2 == 0 ? "/once/a" : "/stream/a",
+            std::to_string(responses.size()), "", responses.back());
+        fleet.run_for(std::chrono::milliseconds(200));
+    }
+    CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
+    for (std::size_t number = 1; number <= responses.size(); ++number)
+    {
+        const relay_fleet::response& response = *responses[number - 1];
+        int runs = 0;
+        for (const auto& engine : fleet.engines)
+        {
+            const auto known = engine->runs.find(std::to_string(number));
+            runs += known == engine->runs.end() ? 0 : known->second;
+        }
+        // Refused before it ran, or served to its end.
+        CHECK_EQUAL(runs > 0 ? 200 : 503, response.status);
+    }
+}
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -237,7 +237,7 @@
         {"store",
          {{"address", to_string(store_address)},
           {"most_nodes_alone", this->options.max_direct_followers}}},
-        {"addresses", {{"validity_s", 0.5}}},
+        {"addresses", {{"validity_s", this->options.address_validity_s}}},
         {"jobs", {{"keep_results_s", this->options.keep_results_s}}},
         {"stop", {{"limit_s", 8}}}};
     std::ofstream(entry.settings) << document.dump();
--- a/tests/relay_support/relay_fleet_options.hpp
+++ b/tests/relay_support/relay_fleet_options.hpp
@@ -9,6 +9,8 @@
     int node_count = 1;
     /// How long results are kept, in seconds.
     int keep_results_s = 900;
+    /// How long callers may use an address, in seconds.
+    double address_validity_s = 0.5;
     /// Number of nodes up to which every node watches the store itself.
     int max_direct_followers = 16;
     int engine_count = 3;
