Do not wait for a storage node that is down where the version is certain

A take-up of a stream that nobody has recorded waited for the replies of all storage nodes, 300 ms when one is down. Found by reading; the tests of relay_stream_versions pass as before.

--- a/src/relay/origin_search.cpp
+++ b/src/relay/origin_search.cpp
@@ -12,6 +12,9 @@
 /// How long a node that has just started waits for the list of storage nodes.
 constexpr duration directory_timeout = std::chrono::milliseconds(600);
 constexpr duration directory_check_interval = std::chrono::milliseconds(50);
+/// When so many nodes have seen the same single version, the search does not
+/// wait for others, which may be down.
+constexpr std::size_t sufficient_observers = 2;
 
 } // namespace
 
@@ -45,13 +48,13 @@
                                                 [this] { this->ask(); });
         return;
     }
+    this->add(this->origins.own_view(this->inquiry));
     this->calls = this->origins.ask(this->inquiry,
                                     [this](const result<origin_reply>& reply)
                                     { this->handle_reply(reply); });
     this->pending = this->calls.size();
     if (this->pending == 0)
     {
-        this->add(this->origins.own_view(this->inquiry));
         this->finish(this->only_candidate());
     }
 }
@@ -72,17 +75,17 @@
         }
         this->add(reply.value());
     }
-    if (this->pending > 0)
+    const auto candidate = this->only_candidate();
+    if (this->pending == 0 ||
+        (candidate && this->observers >= sufficient_observers))
     {
-        return;
+        this->finish(candidate);
     }
-    this->add(this->origins.own_view(this->inquiry));
-    this->finish(this->only_candidate());
 }
 
 void origin_search::add(const origin_reply& reply)
 {
-    this->is_observed = this->is_observed || reply.has_observed;
+    this->observers += reply.has_observed ? 1 : 0;
     for (const stream_origin& candidate : reply.candidates)
     {
         if (std::find(this->candidates.begin(), this->candidates.end(),
@@ -95,7 +98,7 @@
 
 std::optional<stream_origin> origin_search::only_candidate() const
 {
-    return this->is_observed && this->candidates.size() == 1
+    return this->observers > 0 && this->candidates.size() == 1
                ? std::optional(this->candidates.front())
                : std::nullopt;
 }
--- a/src/relay/origin_search.hpp
+++ b/src/relay/origin_search.hpp
@@ -42,8 +42,8 @@
     callback ended_callback;
     std::vector<std::unique_ptr<wire::peer_call>> calls;
     std::size_t pending = 0;
-    /// Whether a node has observed the list of replicas for long enough.
-    bool is_observed = false;
+    /// Nodes that have observed the list of replicas for long enough.
+    std::size_t observers = 0;
     std::vector<stream_origin> candidates;
     net::timer next_step;
     time_point ask_until;
