--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -79,6 +79,8 @@
     void handle_node_end(attempt_outcome outcome,
                          const net::http_response& response,
                          const std::string& reason);
+    /// Sends the request again, to another node.
+    void leave_node(const std::string& reason);
     /// \returns The header fields for the caller, or for the node that has sent
     /// the request.
     net::http_header_list
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -35,13 +35,18 @@
     {
         ++this->runs;
     }
+    if (!answered && this->peer == exchange_peer::node)
+    {
+        this->handle_node_end(outcome, response, reason);
+        return;
+    }
     if (answered && this->handle_response(std::move(response)))
     {
         return;
     }
     if (this->peer == exchange_peer::node)
     {
-        this->handle_node_end(outcome, response, reason);
+        this->leave_node("the response is incomplete");
         return;
     }
     this->report_crash(outcome);
--- a/src/relay/online_call_relay.cpp
+++ b/src/relay/online_call_relay.cpp
@@ -107,6 +107,11 @@
                      response.status);
         return;
     }
+    this->leave_node(reason);
+}
+
+void online_call::leave_node(const std::string& reason)
+{
     this->failed_nodes.insert(node_id(this->replica.id.str()));
     this->send_again(reason);
 }
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/slot_pool.hpp"
+#include "slots/slot_request.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 #include "units/work_class.hpp"
@@ -41,4 +42,9 @@
     replica_id held_replica;
 };
 
+/// \param now The time at the broker, which received the request.
+/// \returns The request as the broker's decisions see it.
+slots::slot_request to_broker_request(const slot_request& request,
+                                      time_point now);
+
 } // namespace parsleytrack::relay
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -53,22 +53,7 @@
     const time_point now = net::event_loop::now();
     const slots::slot_ticket ticket(this->next_ticket++);
     slots::slot_broker& broker = this->broker_of(request.pool);
-    slots::slot_request wanted;
-    wanted.kind = request.kind;
-    wanted.priority = request.priority;
-    wanted.useful_until = now + request.useful_for;
-    wanted.wait_when_late = request.wait_when_late;
-    if (request.abandoned_in)
-    {
-        wanted.abandoned_at = now + *request.abandoned_in;
-    }
-    wanted.availability_zone = request.availability_zone;
-    wanted.excluded = request.excluded;
-    wanted.version = request.version;
-    if (request.any_version_in)
-    {
-        wanted.any_version_from = now + *request.any_version_in;
-    }
+    const slots::slot_request wanted = to_broker_request(request, now);
     open_request& state = this->requests[ticket];
     state = open_request{request, std::move(callback), false, false, {}};
     this->tickets[request.request] = ticket;
