Remember across a kill of everything which versions were in use

A storage node's record in the store names the versions in use lately, beside its address; it is written when they change, twice a release. After a start the node reads it first: no stream has begun while no node ran, so that a single version, then and now, is the one. If another node has observed the list all the time, what is remembered does not count, since the storage node may have been down for long. Found by reading.

--- a/src/relay/origin_messages.cpp
+++ b/src/relay/origin_messages.cpp
@@ -116,6 +116,10 @@
         message.__set_origin(origin);
     }
     message.has_observed = reply.has_observed;
+    if (reply.remembers)
+    {
+        message.__set_remembers(true);
+    }
     for (const stream_origin& candidate : reply.candidates)
     {
         wire::service_version& entry = message.versions.emplace_back();
@@ -140,6 +144,7 @@
                                      software_version(read.origin.version)};
     }
     reply.has_observed = read.has_observed;
+    reply.remembers = read.remembers;
     for (const wire::service_version& entry : read.versions)
     {
         reply.candidates.push_back(stream_origin{
--- a/src/relay/origin_messages.hpp
+++ b/src/relay/origin_messages.hpp
@@ -34,6 +34,9 @@
     /// Whether the node has followed the list of replicas all the time in which
     /// the stream may have begun.
     bool has_observed = false;
+    /// Whether the candidates include those from before the node was started
+    /// again, which may be out of date.
+    bool remembers = false;
     /// What may have begun the stream, as far as the node knows.
     std::vector<stream_origin> candidates;
 };
--- a/src/relay/origin_search.cpp
+++ b/src/relay/origin_search.cpp
@@ -16,6 +16,18 @@
 /// wait for others, which may be down.
 constexpr std::size_t sufficient_observers = 2;
 
+void add_missing(std::vector<stream_origin>& list,
+                 const std::vector<stream_origin>& added)
+{
+    for (const stream_origin& origin : added)
+    {
+        if (std::find(list.begin(), list.end(), origin) == list.end())
+        {
+            list.push_back(origin);
+        }
+    }
+}
+
 } // namespace
 
 origin_search::origin_search(net::event_loop& event_loop,
@@ -86,20 +98,21 @@
 void origin_search::add(const origin_reply& reply)
 {
     this->observers += reply.has_observed ? 1 : 0;
-    for (const stream_origin& candidate : reply.candidates)
+    this->is_remembered = this->is_remembered || reply.remembers;
+    add_missing(this->remembered, reply.candidates);
+    if (!reply.remembers)
     {
-        if (std::find(this->candidates.begin(), this->candidates.end(),
-                      candidate) == this->candidates.end())
-        {
-            this->candidates.push_back(candidate);
-        }
+        add_missing(this->candidates, reply.candidates);
     }
 }
 
 std::optional<stream_origin> origin_search::only_candidate() const
 {
-    return this->observers > 0 && this->candidates.size() == 1
-               ? std::optional(this->candidates.front())
+    // What a node remembers may be out of date if it was down for long.
+    const bool is_observed = this->observers > 0;
+    const auto& possible = is_observed ? this->candidates : this->remembered;
+    return (is_observed || this->is_remembered) && possible.size() == 1
+               ? std::optional(possible.front())
                : std::nullopt;
 }
 
--- a/src/relay/origin_search.hpp
+++ b/src/relay/origin_search.hpp
@@ -45,6 +45,10 @@
     /// Nodes that have observed the list of replicas for long enough.
     std::size_t observers = 0;
     std::vector<stream_origin> candidates;
+    /// Whether a node remembers what was in use before it was started again,
+    /// and that.
+    bool is_remembered = false;
+    std::vector<stream_origin> remembered;
     net::timer next_step;
     time_point ask_until;
 };
--- a/src/relay/origin_server.cpp
+++ b/src/relay/origin_server.cpp
@@ -4,6 +4,8 @@
 #include "net/event_loop.hpp"
 #include "relay/origin_messages.hpp"
 
+#include <utility>
+
 namespace parsleytrack::relay
 {
 
@@ -12,6 +14,9 @@
 
 /// About 20 MB; several times the streams of a large fleet while one lasts.
 constexpr std::size_t max_streams = 100'000;
+/// How long a version counts after its last replica has left. Longer than any
+/// stream lasts.
+constexpr duration version_overlap = std::chrono::seconds(30);
 
 } // namespace
 
@@ -53,17 +58,66 @@
 void origin_server::handle_inquiry(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
-    const auto inquiry = decode_origin_inquiry(exchange->request());
+    if (this->is_restored)
+    {
+        this->answer(*exchange);
+        return;
+    }
+    this->waiting.push_back(exchange);
+}
+
+void origin_server::restore(std::optional<routing::service_versions> versions)
+{
+    this->earlier = std::move(versions);
+    this->is_restored = true;
+    this->restored_at = net::event_loop::now();
+    for (const auto& exchange : std::exchange(this->waiting, {}))
+    {
+        this->answer(*exchange);
+    }
+}
+
+routing::service_versions origin_server::recent_versions() const
+{
+    const time_point now = net::event_loop::now();
+    auto recent = this->history.all_since(now - version_overlap);
+    if (this->earlier && now < this->restored_at + version_overlap)
+    {
+        for (const auto& [service, versions] : *this->earlier)
+        {
+            recent[service].insert(versions.begin(), versions.end());
+        }
+    }
+    return recent;
+}
+
+void origin_server::answer(wire::peer_exchange& exchange)
+{
+    const auto inquiry = decode_origin_inquiry(exchange.request());
     if (inquiry.has_error())
     {
         log_event(log_level::warning, "stream_inquiry_refused",
                   {{"reason", inquiry.error().message}});
-        exchange->fail(inquiry.error());
+        exchange.fail(inquiry.error());
         return;
     }
     const time_point now = net::event_loop::now();
-    exchange->finish(
-        encode(view_of(inquiry.value(), this->memory, this->history, now)));
+    origin_reply reply =
+        view_of(inquiry.value(), this->memory, this->history, now);
+    // Nothing began while no node ran, so that what was in use before counts
+    // from the start on.
+    if (!reply.has_observed && this->earlier)
+    {
+        reply.remembers = true;
+        for (const service_name& service : inquiry.value().services)
+        {
+            for (const software_version& version : (*this->earlier)[service])
+            {
+                reply.candidates.push_back(stream_origin{service, version});
+            }
+        }
+    }
+    exchange.finish(encode(reply));
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/storage_directory.cpp
+++ b/src/relay/storage_directory.cpp
@@ -1,7 +1,6 @@
 #include "relay/storage_directory.hpp"
 
 #include "logging/log.hpp"
-#include "units/endpoint_parser.hpp"
 
 #include <set>
 #include <utility>
@@ -59,13 +58,14 @@
 
 void storage_directory::apply_record(const key_value::stored_record& record)
 {
-    endpoint address;
-    if (!parse_endpoint(record.value, address))
+    const auto read = decode_storage_record(record.value);
+    if (read.has_error())
     {
         log_event(log_level::warning, "storage_record_skipped",
-                  {{"key", record.key}});
+                  {{"key", record.key}, {"reason", read.error().message}});
         return;
     }
+    const endpoint& address = read.value().address;
     this->addresses[record.key] = address;
     log_event(log_level::info, "storage_node_listed",
               {{"key", record.key}, {"address", to_string(address)}});
--- a/src/relay/storage_directory.hpp
+++ b/src/relay/storage_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "feeds/record_feed.hpp"
+#include "relay/storage_record.hpp"
 #include "units/endpoint.hpp"
 
 #include <functional>
@@ -10,10 +11,6 @@
 namespace parsleytrack::relay
 {
 
-/// Prefix of the records with which storage nodes announce their peer
-/// addresses.
-inline const std::string storage_node_prefix = "parsleytrack/storage/";
-
 /// Follows the addresses of the storage nodes.
 class storage_directory
 {
@@ -37,8 +34,8 @@
         return this->addresses;
     }
 
-    /// \param callback Called when a storage node has started, with its
-    /// address.
+    /// \param callback Called when a storage node has written its record, with
+    /// its address; it may have started.
     void on_start(std::function<void(const endpoint&)> callback)
     {
         this->start_callback = std::move(callback);
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -1,7 +1,6 @@
 #include "relay/storage_node.hpp"
 
 #include "logging/log.hpp"
-#include "relay/storage_directory.hpp"
 
 #include <csignal>
 #include <random>
@@ -15,6 +14,9 @@
 
 constexpr duration report_timeout = std::chrono::seconds(5);
 constexpr duration report_retry_delay = std::chrono::milliseconds(500);
+/// How soon after its time a version is taken out of the record, and how soon a
+/// failed write is repeated.
+constexpr duration record_check_interval = std::chrono::seconds(1);
 /// As on the nodes that use the replicas.
 constexpr duration change_batch_window = std::chrono::milliseconds(500);
 
@@ -59,27 +61,69 @@
     }
     this->follower.start();
     this->replica_list.start();
-    this->announce();
+    this->read_own_record();
     return true;
 }
 
-void storage_node::announce()
+std::string storage_node::own_key() const
 {
+    return storage_node_prefix + this->settings.id.str();
+}
+
+void storage_node::read_own_record()
+{
+    this->store.get(
+        this->own_key(), key_value::read_freshness::latest,
+        [this](const result<key_value::stored_record>& record)
+        {
+            if (record.has_error())
+            {
+                this->record_timer = this->loop.call_after(
+                    report_retry_delay, [this] { this->read_own_record(); });
+                return;
+            }
+            std::optional<routing::service_versions> versions;
+            if (record.value().exists())
+            {
+                const auto read = decode_storage_record(record.value().value);
+                if (read.has_value())
+                {
+                    versions = read.value().versions;
+                }
+            }
+            this->origins.restore(std::move(versions));
+            this->record_is_read = true;
+            this->record_timer = this->loop.call_every(
+                record_check_interval, [this] { this->update_record(); });
+            this->update_record();
+        });
+}
+
+void storage_node::update_record()
+{
+    const storage_record current{this->settings.peer,
+                                 this->origins.recent_versions()};
+    // Without the list of replicas the record from before still holds.
+    if (this->is_writing || this->written == current ||
+        !this->replica_list_known || !this->record_is_read || this->reporting)
+    {
+        return;
+    }
+    this->is_writing = true;
     key_value::record_transaction transaction;
-    transaction.puts = {{storage_node_prefix + this->settings.id.str(),
-                         to_string(this->settings.peer)}};
+    transaction.puts = {{this->own_key(), encode(current)}};
     this->store.commit(
         std::move(transaction), report_timeout,
-        [this](const result<key_value::transaction_outcome>& outcome)
+        [this, current](const result<key_value::transaction_outcome>& outcome)
         {
+            this->is_writing = false;
             if (outcome.has_value())
             {
+                this->written = current;
                 return;
             }
-            log_event(log_level::info, "address_not_announced",
+            log_event(log_level::info, "storage_record_not_written",
                       {{"reason", outcome.error().message}});
-            this->announcement_timer = this->loop.call_after(
-                report_retry_delay, [this] { this->announce(); });
         });
 }
 
@@ -91,6 +135,8 @@
         this->apply_change(key_value::record_change{record, false});
     }
     this->origins.observe(this->replicas);
+    this->replica_list_known = true;
+    this->update_record();
 }
 
 void storage_node::apply_change(const key_value::record_change& change)
@@ -130,9 +176,9 @@
 
 void storage_node::handle_record(const key_value::stored_record& record)
 {
-    const std::string own_key =
+    const std::string retirement_key =
         this->adapter.keys().retirement_prefix + this->settings.id.str();
-    if (record.key != own_key || std::exchange(this->reporting, true))
+    if (record.key != retirement_key || std::exchange(this->reporting, true))
     {
         return;
     }
@@ -147,7 +193,7 @@
         this->adapter.keys().retirement_state_prefix + this->settings.id.str();
     key_value::record_transaction transaction;
     transaction.puts = {{key, this->adapter.format_retirement_state(true)}};
-    transaction.erased = {storage_node_prefix + this->settings.id.str()};
+    transaction.erased = {this->own_key()};
     this->store.commit(
         std::move(transaction), report_timeout,
         [this](const result<key_value::transaction_outcome>& outcome)
--- a/src/relay/storage_node.hpp
+++ b/src/relay/storage_node.hpp
@@ -6,6 +6,7 @@
 #include "net/http_client.hpp"
 #include "relay/origin_server.hpp"
 #include "relay/relay_adapter.hpp"
+#include "relay/storage_record.hpp"
 #include "routing/replica_entry.hpp"
 #include "settings/relay_settings.hpp"
 #include "units/random_source.hpp"
@@ -13,6 +14,8 @@
 #include "wire/peer_network.hpp"
 
 #include <map>
+#include <optional>
+#include <string>
 
 namespace parsleytrack::relay
 {
@@ -40,8 +43,13 @@
 private:
     void handle_record(const key_value::stored_record& record);
     void report_retirement_completed();
-    /// Tells the other nodes the address of this one.
-    void announce();
+    /// Reads what this node has written before it was started again.
+    void read_own_record();
+    /// Writes the address of this node and the versions in use, if they have
+    /// changed.
+    void update_record();
+    /// \returns The key of this node's record.
+    std::string own_key() const;
     void apply_listing(const key_value::record_listing& listing);
     void apply_change(const key_value::record_change& change);
 
@@ -57,7 +65,12 @@
     std::map<replica_id, routing::replica_entry> replicas;
     key_value::record_follower replica_list;
     net::timer retry_timer;
-    net::timer announcement_timer;
+    /// Runs while the record cannot be read, and then before each check.
+    net::timer record_timer;
+    std::optional<storage_record> written;
+    bool is_writing = false;
+    bool replica_list_known = false;
+    bool record_is_read = false;
     bool reporting = false;
 };
 
--- a/src/routing/version_history.cpp
+++ b/src/routing/version_history.cpp
@@ -1,6 +1,7 @@
 #include "routing/version_history.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleytrack::routing
 {
@@ -55,4 +56,18 @@
     return found;
 }
 
+service_versions version_history::all_since(time_point since) const
+{
+    service_versions found;
+    for (const auto& [service, versions] : this->last_listed)
+    {
+        auto recent = this->versions_since(service, since);
+        if (!recent.empty())
+        {
+            found.emplace(service, std::move(recent));
+        }
+    }
+    return found;
+}
+
 } // namespace parsleytrack::routing
--- a/src/routing/version_history.hpp
+++ b/src/routing/version_history.hpp
@@ -10,6 +10,9 @@
 namespace parsleytrack::routing
 {
 
+/// Software versions by service.
+using service_versions = std::map<service_name, std::set<software_version>>;
+
 /// Records which software versions of each service are listed, and until when
 /// earlier ones were.
 class version_history
@@ -24,6 +27,10 @@
     std::set<software_version> versions_since(const service_name& service,
                                               time_point since) const;
 
+    /// \returns The versions of all services that were listed at some time
+    /// since \p since.
+    service_versions all_since(time_point since) const;
+
     /// \returns Whether the list has been observed all the time since \p since.
     bool covers(time_point since) const
     {
--- a/src/wire/stream_origins.thrift
+++ b/src/wire/stream_origins.thrift
@@ -38,4 +38,14 @@
   2: bool has_observed;
   // The versions of the services that were in use in this time.
   3: list<service_version> versions;
+  // Whether the versions include those that were in use before this node was
+  // started again.
+  4: optional bool remembers;
+}
+
+// Record of a storage node in the platform's store.
+struct storage_node_record {
+  1: string address;
+  // The versions that were in use lately.
+  2: list<service_version> versions;
 }
--- a/tests/relay/origin_messages_test.cpp
+++ b/tests/relay/origin_messages_test.cpp
@@ -42,9 +42,11 @@
     origin_reply reply;
     reply.has_observed = true;
     reply.candidates = {this->origin};
+    reply.remembers = true;
     auto read = decode_origin_reply(encode(reply));
     CHECK_FALSE(read.value().origin.has_value());
     CHECK(read.value().has_observed);
+    CHECK(read.value().remembers);
     CHECK(read.value().candidates == reply.candidates);
     reply.origin = this->origin;
     read = decode_origin_reply(encode(reply));
--- a/tests/relay_process/stream_version_test.cpp
+++ b/tests/relay_process/stream_version_test.cpp
@@ -334,6 +334,45 @@
     STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
 }
 
+// The same when the storage nodes were killed at the same moment: what was in
+// use before is in the store.
+TEST(relay_stream_versions,
+     streams_of_the_only_version_go_on_after_all_is_killed)
+{
+    relay_fleet_options options = with_one_replica(1);
+    options.storage_count = 1;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.fleet.run_for(std::chrono::milliseconds(500));
+    test.fleet.process(0).kill();
+    test.fleet.process(1).kill();
+    test.end_streams();
+    test.fleet.start(1);
+    test.restart(0);
+    const auto response = test.take_up(0, "one");
+    CHECK_EQUAL(200, response.status);
+    STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
+}
+
+// The other side: the version that is left is not the only one there was.
+TEST(relay_stream_versions, all_killed_with_two_versions_leaves_streams_unknown)
+{
+    relay_fleet_options options = with_one_replica(1);
+    options.storage_count = 1;
+    two_versions test(options);
+    test.begin_stream("one");
+    test.start_newer_replicas();
+    test.fleet.run_for(std::chrono::milliseconds(1500));
+    test.fleet.process(0).kill();
+    test.fleet.process(1).kill();
+    test.end_streams();
+    test.fleet.start(1);
+    test.remove_older_replicas_and_restart();
+    const auto response = test.take_up(0, "one");
+    CHECK_EQUAL(503, response.status);
+    CHECK_EQUAL(0, test.resumed_at_newer());
+}
+
 // Guards against the output of an item that is joined from two versions, by an
 // owner that takes the job over.
 TEST(relay_stream_versions, items_go_on_at_the_version_that_began_them)
