Show versions and stranded nodes to operators

parsleytrack relay replicas has a column for the software version, relay nodes says which node reaches no replica, and the status document has both.

--- a/src/cli/relay_commands.cpp
+++ b/src/cli/relay_commands.cpp
@@ -90,6 +90,16 @@
     return exit_code::done;
 }
 
+/// \returns What a node that has answered does.
+std::string state_of(const json& node)
+{
+    if (node.value("stopping", false))
+    {
+        return "stopping";
+    }
+    return node.value("stranded", false) ? "reaches no replica" : "serving";
+}
+
 void print_nodes(const json& all)
 {
     table rows({"NODE", "ZONE", "STATE", "CONFIGURATION", "CONFIRMED_MS",
@@ -106,8 +116,8 @@
         const json& configuration = node.at("configuration");
         const bool reachable = node.at("store").value("reachable", false);
         rows.add({cell(node, "node"), cell(node, "availability_zone"),
-                  node.value("stopping", false) ? "stopping" : "serving",
-                  cell(configuration, "version"), cell(configuration, "age_ms"),
+                  state_of(node), cell(configuration, "version"),
+                  cell(configuration, "age_ms"),
                   reachable ? "reached" : "out of reach",
                   std::to_string(node.at("replicas").size()),
                   cell(node, "replicas_age_ms"),
@@ -118,12 +128,14 @@
 
 void print_replicas(const json& status)
 {
-    table rows({"REPLICA", "SERVICE", "STATE", "ADDRESS", "ZONE", "SLOTS"});
+    table rows(
+        {"REPLICA", "SERVICE", "VERSION", "STATE", "ADDRESS", "ZONE", "SLOTS"});
     for (const json& entry : status.value("replicas", json::array()))
     {
         rows.add({cell(entry, "id"), cell(entry, "service"),
-                  cell(entry, "state"), cell(entry, "address"),
-                  cell(entry, "availability_zone"), cell(entry, "slots")});
+                  cell(entry, "version"), cell(entry, "state"),
+                  cell(entry, "address"), cell(entry, "availability_zone"),
+                  cell(entry, "slots")});
     }
     rows.print(std::cout);
     std::cout << "confirmed " << cell(status, "replicas_age_ms")
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -111,6 +111,7 @@
                         {"host", node.peer.host},
                         {"availability_zone", node.availability_zone.str()},
                         {"capacity", node.capacity},
+                        {"reaches_replicas", node.reaches_replicas},
                         {"incarnation", node.incarnation.count()}});
     }
     return list;
@@ -166,6 +167,7 @@
         {"node", this->context.settings.id.str()},
         {"availability_zone", this->context.settings.availability_zone.str()},
         {"stopping", stopping},
+        {"stranded", this->context.link.is_stranded()},
         {"configuration", describe_configuration(this->context.configuration)},
         {"store", describe_store(this->context.store)},
         {"replicas", describe_replicas(this->context.replicas)},
