--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -189,9 +189,9 @@
         for (const replica_stand_in* replica : replicas)
         {
             links.push_back(std::make_unique<fault_proxy>(
-                this->loop, replica->listen_address()));
+                this->loop, replica->advertised()));
             this->store.replace_at(entry.store,
-                                   to_string(replica->listen_address()),
+                                   to_string(replica->advertised()),
                                    to_string(links.back()->address()));
         }
     }
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+void replica_stand_in::replace()
+{
+    this->version = this->version == "v1" ? "v2" : "v1";
+    this->restart();
+    this->id += "-" + std::to_string(this->started);
+}
+
 void replica_stand_in::stop()
 {
     if (!this->refused_port)
@@ -151,9 +158,14 @@
     stream& entry = this->streams[number];
     entry.exchange = exchange;
     entry.next = resumed == nullptr ? 1 : std::stoi(*resumed) + 1;
-    this->resumed_after[*net::find_header(exchange->head().headers,
-                                          "Parsleytrack-Request-Id")]
-        .push_back(entry.next - 1);
+    entry.request =
+        *net::find_header(exchange->head().headers, "Parsleytrack-Request-Id");
+    entry.version = this->version;
+    this->resumed_after[entry.request].push_back(entry.next - 1);
+    if (entry.next > 1)
+    {
+        this->resumptions.emplace(entry.request, entry.next - 1, entry.version);
+    }
     net::http_header_list fields = headers;
     fields.emplace_back("Content-Type", "text/event-stream");
     exchange->start_stream(200, fields);
@@ -198,6 +210,7 @@
     }
     exchange->write_chunk("id: " + std::to_string(entry.next) + "\ndata: t" +
                           std::to_string(entry.next) + "\n\n");
+    this->sent_events.emplace(entry.request, entry.next, entry.version);
     ++entry.next;
 }
 
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -10,7 +10,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -51,6 +53,10 @@
     /// requests.
     void restart();
 
+    /// Makes record() describe another replica, with another id and another
+    /// software version, which accepts requests.
+    void replace();
+
     /// Refuses connections until restart() is called, as the port of a process
     /// that has ended does, and closes open ones at their next request.
     void stop();
@@ -61,6 +67,9 @@
         this->advertised_address = advertised;
     }
 
+    /// \returns The address that record() contains.
+    const endpoint& advertised() const { return this->advertised_address; }
+
     /// \returns The number of streams in progress.
     std::size_t open_streams() const { return this->streams.size(); }
 
@@ -81,6 +90,10 @@
     /// For each run of a streamed request, by request id, the event after which
     /// it resumed; 0 for a run from the start.
     std::map<std::string, std::vector<int>> resumed_after;
+    /// The events sent, and those after which runs went on: request, number of
+    /// the event and version.
+    std::set<std::tuple<std::string, int, std::string>> sent_events;
+    std::set<std::tuple<std::string, int, std::string>> resumptions;
     /// Remaining time in milliseconds that each request carried, and its time
     /// of arrival, by request id.
     std::map<std::string, std::pair<int, time_point>> received_deadlines;
@@ -109,6 +122,8 @@
     {
         std::shared_ptr<net::http_exchange> exchange;
         int next = 1;
+        std::string request;
+        std::string version;
         net::timer event_timer;
     };
 
--- a/tests/soak/fault_kinds.hpp
+++ b/tests/soak/fault_kinds.hpp
@@ -12,7 +12,10 @@
     /// announce in their responses that they leave.
     with_silence_and_announcements,
     /// In addition to all these, replicas write responses twice.
-    with_repeated_responses
+    with_repeated_responses,
+    /// In addition to all these, nodes lose their links to all replicas, and
+    /// replicas come back with another software version.
+    with_stranded_nodes
 };
 
 } // namespace parsleytrack::soak
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -70,6 +70,12 @@
     {
         proxy->set_fault(fault_proxy::fault::none);
     }
+    for (std::size_t node = 0;
+         this->strands_nodes() && node < this->modes.size(); ++node)
+    {
+        this->fleet.set_replica_links(static_cast<int>(node),
+                                      fault_proxy::fault::none);
+    }
     this->fleet.store.lost_responses = 0;
     for (const auto& engine : this->fleet.engines)
     {
@@ -127,7 +133,7 @@
 
 void fault_plan::strike()
 {
-    switch (this->draw(8))
+    switch (this->draw(this->strands_nodes() ? 10 : 8))
     {
     case 0:
     case 1:
@@ -142,12 +148,31 @@
     case 6:
         this->strike_replica();
         return;
+    case 8:
+    case 9:
+        this->strike_links(static_cast<int>(this->draw(this->modes.size())));
+        return;
     default:
         this->change_configuration();
         return;
     }
 }
 
+void fault_plan::strike_links(int node)
+{
+    const auto fault = this->draw(2) == 0 ? fault_proxy::fault::unreachable
+                                          : fault_proxy::fault::reset;
+    this->note("node " + std::to_string(node) + " reaches no replica");
+    this->fleet.set_replica_links(node, fault);
+    this->after(
+        this->draw_span(500, 5000),
+        [this, node]
+        {
+            this->fleet.set_replica_links(node, fault_proxy::fault::none);
+            this->note("node " + std::to_string(node) + " reaches replicas");
+        });
+}
+
 void fault_plan::strike_node(int node)
 {
     if (!this->is_up(node))
@@ -277,6 +302,7 @@
     replica_stand_in& replica = *this->fleet.engines[chosen];
     fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
     const duration span = this->draw_span(300, 3000);
+    bool is_replaced = false;
     switch (this->draw(this->has_announcements() ? 4 : 3))
     {
     case 0:
@@ -308,11 +334,17 @@
         this->note("replica " + replica.name() + " leaves", true);
         this->fleet.store.put("servers/" + replica.name(),
                               replica.record("llm", "draining"));
+        is_replaced = this->strands_nodes();
         break;
     }
     this->after(span,
-                [this, &replica, &proxy]
+                [this, &replica, &proxy, is_replaced]
                 {
+                    if (is_replaced)
+                    {
+                        this->fleet.store.erase("servers/" + replica.name());
+                        replica.replace();
+                    }
                     proxy.set_fault(fault_proxy::fault::none);
                     replica.behaviour = replica_stand_in::fault::none;
                     if (!std::exchange(replica.extra_headers, {}).empty())
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -54,6 +54,7 @@
     void schedule();
     void strike();
     void strike_node(int node);
+    void strike_links(int node);
     void strike_store();
     void strike_replica();
     void change_configuration();
@@ -66,6 +67,10 @@
     std::size_t draw(std::size_t count);
     duration draw_span(std::int64_t least_ms, std::int64_t most_ms);
 
+    bool strands_nodes() const
+    {
+        return this->kinds == fault_kinds::with_stranded_nodes;
+    }
     bool has_announcements() const { return this->kinds != fault_kinds::basic; }
 
     /// Faults of connections that may come between a node and the store.
@@ -74,7 +79,7 @@
     /// \returns The same for replicas, which may repeat responses as well.
     std::size_t replica_link_faults() const
     {
-        return this->kinds == fault_kinds::with_repeated_responses
+        return this->kinds >= fault_kinds::with_repeated_responses
                    ? store_link_faults + 1
                    : store_link_faults;
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,10 @@
 DEFINE_bool(repeated_responses, false,
             "whether replicas also write responses twice, in addition to "
             "--silence_and_announcements");
+DEFINE_bool(stranded_nodes, false,
+            "whether nodes also lose their links to all replicas, and replicas "
+            "come back with another version, in addition to "
+            "--repeated_responses");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -34,6 +38,10 @@
     {
         kinds = fault_kinds::with_repeated_responses;
     }
+    if (FLAGS_stranded_nodes)
+    {
+        kinds = fault_kinds::with_stranded_nodes;
+    }
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,6 +6,9 @@
 #include "soak/job_callers.hpp"
 
 #include <map>
+#include <set>
+#include <string>
+#include <tuple>
 
 namespace parsleytrack::soak
 {
@@ -62,6 +65,28 @@
     }
 }
 
+/// Checks that each run went on after an event of its own version.
+void check_versions(const relay_support::relay_fleet& fleet, violations& found)
+{
+    std::set<std::tuple<std::string, int, std::string>> sent;
+    for (const auto& engine : fleet.engines)
+    {
+        sent.insert(engine->sent_events.begin(), engine->sent_events.end());
+    }
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& resumed : engine->resumptions)
+        {
+            if (!sent.contains(resumed))
+            {
+                found.add("a stream keeps to its version",
+                          std::get<0>(resumed) + " goes on at " +
+                              std::get<2>(resumed));
+            }
+        }
+    }
+}
+
 } // namespace
 
 soak_outcome run_soak(std::uint64_t seed, int node_count, duration span,
@@ -69,10 +94,11 @@
 {
     random_source random(seed);
     violations found;
-    relay_support::relay_fleet fleet(
-        relay_support::relay_fleet_options{.node_count = node_count,
-                                           .max_direct_followers = 3,
-                                           .has_proxies = true});
+    relay_support::relay_fleet fleet(relay_support::relay_fleet_options{
+        .node_count = node_count,
+        .max_direct_followers = 3,
+        .has_proxies = true,
+        .has_node_links = kinds == fault_kinds::with_stranded_nodes});
     for (const auto& engine : fleet.engines)
     {
         engine->event_interval = event_interval;
@@ -90,6 +116,7 @@
     jobs.stop();
     check_jobs(fleet, jobs, found);
     online.check_runs();
+    check_versions(fleet, found);
     return soak_outcome{found.all(), online.asked(), online.served(),
                         jobs.accepted()};
 }
