Keep what stands twice in one place

The time for which a version counts after it has left, the time after which a caller that a stopping node refuses may come back, and a restart of two nodes in the tests stood twice. No change of behaviour; relay_stream_versions passes.

--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/log.hpp"
 #include "relay/refusal.hpp"
+#include "relay/stop_schedule.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -13,9 +14,6 @@
 namespace
 {
 
-/// The caller can send the request to another node at once.
-constexpr duration retry_after_stop = std::chrono::milliseconds(10);
-
 std::optional<duration> parse_remaining_time(const net::http_request_head& head,
                                              const header_names& names)
 {
@@ -79,7 +77,7 @@
     {
         refuse(*exchange, error{error_code::shutting_down,
                                 "this node stops before the request may end",
-                                ran_state::no, retry_after_stop});
+                                ran_state::no, stop_schedule::retry_after});
         return;
     }
     const std::size_t limit =
--- a/src/relay/origin_server.cpp
+++ b/src/relay/origin_server.cpp
@@ -14,9 +14,6 @@
 
 /// About 20 MB; several times the streams of a large fleet while one lasts.
 constexpr std::size_t max_streams = 100'000;
-/// How long a version counts after its last replica has left. Longer than any
-/// stream lasts.
-constexpr duration version_overlap = std::chrono::seconds(30);
 
 } // namespace
 
@@ -80,8 +77,10 @@
 routing::service_versions origin_server::recent_versions() const
 {
     const time_point now = net::event_loop::now();
-    auto recent = this->history.all_since(now - version_overlap);
-    if (this->earlier && now < this->restored_at + version_overlap)
+    auto recent =
+        this->history.all_since(now - routing::version_history::overlap);
+    if (this->earlier &&
+        now < this->restored_at + routing::version_history::overlap)
     {
         for (const auto& [service, versions] : *this->earlier)
         {
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -31,8 +31,6 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr duration retry_after_start = std::chrono::milliseconds(300);
-/// The caller can send the request to another node at once.
-constexpr duration retry_after_stop = std::chrono::milliseconds(10);
 /// The store limits calls per second over all nodes; logging every ten seconds
 /// shows a trend at little cost.
 constexpr duration store_calls_interval = std::chrono::seconds(10);
@@ -201,7 +199,7 @@
     {
         refuse(*exchange,
                error{error_code::shutting_down, "this node is stopping",
-                     ran_state::no, retry_after_stop});
+                     ran_state::no, stop_schedule::retry_after});
         return;
     }
     const net::http_request_head& head = exchange->head();
--- a/src/relay/stop_schedule.hpp
+++ b/src/relay/stop_schedule.hpp
@@ -20,6 +20,8 @@
     /// The node exits this long before the limit, so that it closes the last
     /// connections itself.
     static constexpr duration close_margin = std::chrono::milliseconds(400);
+    /// A refused caller can send the request to another node at once.
+    static constexpr duration retry_after = std::chrono::milliseconds(10);
     /// Callers use an address response for up to three times its validity.
     static constexpr int address_retention_factor = 3;
 
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -14,9 +14,6 @@
 /// Streams that a node remembers; several times those that it begins while one
 /// lasts.
 constexpr std::size_t max_streams = 20'000;
-/// How long a version counts after its last replica has left. Longer than any
-/// stream lasts.
-constexpr duration version_overlap = std::chrono::seconds(30);
 /// A replica takes longer to send the first event.
 constexpr duration flush_delay = std::chrono::milliseconds(5);
 constexpr duration notice_timeout = std::chrono::milliseconds(500);
@@ -101,8 +98,8 @@
 bool stream_origins::has_several_versions(const service_name& service) const
 {
     return this->history
-               .versions_since(service,
-                               net::event_loop::now() - version_overlap)
+               .versions_since(service, net::event_loop::now() -
+                                            routing::version_history::overlap)
                .size() > 1;
 }
 
--- a/src/routing/version_history.hpp
+++ b/src/routing/version_history.hpp
@@ -18,6 +18,10 @@
 class version_history
 {
 public:
+    /// How long a version counts as in use after its last replica has left.
+    /// Longer than any stream lasts.
+    static constexpr duration overlap = std::chrono::seconds(30);
+
     /// \param listed All replicas that are listed now.
     void observe(const std::map<replica_id, replica_entry>& listed,
                  time_point now);
--- a/tests/relay_process/stream_version_test.cpp
+++ b/tests/relay_process/stream_version_test.cpp
@@ -102,6 +102,16 @@
         return response;
     }
 
+    /// Kills the first two nodes and starts them again; what they knew is gone.
+    void kill_and_restart_both()
+    {
+        this->fleet.process(0).kill();
+        this->fleet.process(1).kill();
+        this->end_streams();
+        this->restart(0);
+        this->restart(1);
+    }
+
     void restart(int node)
     {
         this->fleet.start(node);
@@ -252,11 +262,7 @@
     {
         replica->behaviour = replica_stand_in::fault::none;
     }
-    test.fleet.process(0).kill();
-    test.fleet.process(1).kill();
-    test.end_streams();
-    test.restart(0);
-    test.restart(1);
+    test.kill_and_restart_both();
     const auto response = test.take_up(1, "one");
     CHECK_EQUAL(200, response.status);
     STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
@@ -272,11 +278,7 @@
     test.begin_stream("one");
     test.start_newer_replicas();
     test.fleet.run_for(std::chrono::milliseconds(200));
-    test.fleet.process(0).kill();
-    test.fleet.process(1).kill();
-    test.end_streams();
-    test.restart(0);
-    test.restart(1);
+    test.kill_and_restart_both();
     const auto response = test.take_up(0, "one");
     CHECK_EQUAL(200, response.status);
     CHECK_EQUAL(0, test.resumed_at_newer());
