Relay a stranded node's requests without a slot

The check in online_call::request_slot had been lost in an edit: a stranded node requested a slot, held it for a moment, and sent the request to another node only once it was granted, which then waited for a slot again. No test of its own; relay_stranded_node passes as before, 8 of 8.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -99,6 +99,11 @@
     {
         return;
     }
+    if (this->context.link.is_stranded())
+    {
+        this->relay();
+        return;
+    }
     if (this->version && !this->context.replicas.registry().has_usable(
                              this->service, *this->version, this->excluded))
     {
