--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -247,6 +248,7 @@
         self.writers = set()
         self.runs = []            # dicts: time, request, request id
         self.running = 0
+        self.waiting, self.queue = 0, 24
         self.crashes = []
         self.crashes_under = None  # a predicate on requests
         self.crash_event = 0       # the crash comes after so many events of the answer
@@ -307,7 +309,7 @@
             writer.close()
 
     def load(self):
-        return f"{self.running},0,{self.slots}"
+        return f"{self.running},{self.waiting},{self.slots}"
 
     async def answer(self, request, reader, writer):
         if request.method == "GET" and request.path == "/health":
@@ -322,10 +324,18 @@
         if expected is not None and expected != self.name:
             writer.write(response_bytes(421, [("Parsleytrack-Request-Id", name)]))
             return
-        if self.running >= self.slots:
+        if self.waiting >= self.queue:
             writer.write(response_bytes(503, [("Parsleytrack-Request-Id", name),
                                               ("Parsleytrack-Not-Executed", "1")]))
             return
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                await asyncio.sleep(0.005)
+                if reader.at_eof() or writer.is_closing():
+                    raise ConnectionResetError
+        finally:
+            self.waiting -= 1
         self.runs.append({"time": now(), "id": name, "request": request,
                           "version": self.version})
         crashes = self.crashes_under is not None and self.crashes_under(request)
@@ -683,16 +693,25 @@
 
 def main(case, folder):
     """Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    # Channels that are still open at the end cannot be closed in order any more.
+    sys.unraisablehook = lambda _: None
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.note(f"trouble: {trouble}")
     code = 2
+
+    async def run():
+        # An end from outside still ends all processes of the fleet.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(record, trouble), 114)
     try:
-        broken, verdict = asyncio.run(asyncio.wait_for(case(record, trouble), 116))
+        broken, verdict = asyncio.run(run())
         record.note("verdict: " + verdict)
         print(verdict)
         code = 1 if broken else 0
-    except Exception as problem:      # the case couldn't run
+    except (Exception, asyncio.CancelledError) as problem:      # the case couldn't run
         record.note(f"could not run: {problem!r}")
         print("could not run:", repr(problem))
     raise SystemExit(code)
