End item runs whose output has no end

Cause: item_run appended every event to the output; neither the number of events nor the bytes were bounded, and each event restarted the stall timer. Ruled out by tests that pass on as well: heads, interim responses, chunks, trailers, comments, error bodies and events without an end, for items, streams and plain requests.

--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -16,6 +16,8 @@
 /// store accepts 32 entries per transaction, two of which are the state and
 /// the usage record.
 constexpr std::size_t max_results_per_commit = 24;
+/// Limits the outputs of one transaction; a larger output is committed alone.
+constexpr std::size_t max_commit_bytes = max_page_bytes;
 
 } // namespace
 
@@ -120,9 +122,15 @@
     commit.state = this->committed;
     commit.expected_revision = this->committed_revision;
     commit.first_position = this->committed.outcomes.size();
+    std::size_t bytes = 0;
     while (!this->uncommitted.empty() &&
            commit.results.size() < max_results_per_commit)
     {
+        bytes += this->uncommitted.front().output.size();
+        if (!commit.results.empty() && bytes > max_commit_bytes)
+        {
+            break;
+        }
         ended_item ended = std::move(this->uncommitted.front());
         this->uncommitted.pop_front();
         const job_item& item = this->submitted.items[ended.item];
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -69,7 +69,8 @@
       host(std::move(run_host)), progress(known_progress),
       may_send(std::move(check)), ended_callback(std::move(on_end)),
       traits(node.adapter.parse_prompt_parts(run_item.headers)),
-      sequence(event_numbering::consecutive, known_progress.last_event)
+      sequence(event_numbering::consecutive, known_progress.last_event),
+      limit(node.adapter.parse_output_tokens(run_item.headers))
 {
 }
 
@@ -201,8 +202,7 @@
                   {{"item", this->item.id},
                    {"version", this->progress.version.str()},
                    {"after_event", this->progress.last_event}});
-        this->progress = jobs::item_progress();
-        this->sequence = event_sequence(event_numbering::consecutive, 0);
+        this->discard_progress();
     }
     this->replica = *entry;
     const header_names& names = this->context.adapter.headers();
@@ -258,6 +258,12 @@
     this->connection = this->attempt->connection();
 }
 
+void item_run::discard_progress()
+{
+    this->progress = jobs::item_progress();
+    this->sequence = event_sequence(event_numbering::consecutive, 0);
+}
+
 void item_run::restart_stall_timer()
 {
     this->stall_timer = this->context.loop.call_after(
@@ -291,6 +297,14 @@
         {
             continue;
         }
+        if (this->limit.is_exceeded_by(this->sequence.last_number(),
+                                       this->progress.output.size() +
+                                           event.data.size()))
+        {
+            problem = "the output exceeds what the item may have";
+            this->discard_progress();
+            break;
+        }
         if (has_output)
         {
             this->progress.output += '\n';
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -4,6 +4,7 @@
 #include "jobs/job_item.hpp"
 #include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
+#include "relay/output_limit.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/replica_exchange.hpp"
 #include "relay/slot_client.hpp"
@@ -102,6 +103,8 @@
     void handle_grant(const replica_id& replica);
     void send(const replica_id& replica, time_point send_by);
     void handle_chunk(std::string_view chunk);
+    /// Discards the output so far; the next run of the item starts anew.
+    void discard_progress();
     void restart_stall_timer();
     void handle_end(attempt_outcome outcome, const net::http_response& response,
                     const std::string& reason);
@@ -133,6 +136,7 @@
     int events = 0;
     event_splitter splitter;
     event_sequence sequence;
+    output_limit limit;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     net::timer stall_timer;
--- a/src/relay/relay_adapter.hpp
+++ b/src/relay/relay_adapter.hpp
@@ -11,6 +11,7 @@
 #include "routing/configuration.hpp"
 #include "routing/replica_entry.hpp"
 #include "units/ids.hpp"
+#include "units/numbers.hpp"
 #include "units/result.hpp"
 
 #include <optional>
@@ -46,6 +47,11 @@
     virtual std::vector<request_trait>
     parse_prompt_parts(const net::http_header_list& headers) const = 0;
 
+    /// \returns The maximum number of output tokens of a request; absent if it
+    /// does not name it.
+    virtual std::optional<token_count>
+    parse_output_tokens(const net::http_header_list& headers) const = 0;
+
     /// \returns The address request; absent when the HTTP request is another
     /// one.
     virtual std::optional<address_request>
--- a/tests/jobs/owned_job_test.cpp
+++ b/tests/jobs/owned_job_test.cpp
@@ -66,6 +66,26 @@
     STRCMP_EQUAL("text", page.results[0].output.c_str());
 }
 
+// Guards against transactions that the store cannot accept.
+TEST(owned_job, large_outputs_are_committed_one_at_a_time)
+{
+    const std::string large(max_page_bytes - 10, 'x');
+    for (int count = 0; count < 3; ++count)
+    {
+        this->job.complete_item(*this->job.start_next_item(), large);
+    }
+    this->job.complete_item(*this->job.start_next_item(), "text");
+    std::vector<std::size_t> sizes;
+    while (const auto next = this->job.begin_commit(false))
+    {
+        sizes.push_back(next->results.size());
+        this->job.commit_applied(*next, store_revision(++this->revision));
+    }
+    CHECK_EQUAL(3, sizes.size());
+    CHECK_EQUAL(2, sizes[2]);
+    CHECK_EQUAL(4, this->job.page(3, 1000).results.size() + 3);
+}
+
 TEST(owned_job, a_failed_commit_keeps_order_and_outputs)
 {
     for (int count = 0; count < 2; ++count)
--- /dev/null
+++ b/tests/relay_process/endless_response_test.cpp
@@ -0,0 +1,114 @@
+#include "relay_support/expected_output.hpp"
+#include "relay_support/raw_replica.hpp"
+#include "relay_support/relay_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+using namespace parsleytrack;
+using namespace parsleytrack::relay_support;
+
+namespace
+{
+
+/// Half of the smallest limit of the deployments.
+constexpr std::size_t max_node_bytes = 44 * 1024 * 1024;
+constexpr int item_count = 16;
+
+/// Checks that a node lets other replicas do the work of one whose responses
+/// have no end, and does not keep what that one sends.
+void check_items(raw_replica::fault fault)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "a-endless", fault);
+    fleet.store.put("servers/" + faulty.name(), faulty.record("llm"));
+    fleet.run_for(std::chrono::seconds(1));
+    CHECK_EQUAL(202, fleet.submit(0, "job", item_count).status);
+    const auto results = fleet.results(0, "job");
+    CHECK_EQUAL(item_count, results.size());
+    for (const auto& entry : results)
+    {
+        STRCMP_EQUAL(expected_output().c_str(),
+                     entry["output"].get<std::string>().c_str());
+    }
+    CHECK_FALSE(faulty.runs.empty());
+    CHECK(fleet.process(0).peak_memory_bytes() < max_node_bytes);
+}
+
+/// The same for requests whose callers wait.
+void check_requests(raw_replica::fault fault, const std::string& path,
+                    const std::string& service)
+{
+    relay_fleet fleet(1);
+    raw_replica faulty(fleet.loop, "a-endless", fault);
+    fleet.store.put("servers/" + faulty.name(), faulty.record(service));
+    int sent = 0;
+    CHECK(fleet.wait(
+        [&]
+        {
+            fleet.call(0, "POST", path, "id" + std::to_string(sent++));
+            return !faulty.runs.empty() && sent > 10;
+        }));
+    CHECK(fleet.process(0).peak_memory_bytes() < max_node_bytes);
+}
+
+} // namespace
+
+TEST_GROUP(relay_endless_responses){};
+
+// Guards against keeping the events without end that a replica sends for an
+// item, until the process is killed for its memory.
+TEST(relay_endless_responses, events_of_an_item_do_not_fill_the_memory)
+{
+    check_items(raw_replica::fault::endless_events);
+}
+
+TEST(relay_endless_responses, nor_do_other_parts_of_a_response_to_an_item)
+{
+    for (const auto fault :
+         {raw_replica::fault::endless_event,
+          raw_replica::fault::endless_comments,
+          raw_replica::fault::endless_error,
+          raw_replica::fault::endless_trailer,
+          raw_replica::fault::endless_interim, raw_replica::fault::endless_head,
+          raw_replica::fault::endless_chunk})
+    {
+        check_items(fault);
+    }
+}
+
+TEST(relay_endless_responses, nor_do_responses_to_requests)
+{
+    for (const auto fault : {raw_replica::fault::endless_events,
+                             raw_replica::fault::endless_comments,
+                             raw_replica::fault::endless_error,
+                             raw_replica::fault::endless_trailer,
+                             raw_replica::fault::endless_interim})
+    {
+        check_requests(fault, "/stream/a", "llm");
+        check_requests(fault, "/plain/a", "web");
+    }
+}
+
+// Guards against ending a sound output that has as many events as its item may
+// have tokens, or whose item does not say how many it may have.
+TEST(relay_endless_responses, a_long_output_is_whole)
+{
+    constexpr int long_events = 400;
+    for (const char* usage : {"20,400", ""})
+    {
+        relay_fleet fleet(relay_fleet_options{.engine_count = 1});
+        fleet.engines.front()->event_count = long_events;
+        fleet.item_headers = {{"Parsleytrack-Token-Usage", usage}};
+        CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
+        const auto results = fleet.results(0, "job");
+        CHECK_EQUAL(2, results.size());
+        for (const auto& entry : results)
+        {
+            STRCMP_EQUAL(expected_output(long_events).c_str(),
+                         entry["output"].get<std::string>().c_str());
+        }
+    }
+}
--- a/tests/relay_support/expected_output.hpp
+++ b/tests/relay_support/expected_output.hpp
@@ -20,10 +20,10 @@
 }
 
 /// \returns The complete output of a job's item.
-inline std::string expected_output()
+inline std::string expected_output(int events = replica_stand_in::stream_events)
 {
     std::string text;
-    for (int number = 1; number <= replica_stand_in::stream_events; ++number)
+    for (int number = 1; number <= events; ++number)
     {
         text += (number > 1 ? "\nt" : "t") + std::to_string(number);
     }
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr duration trickle_interval = std::chrono::milliseconds(400);
+/// Rate of an endless response: a piece of about 64 KiB, 100 times a second.
+constexpr duration piece_interval = std::chrono::milliseconds(10);
+constexpr int lines_per_piece = 64;
 
 std::string response_head(const std::string& request, const std::string& length)
 {
@@ -127,6 +130,21 @@
         bytes = response_head(request, "Transfer-Encoding: chunked") +
                 "ffffffff\r\n";
         break;
+    case fault::endless_events:
+    case fault::endless_comments:
+        bytes = response_head(request, "Content-Type: text/event-stream");
+        break;
+    case fault::endless_error:
+        bytes = "HTTP/1.1 500 Internal Server Error\r\n"
+                "Parsleytrack-Request-Id: " +
+                request + "\r\nParsleytrack-Response-Seal: seal-" + request +
+                "\r\n\r\n";
+        break;
+    case fault::endless_trailer:
+        bytes = response_head(request, "Transfer-Encoding: chunked") + "0\r\n";
+        break;
+    case fault::endless_interim:
+        break;
     case fault::trickle:
         bytes = response_head(request, "Connection: close") + "id: 1\ndata: ";
         this->send_single_bytes();
@@ -148,6 +166,12 @@
         return;
     }
     bufferevent_write(link, bytes.data(), bytes.size());
+    int first = 1;
+    if (!this->next_piece(first).empty())
+    {
+        this->endless[link] = 1;
+        this->send_pieces();
+    }
 }
 
 void raw_replica::write_more(bufferevent* link)
@@ -180,8 +204,59 @@
         });
 }
 
+void raw_replica::send_pieces()
+{
+    this->trickle_timer = this->loop.call_every(
+        piece_interval,
+        [this]
+        {
+            for (auto& [link, event] : this->endless)
+            {
+                const std::size_t unsent =
+                    evbuffer_get_length(bufferevent_get_output(link));
+                if (unsent < chunk_bytes)
+                {
+                    const std::string piece = this->next_piece(event);
+                    bufferevent_write(link, piece.data(), piece.size());
+                }
+            }
+        });
+}
+
+std::string raw_replica::next_piece(int& event) const
+{
+    const std::string filler(1000, 'x');
+    std::string piece;
+    for (int line = 0; line < lines_per_piece; ++line)
+    {
+        switch (this->behaviour)
+        {
+        case fault::endless_events:
+            piece +=
+                "id: " + std::to_string(event++) + "\ndata: " + filler + "\n\n";
+            break;
+        case fault::endless_comments:
+            piece += ": " + filler + "\n\n";
+            break;
+        case fault::endless_error:
+            piece += filler;
+            break;
+        case fault::endless_trailer:
+            piece += "Field: " + filler + "\r\n";
+            break;
+        case fault::endless_interim:
+            piece += "HTTP/1.1 100 Continue\r\nField: " + filler + "\r\n\r\n";
+            break;
+        default:
+            break;
+        }
+    }
+    return piece;
+}
+
 void raw_replica::close(bufferevent* link)
 {
+    this->endless.erase(link);
     this->connections.erase(link);
     this->ending.erase(link);
     bufferevent_free(link);
--- a/tests/relay_support/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -27,6 +27,16 @@
         endless_head,
         /// Announces a chunk of four gigabytes and sends it.
         endless_chunk,
+        /// Sends numbered events without end.
+        endless_events,
+        /// Sends comments of an event stream without end.
+        endless_comments,
+        /// Sends the body of an error response without end.
+        endless_error,
+        /// Ends a chunked stream and sends trailer fields without end.
+        endless_trailer,
+        /// Sends interim responses without end.
+        endless_interim,
         /// Sends a byte of an event now and then and never ends it.
         trickle,
         /// Resets the connection after reading the request.
@@ -61,6 +71,11 @@
     void accept(int descriptor);
     void respond(bufferevent* link, const std::string& request);
     void send_single_bytes();
+    /// Sends more of each endless response.
+    void send_pieces();
+    /// \param event Number of the next event.
+    /// \returns The next bytes of an endless response.
+    std::string next_piece(int& event) const;
 
     net::event_loop& loop;
     std::string id;
@@ -71,6 +86,8 @@
     std::set<bufferevent*> ending;
     std::string previous_request = "0";
     net::timer trickle_timer;
+    /// Connections that get an endless response, and their next event.
+    std::map<bufferevent*, int> endless;
 };
 
 } // namespace parsleytrack::relay_support
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -65,6 +65,9 @@
     /// Header fields of the requests sent from now on, in addition.
     net::http_header_list caller_headers;
 
+    /// Header fields of the items submitted from now on, in addition.
+    net::http_header_list item_headers;
+
     /// Submits a job with a number of items.
     response submit(int node, const std::string& job, int items);
 
--- a/tests/relay_support/relay_fleet_calls.cpp
+++ b/tests/relay_support/relay_fleet_calls.cpp
@@ -107,6 +107,10 @@
     {
         headers["Parsleytrack-Prompt-Prefix"] = this->prompt_parts;
     }
+    for (const auto& [name, value] : this->item_headers)
+    {
+        headers[name] = value;
+    }
     json body{{"items", json::array()}};
     for (int item = 0; item < items; ++item)
     {
