Leave a silent replica on evidence only

Cause: a replica that sent nothing for 600 ms, or twice the route's pause, was left whenever the route allowed another attempt, whether or not another replica could take over. A sound replica may be silent for a second.

Silence now ends nothing while no other replica can take over. Otherwise a new connection shows whether the replica's machine answers: if it does not within 200 ms, the request moves on, else after 1.5 s of silence. Callers abandon a stream after two seconds. Brokers hear of the silence after 600 ms, as before. Keep-alive probes were ruled out: they cannot tell within a second.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -16,12 +16,9 @@
 /// The target latency divided by this is reserved for the replica's own work
 /// when judging whether a response can still be on time.
 constexpr int replica_time_divisor = 4;
-/// A replica that sends nothing for this long counts as unresponsive if the
-/// request may be retried on another one. Twice the usual longest pause between
-/// events that still counts as on time.
+/// A caller that leaves after this time without a response head shows that the
+/// replica is unresponsive.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
-/// The same as a multiple of the longest pause that a route names.
-constexpr int unresponsive_pauses = 2;
 
 } // namespace
 
@@ -51,6 +48,7 @@
         [this]
         {
             if (this->attempt && !this->attempt->has_head() &&
+                !this->silence_is_reported &&
                 this->peer == exchange_peer::replica &&
                 net::event_loop::now() - this->sent_at > unresponsive_timeout)
             {
@@ -230,7 +228,7 @@
     {
         this->handle_head(head);
     };
-    if (this->request.route->kind == routing::request_kind::streaming)
+    if (this->is_stream())
     {
         hooks.on_chunk = [this](std::string_view chunk)
         {
@@ -246,6 +244,8 @@
         this->context.http, this->context.adapter.headers(), target,
         this->make_request(send_by), this->request.id, std::move(hooks), kind);
     this->last_connection = this->attempt->connection();
+    this->silence_is_reported = false;
+    this->restart_silence_timer();
 }
 
 net::http_request online_call::make_request(time_point send_by) const
@@ -273,10 +273,9 @@
         sent.tcp_keepalive = true;
         return sent;
     }
-    if (may_repeat)
+    if (may_repeat && !this->is_stream())
     {
-        sent.head_timeout = unresponsive_timeout;
-        sent.idle_timeout = this->longest_silence();
+        sent.idle_timeout = longest_body_pause();
     }
     return sent;
 }
@@ -287,12 +286,6 @@
     return route.is_repeatable() && this->runs + 1 < route.max_attempts;
 }
 
-duration online_call::longest_silence() const
-{
-    return std::max(unresponsive_timeout,
-                    unresponsive_pauses * this->request.route->longest_pause);
-}
-
 duration online_call::remaining() const
 {
     return this->request.deadline - net::event_loop::now();
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/connection_check.hpp"
 #include "net/http_exchange.hpp"
 #include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
@@ -89,8 +90,19 @@
     /// \returns Whether another attempt may follow the current one if that has
     /// run.
     bool may_repeat() const;
-    /// \returns How long a response may pause before another attempt follows.
-    duration longest_silence() const;
+    /// \returns Whether the current attempt is at a replica that may be left
+    /// for another one.
+    bool is_watched() const;
+    bool is_stream() const;
+    /// Watches how long the replica sends nothing, from now on.
+    void restart_silence_timer();
+    /// Leaves the silent replica if it cannot be reached or has been silent for
+    /// longer than a sound one is. Waits on while no other could take over.
+    void handle_silence();
+    /// \returns Whether another replica may get the request.
+    bool can_be_taken_over() const;
+    /// \returns How long a body that is not streamed may pause.
+    static duration longest_body_pause();
     void handle_head(const net::http_response& head);
     void handle_chunk(std::string_view chunk);
     /// Ends the attempt if no event is completed for some time and another one
@@ -143,11 +155,19 @@
     std::optional<software_version> version;
     net::connection_use last_connection;
     net::timer deadline_timer;
+    net::timer silence_timer;
     net::timer stall_timer;
     net::timer check_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
 
+    /// When the replica of the current attempt has last sent something.
+    time_point last_sign;
+    /// Shows whether the machine of a silent replica is reached.
+    std::unique_ptr<net::connection_check> reach_check;
+    bool is_reachable = false;
+    bool silence_is_reported = false;
+
     /// How often the request was sent, and how often it may have been run.
     int sends = 0;
     int runs = 0;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -50,8 +50,11 @@
         return;
     }
     this->report_crash(outcome);
-    this->slots.report_failure(this->request.id, this->service, this->replica,
-                               outcome);
+    if (!this->silence_is_reported)
+    {
+        this->slots.report_failure(this->request.id, this->service,
+                                   this->replica, outcome);
+    }
     this->send_again(answered ? "the response is incomplete" : reason);
 }
 
@@ -172,7 +175,9 @@
 
 void online_call::release_attempt()
 {
+    this->silence_timer.cancel();
     this->stall_timer.cancel();
+    this->reach_check.reset();
     if (!this->attempt)
     {
         return;
--- a/src/relay/online_call_response.cpp
+++ b/src/relay/online_call_response.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// A replica that completes no event for this many times as long is stalled,
-/// also if it sends a byte now and then.
-constexpr int stalled_silences = 2;
 /// Most bytes of a stream that are buffered for a slow caller. A caller that
 /// keeps up has a few events buffered; a node has memory for dozens of slow
 /// callers.
@@ -26,6 +23,7 @@
 void online_call::handle_head(const net::http_response& head)
 {
     this->collected_status = head.status;
+    this->restart_silence_timer();
     if (this->peer == exchange_peer::node)
     {
         const std::string* version =
@@ -33,6 +31,11 @@
         this->replica.version =
             software_version(version == nullptr ? "" : *version);
     }
+    if (!this->is_stream())
+    {
+        // The client's own timeout applies to the body.
+        this->silence_timer.cancel();
+    }
     if (!net::is_success(head.status))
     {
         return;
@@ -47,20 +50,9 @@
     this->restart_stall_timer();
 }
 
-void online_call::restart_stall_timer()
-{
-    if (this->request.route->kind != routing::request_kind::streaming ||
-        this->peer == exchange_peer::node || !this->may_repeat())
-    {
-        return;
-    }
-    this->stall_timer = this->context.loop.call_after(
-        stalled_silences * this->longest_silence(),
-        [this] { this->attempt->abort("the replica completes no event"); });
-}
-
 void online_call::handle_chunk(std::string_view chunk)
 {
+    this->restart_silence_timer();
     if (!net::is_success(this->collected_status))
     {
         this->collected_body += chunk;
