Refuse items that would change the request to a replica

Cause: ids, paths and header fields of items were written into requests without a check. libevent writes a target as it is and leaves out header fields with line ends. A field of the item could also take the place of its id. Online requests: an empty query was dropped, unknown methods were sent as POST.

A job is now refused with 400 and the reason if an item could not reach a replica unchanged. The HTTP client sends no request with such a target, method or field. Items of jobs that an earlier version has accepted are given up, since they cannot be sent as they are. Online requests keep an empty query; unknown methods and control characters are refused.

A test of replica_exchange used empty names of header fields, which no request can have; it names the field now and checks the same.

--- a/src/daemon/online_request_parser.cpp
+++ b/src/daemon/online_request_parser.cpp
@@ -173,8 +173,7 @@
         return common.error();
     }
     const std::string path = slash < rest.size() ? rest.substr(slash) : "/";
-    request.target =
-        head.raw_query.empty() ? path : path + "?" + head.raw_query;
+    request.target = head.has_query ? path + "?" + head.raw_query : path;
     request.body = std::move(body);
     request.idempotent =
         request.idempotent &&
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -1,6 +1,7 @@
 #include "net/http_transfer.hpp"
 
 #include "net/connection_reuse.hpp"
+#include "net/http_syntax.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -59,6 +60,15 @@
 void http_transfer::start(const http_request& request)
 {
     this->self = this->shared_from_this();
+    // libevent writes the target as it is and leaves out unusable fields.
+    if (const char* problem = find_syntax_error(request))
+    {
+        this->client.loop().post(
+            [transfer = this->self, problem] {
+                transfer->fail(error_code::bad_request, ran_state::no, problem);
+            });
+        return;
+    }
     this->active = evhttp_request_new(on_complete, this);
     evhttp_request_set_header_cb(this->active, on_head);
     evhttp_request_set_chunked_cb(this->active, on_chunk);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -85,7 +85,8 @@
     }
 }
 
-http_request_head read_head(evhtp_request_t* request)
+/// \param target The target in the request line as received.
+http_request_head read_head(evhtp_request_t* request, std::string_view target)
 {
     http_request_head head;
     head.method = method_name(request->method);
@@ -98,6 +99,8 @@
     {
         head.raw_query = reinterpret_cast<const char*>(uri->query_raw);
     }
+    // libevhtp does not report a query without any character.
+    head.has_query = !head.raw_query.empty() || target == head.path + "?";
     if (uri != nullptr && uri->query != nullptr)
     {
         evhtp_kvs_for_each(uri->query, copy_query_field, &head.query);
@@ -233,9 +236,32 @@
         this->refuse(head_too_large_response);
         return false;
     }
+    if (end.pos >= 0)
+    {
+        this->read_target(input);
+    }
     return end.pos >= 0;
 }
 
+void server_connection::read_target(evbuffer* input)
+{
+    this->target.clear();
+    const evbuffer_ptr end =
+        evbuffer_search_eol(input, nullptr, nullptr, EVBUFFER_EOL_CRLF_STRICT);
+    if (end.pos <= 0)
+    {
+        return;
+    }
+    std::string line(static_cast<std::size_t>(end.pos), '\0');
+    evbuffer_copyout(input, line.data(), line.size());
+    const std::size_t begin = line.find(' ');
+    const std::size_t target_end = line.rfind(' ');
+    if (begin != std::string::npos && target_end > begin)
+    {
+        this->target = line.substr(begin + 1, target_end - begin - 1);
+    }
+}
+
 void server_connection::refuse(std::string_view response)
 {
     log_event(log_level::info, "caller_refused",
@@ -281,8 +307,8 @@
         // mix up responses, so the connection is closed.
         return EVHTP_RES_FATAL;
     }
-    this->current = std::make_shared<http_exchange>(request, read_head(request),
-                                                    this->owner.closing_flag());
+    this->current = std::make_shared<http_exchange>(
+        request, read_head(request, this->target), this->owner.closing_flag());
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
                            to_hook(on_request_fini), this);
     evhtp_request_set_hook(request, evhtp_hook_on_read, to_hook(on_body), this);
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -7,6 +7,7 @@
 #include <evhtp.h>
 
 #include <memory>
+#include <string>
 
 namespace parsleytrack::net
 {
@@ -49,6 +50,8 @@
     server_connection(http_server& server, evhtp_connection_t* handle);
 
     bool may_read();
+    /// Keeps the target of the request whose head begins the input.
+    void read_target(evbuffer* input);
     void refuse(std::string_view response);
     void end_exchange();
     void close();
@@ -71,6 +74,8 @@
     /// Since when the connection has waited for the next request, the rest of a
     /// head, or the next piece of a body.
     time_point waiting_since;
+    /// The target of the next request, as received.
+    std::string target;
 };
 
 } // namespace detail
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -1,7 +1,7 @@
 #include "relay/item_run.hpp"
 
 #include "logging/log.hpp"
-#include "relay/hop_headers.hpp"
+#include "relay/item_check.hpp"
 #include "relay/stream_head.hpp"
 
 #include <algorithm>
@@ -80,6 +80,15 @@
     this->service = name;
     this->priority = route_priority;
     this->due = net::event_loop::now() + due_in;
+    // Earlier versions accepted items that cannot be sent as they are.
+    if (const auto problem =
+            check_item(this->item, this->context.adapter.headers()))
+    {
+        this->block_timer = this->context.loop.call_after(
+            duration::zero(), [this, reason = problem->message]
+            { this->finish(item_run_result::impossible, reason); });
+        return;
+    }
     this->excluded = std::move(avoided);
     this->wait_until_allowed();
 }
@@ -209,7 +218,7 @@
     net::http_request request;
     request.method = "POST";
     request.target = this->item.target;
-    request.headers = end_to_end_headers(this->item.headers);
+    request.headers = item_headers(this->item, names);
     request.headers.emplace_back("Host", this->host);
     request.headers.emplace_back(names.request_id, this->item.id);
     if (this->progress.last_event > 0)
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/job_codec.hpp"
 #include "logging/log.hpp"
+#include "relay/item_check.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
 #include "relay/refusal.hpp"
@@ -122,24 +123,29 @@
     input.accepted_by = table->contents().version;
     const std::size_t limit =
         static_cast<std::size_t>(table->contents().limits.body.count());
-    exchange->on_body(limit,
-                      [this, exchange, table, &route, input = std::move(input)](
-                          const std::string& body) mutable
-                      {
-                          auto items =
-                              this->context.adapter.parse_submission(body);
-                          if (items.has_error())
-                          {
-                              log_event(log_level::info, "job_refused",
-                                        {{"job", input.id.str()},
-                                         {"reason", items.error().message}});
-                              refuse(*exchange, items.error());
-                              return;
-                          }
-                          input.items = std::move(items.value());
-                          input.submitted_at_ms = wall_clock_ms();
-                          this->handle_submission(exchange, input, route);
-                      });
+    exchange->on_body(
+        limit,
+        [this, exchange, table, &route,
+         input = std::move(input)](const std::string& body) mutable
+        {
+            auto items = this->context.adapter.parse_submission(body);
+            const std::optional<error> problem =
+                items.has_error()
+                    ? std::optional(items.error())
+                    : check_items(items.value(),
+                                  this->context.adapter.headers());
+            if (problem)
+            {
+                log_event(
+                    log_level::info, "job_refused",
+                    {{"job", input.id.str()}, {"reason", problem->message}});
+                refuse(*exchange, *problem);
+                return;
+            }
+            input.items = std::move(items.value());
+            input.submitted_at_ms = wall_clock_ms();
+            this->handle_submission(exchange, input, route);
+        });
 }
 
 void job_service::handle_submission(
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -1,6 +1,7 @@
 #include "relay/online_service.hpp"
 
 #include "logging/log.hpp"
+#include "net/http_syntax.hpp"
 #include "relay/refusal.hpp"
 #include "relay/stop_schedule.hpp"
 
@@ -33,6 +34,28 @@
     return std::chrono::milliseconds(count);
 }
 
+/// \returns Why a request cannot be sent to a replica unchanged; nullptr if it
+/// can.
+const char* find_problem(const net::http_request_head& head)
+{
+    if (!net::is_supported_method(head.method))
+    {
+        return "the method is not supported";
+    }
+    const bool is_sound =
+        net::is_request_target(head.path) &&
+        net::is_request_target("/" + head.raw_query) &&
+        std::all_of(head.headers.begin(), head.headers.end(),
+                    [](const auto& field)
+                    {
+                        return net::is_field_name(field.first) &&
+                               net::is_field_value(field.second);
+                    });
+    return is_sound ? nullptr
+                    : "the request's head contains characters that it cannot "
+                      "have";
+}
+
 } // namespace
 
 online_service::online_service(const relay_context& node,
@@ -57,6 +80,12 @@
                                 {}});
         return;
     }
+    if (const char* problem = find_problem(exchange->head()))
+    {
+        refuse(*exchange,
+               error{error_code::bad_request, problem, ran_state::no, {}});
+        return;
+    }
     online_request request;
     request.id = request_id(*id);
     request.route = &route;
--- a/src/relay/replica_request.cpp
+++ b/src/relay/replica_request.cpp
@@ -19,7 +19,7 @@
     net::http_request request;
     request.method = head.method;
     request.target = head.path;
-    if (!head.raw_query.empty())
+    if (head.has_query)
     {
         request.target += "?" + head.raw_query;
     }
--- a/tests/relay/replica_exchange_test.cpp
+++ b/tests/relay/replica_exchange_test.cpp
@@ -23,7 +23,8 @@
     replica.address = endpoint{"127.0.0.1", 0};
     replica.address.port = server.listen(replica.address).value();
     net::http_client client(loop);
-    const header_names names;
+    header_names names;
+    names.expected_replica = "Replica";
     net::http_request request;
     request.send_by = net::event_loop::now() - std::chrono::milliseconds(1);
     std::optional<attempt_outcome> outcome;
