Count only the end of a response as survival of a request

Cause: two events counted as proof that a replica had survived a request. Later losses were not reported, and the events cleared what was known. A block was lifted by a trial in the same way.

Only the end of a response shows survival now; each loss before is reported, with whether there was output (an optional field of trait_crash, which earlier versions neither send nor need). A whole request is blocked after three replicas. A part of a prompt in progress with output needs five over two seconds: replicas that end together lose many sound requests.

The requests of the prompt part tests have a body of their own now, so that no two are alike, as their name says.

--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -113,7 +113,8 @@
 
 void crash_guard::handle_lost_replica(const request_id& request,
                                       const std::vector<request_trait>& traits,
-                                      const replica_process_id& replica_process)
+                                      const replica_process_id& replica_process,
+                                      int events)
 {
     if (traits.empty())
     {
@@ -123,6 +124,7 @@
     log_event(log_level::info, "replica_lost_under_request",
               {{"request", request.str()},
                {"replica", replica_process.str()},
+               {"events", events},
                {"traits", join(traits)}});
     this->metrics.count("parsleytrack_replicas_lost_under_requests_total", {});
     if (this->fail_trial(request))
@@ -134,8 +136,8 @@
         // The blocked trait explains the loss.
         return;
     }
-    this->history.add_report(
-        routing::crash_report{request, replica_process, traits, now});
+    this->history.add_report(routing::crash_report{
+        request, replica_process, traits, now, events >= output_events});
     this->suspects.insert(traits.begin(), traits.end());
     this->start_inquiry();
 }
--- a/src/relay/crash_guard.hpp
+++ b/src/relay/crash_guard.hpp
@@ -22,14 +22,15 @@
 namespace parsleytrack::relay
 {
 
-/// Holds back requests with a trait under which each replica crashes as it
-/// begins to answer. Nodes that lose replicas compare the requests, and all
+/// Holds back requests with a trait under which each replica crashes before the
+/// end of its response. Nodes that lose replicas compare the requests, and all
 /// nodes block the trait that explains the losses.
 class crash_guard
 {
 public:
-    /// Output events after which a replica has survived a request.
-    static constexpr int surviving_events = 2;
+    /// Output events after which a crash counts as one after output. Only the
+    /// end of a response shows that its replica has survived the request.
+    static constexpr int output_events = 2;
 
     /// \param event_loop Outlives this object, as do the other references.
     crash_guard(net::event_loop& event_loop, wire::peer_network& network,
@@ -44,17 +45,19 @@
     std::optional<duration> rejection(const request_id& request,
                                       const std::vector<request_trait>& traits);
 
-    /// Records that a replica has survived a request.
+    /// Records that a replica has survived a request: its response is complete.
     void handle_survival(const std::vector<request_trait>& traits);
 
-    /// Handles the loss of a replica's connection before surviving_events.
+    /// Handles the loss of a replica's connection before the end of a response.
     ///
     /// \param request The request that was running on the replica.
     /// \param traits The traits of the request, the more specific ones last.
     /// \param replica_process The process that is lost.
+    /// \param events Number of events of the response that had arrived.
     void handle_lost_replica(const request_id& request,
                              const std::vector<request_trait>& traits,
-                             const replica_process_id& replica_process);
+                             const replica_process_id& replica_process,
+                             int events);
 
     /// Handles the same loss under an item of a job. It is no evidence, unless
     /// the item was the one that was tried.
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -322,10 +322,6 @@
         this->progress.last_event = this->sequence.last_number();
         this->progress.version = this->replica.version;
         this->restart_stall_timer();
-        if (++this->events == crash_guard::surviving_events)
-        {
-            this->context.crashes.handle_survival(this->traits);
-        }
     }
     if (problem == nullptr && this->splitter.is_too_long())
     {
@@ -346,10 +342,7 @@
         !this->splitter.has_partial_event() && this->progress.last_event > 0 &&
         (this->sequence.run_has_events() || has_marked_end(response.headers)))
     {
-        if (this->events < crash_guard::surviving_events)
-        {
-            this->context.crashes.handle_survival(this->traits);
-        }
+        this->context.crashes.handle_survival(this->traits);
         this->finish(item_run_result::completed, reason);
         return;
     }
@@ -359,8 +352,7 @@
         return;
     }
     const bool ended_early = answered && this->status == status_ok;
-    if ((ended_early || this->attempt->was_cut()) &&
-        this->events < crash_guard::surviving_events)
+    if (ended_early || this->attempt->was_cut())
     {
         this->context.crashes.handle_lost_item(request_id(this->item.id));
     }
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -132,8 +132,6 @@
     std::optional<time_point> began;
     net::connection_use connection;
     int status = 0;
-    /// Events that this run has received.
-    int events = 0;
     event_splitter splitter;
     event_sequence sequence;
     output_limit limit;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -67,11 +67,11 @@
     {
         return;
     }
-    if ((ended_early || this->attempt->was_cut()) &&
-        this->attempt_events < crash_guard::surviving_events)
+    if (ended_early || this->attempt->was_cut())
     {
         this->context.crashes.handle_lost_replica(
-            this->request.id, this->traits, routing::process_of(this->replica));
+            this->request.id, this->traits, routing::process_of(this->replica),
+            this->attempt_events);
     }
 }
 
@@ -84,10 +84,7 @@
         {
             return false;
         }
-        if (this->attempt_events < crash_guard::surviving_events)
-        {
-            this->context.crashes.handle_survival(this->traits);
-        }
+        this->context.crashes.handle_survival(this->traits);
         this->exchange->finish_stream();
         this->finish("served", status);
         return true;
--- a/src/relay/online_call_response.cpp
+++ b/src/relay/online_call_response.cpp
@@ -74,10 +74,6 @@
         ready += event.raw;
         this->version = this->replica.version;
         ++this->attempt_events;
-        if (this->attempt_events == crash_guard::surviving_events)
-        {
-            this->context.crashes.handle_survival(this->traits);
-        }
     }
     if (problem == nullptr && this->splitter.is_too_long())
     {
--- a/src/relay/request_content.cpp
+++ b/src/relay/request_content.cpp
@@ -1,6 +1,7 @@
 #include "relay/request_content.hpp"
 
 #include "net/http_header_list.hpp"
+#include "routing/content_trait.hpp"
 
 #include <xxhash.h>
 
@@ -11,14 +12,6 @@
 namespace parsleytrack::relay
 {
 
-namespace
-{
-
-/// Ids of prompt parts contain no colon.
-constexpr std::string_view content_prefix = "request:";
-
-} // namespace
-
 request_trait content_trait(const net::http_request_head& head,
                             std::string_view body)
 {
@@ -33,12 +26,7 @@
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
                   static_cast<unsigned long long>(hash.high64),
                   static_cast<unsigned long long>(hash.low64));
-    return request_trait(std::string(content_prefix) + digits.data());
-}
-
-bool is_content(const request_trait& trait)
-{
-    return trait.str().starts_with(content_prefix);
+    return request_trait(std::string(routing::content_prefix) + digits.data());
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/request_content.hpp
+++ b/src/relay/request_content.hpp
@@ -13,8 +13,4 @@
 request_trait content_trait(const net::http_request_head& head,
                             std::string_view body);
 
-/// \returns Whether the trait is the content of a request, not a part of its
-/// prompt.
-bool is_content(const request_trait& trait);
-
 } // namespace parsleytrack::relay
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -1,7 +1,7 @@
 #include "relay/status_report.hpp"
+#include "routing/content_trait.hpp"
 
 #include "logging/log.hpp"
-#include "relay/request_content.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -88,7 +88,7 @@
     json list = json::array();
     for (const routing::trait_verdict& verdict : crashes.verdicts())
     {
-        if (is_content(verdict.trait) != contents)
+        if (routing::is_content(verdict.trait) != contents)
         {
             continue;
         }
@@ -212,8 +212,8 @@
     for (const routing::trait_verdict& verdict :
          this->context.crashes.verdicts())
     {
-        int& count =
-            is_content(verdict.trait) ? blocked_requests : blocked_parts;
+        int& count = routing::is_content(verdict.trait) ? blocked_requests
+                                                        : blocked_parts;
         count += verdict.blocked ? 1 : 0;
     }
     metrics.set_gauge("parsleytrack_blocked_prompt_parts", {}, blocked_parts);
--- a/src/relay/trait_knowledge.cpp
+++ b/src/relay/trait_knowledge.cpp
@@ -51,6 +51,10 @@
         crash.replica_process = report.replica_process.str();
         crash.traits = to_text(report.traits);
         crash.age_ms = to_milliseconds(now - report.at);
+        if (report.after_output)
+        {
+            crash.__set_after_output(true);
+        }
     }
     for (const auto& [trait, when] : knowledge.survivals)
     {
@@ -85,7 +89,8 @@
         knowledge.crashes.push_back(routing::crash_report{
             request_id(crash.request),
             replica_process_id(crash.replica_process), to_traits(crash.traits),
-            time_of(crash.age_ms, now)});
+            time_of(crash.age_ms, now),
+            crash.__isset.after_output && crash.after_output});
     }
     for (const wire::trait_survival& survival : message.value().survivals)
     {
--- a/src/routing/crash_report.hpp
+++ b/src/routing/crash_report.hpp
@@ -8,7 +8,7 @@
 namespace parsleytrack::routing
 {
 
-/// A request that lost its replica before its output.
+/// A request that lost its replica before the end of its response.
 struct crash_report
 {
     request_id request;
@@ -17,6 +17,9 @@
     /// What the request shares with others, the more specific traits last.
     std::vector<request_trait> traits;
     time_point at;
+    /// Whether the replica had sent some output. Many sound requests are then
+    /// lost with it, so that this is weaker evidence.
+    bool after_output = false;
 
     bool operator==(const crash_report&) const = default;
 };
--- a/src/routing/crashing_traits.cpp
+++ b/src/routing/crashing_traits.cpp
@@ -1,5 +1,7 @@
 #include "routing/crashing_traits.hpp"
 
+#include "routing/content_trait.hpp"
+
 #include <algorithm>
 #include <optional>
 #include <set>
@@ -14,17 +16,25 @@
 struct suspect
 {
     std::set<replica_process_id> replicas;
+    /// Those that ended before they had sent much.
+    std::set<replica_process_id> before_output;
     time_point first = time_point::max();
     time_point last = time_point::min();
     /// Greatest position in a request; later traits are shared by fewer ones.
     std::size_t position = 0;
     bool was_survived = false;
+    bool is_whole_request = false;
 
     bool is_guilty() const
     {
-        if (!this->was_survived)
+        // Few requests are in progress at several replicas, but a part of a
+        // prompt may be.
+        const std::size_t direct_evidence = this->is_whole_request
+                                                ? this->replicas.size()
+                                                : this->before_output.size();
+        if (!this->was_survived && direct_evidence >= crash_threshold)
         {
-            return this->replicas.size() >= crash_threshold;
+            return true;
         }
         return this->replicas.size() >= crash_threshold_of_survived &&
                this->last - this->first >= crash_span_of_survived;
@@ -63,6 +73,11 @@
             }
             suspect& entry = suspects[trait];
             entry.replicas.insert(report.replica_process);
+            if (!report.after_output)
+            {
+                entry.before_output.insert(report.replica_process);
+            }
+            entry.is_whole_request = is_content(trait);
             entry.first = std::min(entry.first, report.at);
             entry.last = std::max(entry.last, report.at);
             entry.position = std::max(entry.position, index);
--- a/src/routing/crashing_traits.hpp
+++ b/src/routing/crashing_traits.hpp
@@ -14,10 +14,11 @@
 /// Number of replicas that must have ended under a trait that none is known to
 /// have survived.
 constexpr std::size_t crash_threshold = 3;
-/// The same for a trait that replicas have survived before: it may be in
-/// progress at several replicas when these end for another reason.
+/// The same for a trait that replicas have survived before, and for a part of
+/// a prompt under which they had sent output: it may be in progress at several
+/// replicas when these end for another reason.
 constexpr std::size_t crash_threshold_of_survived = 5;
-/// Crashes under a survived trait must be at least this far apart in time, so
+/// Crashes under such a trait must be at least this far apart in time, so
 /// that replicas which end together are no evidence against it.
 constexpr duration crash_span_of_survived = std::chrono::seconds(2);
 
--- a/src/routing/trait_quarantine.cpp
+++ b/src/routing/trait_quarantine.cpp
@@ -32,7 +32,11 @@
         next.revision = known->second.revision + 1;
         if (known->second.blocked)
         {
-            next.hold = std::min(longest_hold, known->second.hold * 2);
+            next.hold = known->second.hold * 2;
+            if (next.hold >= first_hold * (1 << max_failed_trials))
+            {
+                next.hold = longest_hold;
+            }
         }
     }
     next.trial_at = now + next.hold;
--- a/src/routing/trait_quarantine.hpp
+++ b/src/routing/trait_quarantine.hpp
@@ -25,14 +25,18 @@
 };
 
 /// The traits of requests that are blocked because replicas crash under them. A
-/// block is tried again after a time that doubles with each failed trial.
+/// block is tried again after a time that doubles with each failed trial. After
+/// some of them it is kept for a day.
 class trait_quarantine
 {
 public:
     /// Time until the first trial. A block has cost at least three replicas,
     /// and a failed trial costs another one.
     static constexpr duration first_hold = std::chrono::minutes(1);
-    static constexpr duration longest_hold = std::chrono::minutes(32);
+    /// Trials of a block that may cost a replica. Together with a request that
+    /// is under way when the trait is blocked, no more than three replicas.
+    static constexpr int max_failed_trials = 2;
+    static constexpr duration longest_hold = std::chrono::hours(24);
     /// Verdicts kept; the one whose trial is due first is dropped first.
     static constexpr std::size_t max_verdicts = 512;
 
--- a/src/wire/crash_traits.thrift
+++ b/src/wire/crash_traits.thrift
@@ -1,7 +1,7 @@
 // Messages about traits of requests under which replicas crash.
 namespace cpp parsleytrack.wire
 
-// A request that lost its replica before its output.
+// A request that lost its replica before the end of its response.
 struct trait_crash {
   1: string request;
   // Identifies the replica and its process.
@@ -9,6 +9,9 @@
   // What the request shares with others, the more specific traits last.
   3: list<string> traits;
   4: i64 age_ms;
+  // Whether the replica had sent some output; earlier versions report only
+  // replicas that had not, and do not send the field.
+  5: optional bool after_output;
 }
 
 // A trait that a replica has survived.
--- a/tests/relay/request_content_test.cpp
+++ b/tests/relay/request_content_test.cpp
@@ -1,4 +1,5 @@
 #include "relay/request_content.hpp"
+#include "routing/content_trait.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,6 +45,6 @@
 
 TEST(request_content, is_told_apart_from_parts_of_prompts)
 {
-    CHECK(is_content(content_trait(head("GET", "h", "/a", ""), "")));
-    CHECK_FALSE(is_content(request_trait("5c1e07a2")));
+    CHECK(routing::is_content(content_trait(head("GET", "h", "/a", ""), "")));
+    CHECK_FALSE(routing::is_content(request_trait("5c1e07a2")));
 }
--- a/tests/relay/trait_knowledge_test.cpp
+++ b/tests/relay/trait_knowledge_test.cpp
@@ -1,4 +1,6 @@
 #include "relay/trait_knowledge.hpp"
+#include "wire/codec.hpp"
+#include "wire/generated/crash_traits_types.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,6 +23,7 @@
                               replica_process_id("r/1"),
                               {this->trait, request_trait("b")},
                               this->senders_time - std::chrono::seconds(3)});
+    sent.crashes[0].after_output = true;
     sent.survivals[this->trait] = this->senders_time - std::chrono::seconds(7);
     routing::trait_quarantine quarantine;
     sent.verdicts.push_back(quarantine.block(this->trait, this->senders_time));
@@ -30,6 +33,7 @@
     const routing::crash_report& crash = received.value().crashes.at(0);
     CHECK(crash.at == this->receivers_time - std::chrono::seconds(3));
     CHECK(crash.traits == sent.crashes[0].traits);
+    CHECK(crash.after_output);
     STRCMP_EQUAL("r/1", crash.replica_process.str().c_str());
     CHECK(received.value().survivals.at(this->trait) ==
           this->receivers_time - std::chrono::seconds(7));
@@ -64,3 +68,21 @@
     CHECK(decode_trait_knowledge("\x19\xff\xff", this->receivers_time)
               .has_error());
 }
+
+// Guards against reports that nodes of an earlier version cannot read, or whose
+// reports cannot be read: their messages lack the field.
+TEST(trait_knowledge, a_crash_before_output_is_written_as_by_earlier_versions)
+{
+    wire::trait_knowledge earlier;
+    wire::trait_crash& crash = earlier.crashes.emplace_back();
+    crash.request = "q";
+    crash.replica_process = "r/1";
+    crash.traits = {"a"};
+    crash.age_ms = 3000;
+    const std::string bytes = wire::encode(earlier);
+    const auto received = decode_trait_knowledge(bytes, this->receivers_time);
+    CHECK_FALSE(received.value().crashes.at(0).after_output);
+    trait_knowledge sent;
+    sent.crashes = received.value().crashes;
+    CHECK(bytes == encode(sent, this->receivers_time));
+}
--- a/tests/relay_process/crashing_request_test.cpp
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -31,9 +31,10 @@
 {
 public:
     /// \param service The service of the replicas.
+    /// \param events Events that replicas send before they crash.
     explicit crashing_fleet(const char* path = "/plain/a",
                             const char* service = "web",
-                            int engines = engine_count)
+                            int engines = engine_count, int events = 0)
         : fleet(relay_fleet_options{.node_count = node_count,
                                     .engine_count = engines}),
           bad_path(path), service_name(service)
@@ -43,6 +44,7 @@
         {
             engine->crashing_path = path;
             engine->crashing_body = bad_body;
+            engine->events_before_crash = events;
             engine->on_crash = [this, &engine]
             {
                 this->handle_crash(*engine);
@@ -155,6 +157,21 @@
     }
 }
 
+// Guards against taking the first events of a response for a proof that its
+// replica survives the request.
+TEST(relay_crashing_requests, so_is_one_under_which_replicas_send_events_first)
+{
+    for (const int events : {1, 3, 30})
+    {
+        for (const char* path : {"/stream/a", "/once/a"})
+        {
+            crashing_fleet crashing(path, "llm", engine_count, events);
+            crashing.react();
+            crashing.check_blocked();
+        }
+    }
+}
+
 // Guards against blocking the parts of a prompt, which other requests share,
 // for one request that crashes replicas.
 TEST(relay_crashing_requests, the_parts_of_its_prompt_are_not_blocked)
--- a/tests/relay_process/prompt_part_test.cpp
+++ b/tests/relay_process/prompt_part_test.cpp
@@ -82,8 +82,9 @@
                                const std::string& parts)
     {
         this->fleet.prompt_parts = parts;
-        return this->fleet.call(node, "POST", path,
-                                "p" + std::to_string(++this->sent));
+        // No two requests are alike.
+        const std::string id = "p" + std::to_string(++this->sent);
+        return this->fleet.call(node, "POST", path, id, id);
     }
 
     std::string own_part() { return "e" + std::to_string(this->sent) + ":250"; }
@@ -101,6 +102,32 @@
 
 TEST_GROUP(relay_prompt_parts){};
 
+// Guards against taking the first events of a response for a proof that its
+// replica survives the part.
+TEST(relay_prompt_parts, so_is_one_under_which_replicas_send_events_first)
+{
+    crashing_fleet crashing;
+    for (const auto& engine : crashing.fleet.engines)
+    {
+        engine->events_before_crash = 3;
+    }
+    int count = 0;
+    CHECK(crashing.fleet.wait(
+        [&crashing, &count]
+        {
+            crashing.send_bad(++count % node_count);
+            return crashing.crashes() >= crash_limit;
+        }));
+    crashing.react();
+    const int before = crashing.crashes();
+    for (int late = 0; late < 30; ++late)
+    {
+        crashing.send_bad(late % node_count);
+        CHECK_EQUAL(200, crashing.send_sound(late % node_count).status);
+    }
+    CHECK(crashing.crashes() - before <= late_request_limit);
+}
+
 // Guards against ending one replica after the other under requests that share
 // one part of their prompts and arrive at any node.
 TEST(relay_prompt_parts, a_part_that_crashes_replicas_is_blocked_everywhere)
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -137,6 +137,15 @@
         {
             response_headers.emplace_back("Content-Type", "text/event-stream");
             exchange->start_stream(200, response_headers);
+            const std::string* resumed =
+                net::find_header(headers, "Last-Event-Id");
+            const int first = resumed == nullptr ? 1 : std::stoi(*resumed) + 1;
+            for (int count = 0; count < this->events_before_crash; ++count)
+            {
+                const std::string number = std::to_string(first + count);
+                exchange->write_chunk("id: " + number + "\ndata: t" + number +
+                                      "\n\n");
+            }
         }
         return;
     }
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -111,6 +111,8 @@
     /// A path whose requests do the same if they have the crashing body.
     std::string crashing_path;
     std::string crashing_body;
+    /// Events that it sends before the crash.
+    int events_before_crash = 0;
     /// Time from the start of a run to the crash.
     static constexpr duration crash_delay = std::chrono::milliseconds(30);
     /// Called after a crash. Optional.
--- a/tests/routing/crashing_traits_test.cpp
+++ b/tests/routing/crashing_traits_test.cpp
@@ -14,6 +14,7 @@
 const request_trait first("first");
 const request_trait bad("bad");
 const request_trait other("other");
+const request_trait whole("request:1");
 
 time_point at(int milliseconds)
 {
@@ -27,12 +28,13 @@
     std::map<request_trait, time_point> survivals;
 
     void add(const std::string& replica,
-             const std::vector<request_trait>& traits, int milliseconds)
+             const std::vector<request_trait>& traits, int milliseconds,
+             bool after_output = false)
     {
         const std::string request = std::to_string(this->reports.size());
-        this->reports.push_back(crash_report{request_id(request),
-                                             replica_process_id(replica),
-                                             traits, at(milliseconds)});
+        this->reports.push_back(
+            crash_report{request_id(request), replica_process_id(replica),
+                         traits, at(milliseconds), after_output});
     }
 
     /// \returns The traits found, joined by commas.
@@ -63,6 +65,51 @@
     STRCMP_EQUAL("bad", seen.find().c_str());
 }
 
+// Guards against a request that replicas begin to answer before they crash.
+TEST(crashing_traits, a_request_that_crashes_replicas_in_its_output_is_found)
+{
+    evidence seen;
+    seen.survivals[first] = at(2500);
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        STRCMP_EQUAL("", seen.find().c_str());
+        seen.add("r" + std::to_string(crash), {first, whole}, 1000 * crash,
+                 true);
+    }
+    STRCMP_EQUAL("request:1", seen.find().c_str());
+}
+
+// The same for a part of a prompt, beside sound requests that are lost with the
+// replicas.
+TEST(crashing_traits, so_is_a_part_of_a_prompt)
+{
+    evidence seen;
+    seen.survivals[first] = at(-100);
+    for (int crash = 0; crash < 5; ++crash)
+    {
+        STRCMP_EQUAL("", seen.find().c_str());
+        const std::string name = "r" + std::to_string(crash);
+        seen.add(name, {first, bad, request_trait("request:" + name)},
+                 1000 * crash, true);
+        seen.add(name, {first, other}, 1000 * crash, true);
+        seen.survivals[first] = at(1000 * crash);
+        seen.survivals[other] = at(1000 * crash + 500);
+    }
+    STRCMP_EQUAL("bad", seen.find().c_str());
+}
+
+// Guards against blocking a part that is in progress everywhere when replicas
+// end together.
+TEST(crashing_traits, replicas_that_end_together_in_their_output_prove_nothing)
+{
+    evidence seen;
+    for (int replica = 0; replica < 59; ++replica)
+    {
+        seen.add("r" + std::to_string(replica), {first}, replica, true);
+    }
+    STRCMP_EQUAL("", seen.find().c_str());
+}
+
 TEST(crashing_traits, several_requests_on_one_replica_count_once)
 {
     evidence seen;
--- a/tests/routing/trait_quarantine_test.cpp
+++ b/tests/routing/trait_quarantine_test.cpp
@@ -34,16 +34,33 @@
 TEST(trait_quarantine, each_failed_trial_doubles_the_block)
 {
     duration expected = trait_quarantine::first_hold;
-    for (int trial = 0; trial < 10; ++trial)
+    for (int trial = 0; trial < trait_quarantine::max_failed_trials; ++trial)
     {
         const trait_verdict& verdict =
             this->quarantine.block(this->trait, this->now);
         CHECK(verdict.hold == expected);
         CHECK(verdict.trial_at == this->now + expected);
-        expected = std::min(2 * expected, trait_quarantine::longest_hold);
+        expected *= 2;
     }
 }
 
+// Guards against trials without end, each of which costs a replica.
+TEST(trait_quarantine, a_day_has_few_trials)
+{
+    constexpr int allowed_replicas = 3;
+    const time_point end = this->now + std::chrono::hours(24);
+    int failed_trials = 0;
+    time_point trial_at =
+        this->quarantine.block(this->trait, this->now).trial_at;
+    while (trial_at < end)
+    {
+        ++failed_trials;
+        trial_at = this->quarantine.block(this->trait, trial_at).trial_at;
+    }
+    CHECK_EQUAL(trait_quarantine::max_failed_trials, failed_trials);
+    CHECK(failed_trials < allowed_replicas);
+}
+
 TEST(trait_quarantine, a_part_that_was_cleared_starts_anew)
 {
     this->quarantine.block(this->trait, this->now);
