Ask the store for the versions in use before inferring a stream's origin

Cause: a node that knows one version of a service takes it for what began a stream. It does not notice that it has missed changes of the list, since a wait for changes lasts up to 25 s.

Where nothing names the origin, the list is now read from the store; if that fails or shows another version, the stream is refused as not run. Reads for several streams are joined. The age of the list was ruled out as a measure: in calm times it is up to 25 s.

--- a/src/relay/origin_search.cpp
+++ b/src/relay/origin_search.cpp
@@ -67,7 +67,7 @@
     this->pending = this->calls.size();
     if (this->pending == 0)
     {
-        this->finish(this->only_candidate());
+        this->confirm(this->only_candidate());
     }
 }
 
@@ -91,10 +91,41 @@
     if (this->pending == 0 ||
         (candidate && this->observers >= sufficient_observers))
     {
-        this->finish(candidate);
+        this->confirm(candidate);
     }
 }
 
+void origin_search::confirm(const std::optional<stream_origin>& candidate)
+{
+    if (!candidate)
+    {
+        this->finish(std::nullopt);
+        return;
+    }
+    // Nodes that are cut off or have stood still do not know that they have
+    // missed another version.
+    if (std::exchange(this->is_confirming, true))
+    {
+        return;
+    }
+    this->origins.read_current(
+        this->inquiry.services,
+        [this, observed = this->alive,
+         candidate](const result<std::vector<stream_origin>>& current)
+        {
+            if (!*observed || !this->ended_callback)
+            {
+                return;
+            }
+            const bool is_only =
+                current.has_value() &&
+                std::all_of(current.value().begin(), current.value().end(),
+                            [&candidate](const stream_origin& origin)
+                            { return origin == *candidate; });
+            this->finish(is_only ? candidate : std::nullopt);
+        });
+}
+
 void origin_search::add(const origin_reply& reply)
 {
     this->observers += reply.has_observed ? 1 : 0;
--- a/src/relay/origin_search.hpp
+++ b/src/relay/origin_search.hpp
@@ -26,6 +26,9 @@
     /// this object.
     origin_search(net::event_loop& event_loop, stream_origins& memory,
                   origin_inquiry wanted, callback on_end);
+    ~origin_search() { *this->alive = false; }
+    origin_search(const origin_search&) = delete;
+    origin_search& operator=(const origin_search&) = delete;
 
 private:
     void start();
@@ -34,6 +37,9 @@
     void add(const origin_reply& reply);
     /// \returns What began the stream if nothing else can have begun it.
     std::optional<stream_origin> only_candidate() const;
+    /// Ends the search with what must have begun the stream, once the store has
+    /// confirmed that no other version is in use.
+    void confirm(const std::optional<stream_origin>& candidate);
     void finish(const std::optional<stream_origin>& origin);
 
     net::event_loop& loop;
@@ -49,8 +55,11 @@
     /// and that.
     bool is_remembered = false;
     std::vector<stream_origin> remembered;
+    bool is_confirming = false;
     net::timer next_step;
     time_point ask_until;
+    /// Set to false by the destructor, for a read of the store in progress.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -104,8 +104,8 @@
         this->group,
         this->random,
         static_cast<std::size_t>(this->settings.max_direct_followers)};
-    stream_origins origins{this->loop, this->peers, this->replicas,
-                           this->storage_nodes};
+    stream_origins origins{this->loop,    this->peers,    this->store,
+                           this->adapter, this->replicas, this->storage_nodes};
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -24,10 +24,13 @@
 
 stream_origins::stream_origins(net::event_loop& event_loop,
                                wire::peer_network& network,
+                               key_value::record_client& client,
+                               const relay_adapter& protocol_adapter,
                                replica_follower& replica_list,
                                storage_directory& storage_nodes)
-    : loop(event_loop), peers(network), replicas(replica_list),
-      storage(storage_nodes), memory(max_streams)
+    : loop(event_loop), peers(network), store(client),
+      adapter(protocol_adapter), replicas(replica_list), storage(storage_nodes),
+      memory(max_streams)
 {
     this->replicas.on_change([this] { this->handle_replica_change(); });
     // A node that has started knows nothing of the streams that go on.
@@ -95,6 +98,74 @@
     return asked;
 }
 
+void stream_origins::read_current(std::vector<service_name> services,
+                                  origins_callback callback)
+{
+    this->waiting_readers.push_back(
+        reader{std::move(services), std::move(callback)});
+    if (!this->is_reading)
+    {
+        this->start_reading();
+    }
+}
+
+void stream_origins::start_reading()
+{
+    this->is_reading = true;
+    this->store.list(this->adapter.keys().replica_prefix,
+                     key_value::read_freshness::latest,
+                     [this, readers = std::exchange(this->waiting_readers, {})](
+                         const result<key_value::record_listing>& listing)
+                     {
+                         this->is_reading = false;
+                         if (!this->waiting_readers.empty())
+                         {
+                             this->start_reading();
+                         }
+                         this->finish_reading(readers, listing);
+                     });
+}
+
+void stream_origins::finish_reading(
+    const std::vector<reader>& readers,
+    const result<key_value::record_listing>& listing)
+{
+    if (listing.has_error())
+    {
+        log_event(log_level::info, "versions_not_read",
+                  {{"reason", listing.error().message}});
+        for (const reader& waiting : readers)
+        {
+            waiting.callback(listing.error());
+        }
+        return;
+    }
+    std::set<std::pair<service_name, software_version>> listed;
+    for (const key_value::stored_record& record : listing.value().records)
+    {
+        // The follower of the list logs entries that cannot be read.
+        const auto entry =
+            this->adapter.parse_replica(record.key, record.value);
+        if (entry.has_value())
+        {
+            listed.emplace(entry.value().service, entry.value().version);
+        }
+    }
+    for (const reader& waiting : readers)
+    {
+        std::vector<stream_origin> origins;
+        for (const auto& [service, version] : listed)
+        {
+            if (std::find(waiting.services.begin(), waiting.services.end(),
+                          service) != waiting.services.end())
+            {
+                origins.push_back(stream_origin{service, version});
+            }
+        }
+        waiting.callback(std::move(origins));
+    }
+}
+
 bool stream_origins::has_several_versions(const service_name& service) const
 {
     return this->history
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "key_value/record_client.hpp"
 #include "net/event_loop.hpp"
 #include "relay/origin_memory.hpp"
 #include "relay/origin_messages.hpp"
+#include "relay/relay_adapter.hpp"
 #include "relay/replica_follower.hpp"
 #include "relay/storage_directory.hpp"
 #include "routing/version_history.hpp"
+#include "units/result.hpp"
 #include "wire/peer_network.hpp"
 
 #include <cstdint>
@@ -23,8 +26,13 @@
 class stream_origins
 {
 public:
+    using origins_callback =
+        std::function<void(result<std::vector<stream_origin>>)>;
+
     /// \param event_loop Outlives this object, as do the other references.
     stream_origins(net::event_loop& event_loop, wire::peer_network& network,
+                   key_value::record_client& client,
+                   const relay_adapter& protocol_adapter,
                    replica_follower& replica_list,
                    storage_directory& storage_nodes);
 
@@ -53,9 +61,26 @@
     ask(const origin_inquiry& inquiry,
         const std::function<void(result<origin_reply>)>& callback);
 
+    /// Reads from the store what the services run now. What a node has followed
+    /// may be out of date without its knowledge.
+    ///
+    /// \param callback Called once, with the versions of these services or the
+    /// reason why they cannot be read.
+    void read_current(std::vector<service_name> services,
+                      origins_callback callback);
+
 private:
     using notice = std::vector<origin_memory::entry>;
 
+    struct reader
+    {
+        std::vector<service_name> services;
+        origins_callback callback;
+    };
+
+    void start_reading();
+    void finish_reading(const std::vector<reader>& readers,
+                        const result<key_value::record_listing>& listing);
     bool has_several_versions(const service_name& service) const;
     /// Tells the storage nodes of the known streams of services that have
     /// several versions now and had one before.
@@ -67,6 +92,8 @@
 
     net::event_loop& loop;
     wire::peer_network& peers;
+    key_value::record_client& store;
+    const relay_adapter& adapter;
     replica_follower& replicas;
     storage_directory& storage;
     routing::version_history history;
@@ -80,6 +107,10 @@
     /// have missed is sent.
     std::map<endpoint, net::timer> resend_timers;
     std::uint64_t next_call = 1;
+    /// Those who wait for the next read of the store; a read that is under way
+    /// may miss what they need to know.
+    std::vector<reader> waiting_readers;
+    bool is_reading = false;
 };
 
 } // namespace parsleytrack::relay
--- a/tests/relay_process/stream_version_test.cpp
+++ b/tests/relay_process/stream_version_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
 #include <string>
 
 using namespace parsleytrack;
@@ -222,6 +223,53 @@
     CHECK_EQUAL(0, test.resumed_at_newer());
 }
 
+// Guards against a node that is cut off from the store, or has stood still, and
+// takes the only version that it knows for the only one in use.
+TEST(relay_stream_versions, a_node_out_of_step_asks_for_other_versions)
+{
+    for (const bool is_cut_off : {true, false})
+    {
+        relay_fleet_options options = with_one_replica(2);
+        options.has_proxies = true;
+        two_versions test(options);
+        // For longer than a stream lasts.
+        test.fleet.run_for(std::chrono::seconds(8));
+        if (is_cut_off)
+        {
+            test.fleet.store_proxies[1]->set_fault(fault_proxy::fault::blocked);
+        }
+        else
+        {
+            test.fleet.process(1).signal(SIGSTOP);
+        }
+        test.fleet.engines[0]->behaviour = replica_stand_in::fault::full;
+        test.start_newer_replicas();
+        for (const auto& replica : test.newer)
+        {
+            replica->event_interval = std::chrono::milliseconds(50);
+            replica->event_count = 1000;
+        }
+        test.fleet.start_call(0, "POST", "/stream/a", "one", "",
+                              test.first_response);
+        CHECK(test.fleet.wait(
+            [&test] {
+                return test.newer[0]->open_streams() +
+                           test.newer[1]->open_streams() >
+                       0;
+            }));
+        test.fleet.run_for(std::chrono::milliseconds(50 * (last_event + 1)));
+        test.fleet.process(0).kill();
+        test.fleet.engines[0]->behaviour = replica_stand_in::fault::none;
+        if (!is_cut_off)
+        {
+            test.fleet.process(1).signal(SIGCONT);
+        }
+        const auto response = test.take_up(1, "one");
+        CHECK_FALSE(response.status == 200);
+        CHECK_EQUAL(0, test.resumed_at_older());
+    }
+}
+
 // Guards against the output of an item that is joined from two versions, by an
 // owner that takes the job over.
 TEST(relay_stream_versions, items_go_on_at_the_version_that_began_them)
