Send no stream on to a replica that may have started again

Cause: a stream's version is compared with the list, which is behind by up to a ping and half a second. The new process answers to the same id, and no response names its version.

A connection that ends or does not open now marks the replica's process at the node and, by an optional field of replica_report, at the broker, until the list names another process, for at most six seconds. Streams do not go on there; new streams that may be resumed begin there only if there is no other replica. An idle connection from before shows that a process lives. Processes lost together are not marked: a link of the node has failed. The origin of a stream is corrected when the list changes under it. Ruled out: waiting for the list to confirm the process, which takes two seconds, when callers leave.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -60,6 +60,18 @@
     this->idle.erase(target);
 }
 
+bool http_client::has_idle_connection(const endpoint& target,
+                                      time_point when) const
+{
+    const auto found = this->idle.find(target);
+    return found != this->idle.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [when](const auto& connection) {
+                           return connection->is_open() &&
+                                  connection->created_at() < when;
+                       });
+}
+
 std::unique_ptr<detail::http_connection>
 http_client::acquire_connection(const endpoint& target,
                                 const http_request& request)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -54,6 +54,10 @@
     [[nodiscard]] std::unique_ptr<http_call>
     send(const endpoint& target, const http_request& request, callbacks hooks);
 
+    /// \returns Whether an idle connection to the server is open that was
+    /// opened before \p when.
+    bool has_idle_connection(const endpoint& target, time_point when) const;
+
     /// For transfers only. Keeps an idle connection for reuse.
     void return_connection(const endpoint& target,
                            std::unique_ptr<detail::http_connection> connection);
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/http_connection.hpp"
 
+#include "net/event_loop.hpp"
 #include "units/invariant.hpp"
 
 #include <event2/buffer.h>
@@ -34,7 +35,7 @@
                                  std::uint64_t number)
     : connection(evhttp_connection_base_new(base, nullptr, target.host.c_str(),
                                             target.port)),
-      next_use{number, 0}
+      created(event_loop::now()), next_use{number, 0}
 {
     check_invariant(this->connection != nullptr,
                     "evhttp_connection_base_new() must succeed");
@@ -72,6 +73,12 @@
     return this->carried.size() >= max_identities;
 }
 
+bool http_connection::is_open() const
+{
+    return bufferevent_getfd(
+               evhttp_connection_get_bufferevent(this->connection)) >= 0;
+}
+
 bool http_connection::has_unread_bytes() const
 {
     bufferevent* link = evhttp_connection_get_bufferevent(this->connection);
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "net/http_call.hpp"
 #include "units/endpoint.hpp"
+#include "units/time.hpp"
 
 #include <cstdint>
 #include <string>
@@ -45,8 +46,14 @@
     /// be read as the response to the next request.
     bool has_unread_bytes() const;
 
+    /// \returns Whether the server has not closed it.
+    bool is_open() const;
+
+    time_point created_at() const { return this->created; }
+
 private:
     evhttp_connection* connection;
+    time_point created;
     connection_use next_use;
     /// Hashes of the identities carried. Equal hashes of two identities only
     /// cost another connection.
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -356,8 +356,9 @@
     {
         this->context.crashes.handle_lost_item(request_id(this->item.id));
     }
-    this->slots.report_failure(request_id(this->item.id), this->service,
-                               this->replica, outcome);
+    this->slots.report_failure(
+        request_id(this->item.id), this->service, this->replica, outcome,
+        this->attempt->was_cut() || outcome == attempt_outcome::not_sent);
     this->finish(result_of(outcome, response.status), reason);
 }
 
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -138,8 +138,13 @@
         { this->handle_item_end(item, end, reason, max_failures); });
     item_run& started = *run;
     this->runs[item] = std::move(run);
-    started.start(service, route.priority, this->due_in(),
-                  this->retries.avoided(item, usable, net::event_loop::now()));
+    std::set<replica_id> avoided =
+        this->retries.avoided(item, usable, net::event_loop::now());
+    if (this->progress.progress_of(item).last_event > 0)
+    {
+        avoided.merge(this->context.doubts.doubtful(service));
+    }
+    started.start(service, route.priority, this->due_in(), std::move(avoided));
 }
 
 std::set<replica_id> job_owner::usable_replicas(std::size_t item,
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -52,9 +52,9 @@
                 this->peer == exchange_peer::replica &&
                 net::event_loop::now() - this->sent_at > unresponsive_timeout)
             {
-                this->slots.report_failure(this->request.id, this->service,
-                                           this->replica,
-                                           attempt_outcome::may_have_run);
+                this->slots.report_failure(
+                    this->request.id, this->service, this->replica,
+                    attempt_outcome::may_have_run, false);
             }
             this->finish("caller_left", 0);
         });
@@ -102,8 +102,9 @@
         this->relay();
         return;
     }
+    const std::set<replica_id> avoided = this->replicas_to_avoid();
     if (this->version && !this->context.replicas.registry().has_usable(
-                             this->service, *this->version, this->excluded))
+                             this->service, *this->version, avoided))
     {
         this->fail(error{error_code::no_replica,
                          "no replica of the stream's software version " +
@@ -120,7 +121,7 @@
     wanted.wait_when_late = this->request.elapsed_before > duration::zero() ||
                             this->version || this->sends > 0;
     wanted.abandoned_in = this->time_to_abandonment();
-    wanted.excluded = this->excluded;
+    wanted.excluded = avoided;
     wanted.version = this->version;
     wanted.availability_zone = this->context.settings.availability_zone;
     this->lease = this->slots.request_slot(
@@ -181,7 +182,9 @@
     }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
-    if (entry == nullptr || (this->version && *this->version != entry->version))
+    if (entry == nullptr ||
+        (this->version && (*this->version != entry->version ||
+                           this->context.doubts.may_be_replaced(*entry))))
     {
         this->excluded.insert(granted);
         this->send_again("the replica can no longer be used");
@@ -204,6 +207,7 @@
             this->sent_at - this->request.received);
     }
     ++this->sends;
+    this->keeps_version = this->version.has_value();
     if (kind == exchange_peer::replica)
     {
         this->record_origin(target);
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -54,6 +54,15 @@
     /// Finds out which version began the stream before a slot is requested.
     void find_origin();
     void handle_origin(const std::optional<stream_origin>& origin);
+    /// \returns Whether a stream that breaks off may go on elsewhere.
+    bool is_resumable_stream() const;
+    /// \returns Replicas that the request must not be sent to.
+    std::set<replica_id> replicas_to_avoid() const;
+    /// Notes the version of the process that responds if the list of replicas
+    /// has named the process before it until now.
+    ///
+    /// \returns Whether the stream keeps to one version.
+    bool follow_replacement();
     /// Records that the stream is sent to a replica of this version.
     void record_origin(const routing::replica_entry& target);
     /// \returns The attempt that brought the first event: the one that the
@@ -153,6 +162,8 @@
     /// The version whose replicas may go on with the stream; absent until it
     /// has begun.
     std::optional<software_version> version;
+    /// Whether the stream had a version when the current attempt began.
+    bool keeps_version = false;
     net::connection_use last_connection;
     net::timer deadline_timer;
     net::timer silence_timer;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -52,8 +52,9 @@
     this->report_crash(outcome);
     if (!this->silence_is_reported)
     {
-        this->slots.report_failure(this->request.id, this->service,
-                                   this->replica, outcome);
+        this->slots.report_failure(
+            this->request.id, this->service, this->replica, outcome,
+            this->attempt->was_cut() || outcome == attempt_outcome::not_sent);
     }
     this->send_again(answered ? "the response is incomplete" : reason);
 }
--- a/src/relay/online_call_origin.cpp
+++ b/src/relay/online_call_origin.cpp
@@ -99,6 +99,68 @@
     this->request_slot();
 }
 
+bool online_call::is_resumable_stream() const
+{
+    return this->is_stream() && this->request.route->resumable;
+}
+
+std::set<replica_id> online_call::replicas_to_avoid() const
+{
+    std::set<replica_id> avoided = this->excluded;
+    if (!this->version && !this->is_resumable_stream())
+    {
+        return avoided;
+    }
+    avoided.merge(this->context.doubts.doubtful(this->service));
+    if (this->version)
+    {
+        return avoided;
+    }
+    // A new stream may begin anywhere, but its version would not be known.
+    const auto usable = this->context.replicas.registry().usable(this->service);
+    const bool has_other =
+        std::any_of(usable.begin(), usable.end(),
+                    [&avoided](const routing::replica_entry* entry)
+                    { return !avoided.contains(entry->id); });
+    return has_other ? avoided : this->excluded;
+}
+
+bool online_call::follow_replacement()
+{
+    if (this->peer != exchange_peer::replica || !this->is_resumable_stream() ||
+        net::event_loop::now() - this->sent_at >
+            routing::lost_processes::list_delay)
+    {
+        return true;
+    }
+    const auto& listed = this->context.replicas.registry().all();
+    const auto found = listed.find(this->replica.id);
+    if (found == listed.end() || routing::process_of(found->second) ==
+                                     routing::process_of(this->replica))
+    {
+        return true;
+    }
+    // The connection would have ended with the process that was listed before.
+    const bool changes_version = found->second.version != this->replica.version;
+    this->replica = found->second;
+    if (!changes_version)
+    {
+        return true;
+    }
+    log_event(log_level::info, "stream_at_another_version",
+              {{"request", this->request.id.str()},
+               {"replica", this->replica.id.str()},
+               {"version", this->replica.version.str()},
+               {"earlier_attempts", this->sends - 1}});
+    if (this->version && this->keeps_version)
+    {
+        return false;
+    }
+    this->version = this->replica.version;
+    this->record_origin(this->replica);
+    return true;
+}
+
 void online_call::record_origin(const routing::replica_entry& target)
 {
     const routing::route& route = *this->request.route;
--- a/src/relay/online_call_response.cpp
+++ b/src/relay/online_call_response.cpp
@@ -62,6 +62,11 @@
         }
         return;
     }
+    if (!this->follow_replacement())
+    {
+        this->attempt->abort("the replica runs another software version");
+        return;
+    }
     std::string ready;
     const char* problem = nullptr;
     for (const stream_event& event : this->splitter.feed(chunk))
--- a/src/relay/online_call_silence.cpp
+++ b/src/relay/online_call_silence.cpp
@@ -80,8 +80,8 @@
     {
         // Keeps further requests away from the replica.
         this->slots.report_failure(this->request.id, this->service,
-                                   this->replica,
-                                   attempt_outcome::may_have_run);
+                                   this->replica, attempt_outcome::may_have_run,
+                                   false);
     }
     const duration silent_for = net::event_loop::now() - this->last_sign;
     if (silent_for >= longest_sound_silence)
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -9,6 +9,7 @@
 #include "relay/crash_guard.hpp"
 #include "relay/link_monitor.hpp"
 #include "relay/relay_adapter.hpp"
+#include "relay/replica_doubts.hpp"
 #include "relay/replica_follower.hpp"
 #include "relay/stream_origins.hpp"
 #include "settings/relay_settings.hpp"
@@ -33,6 +34,7 @@
     replica_follower& replicas;
     link_monitor& link;
     crash_guard& crashes;
+    replica_doubts& doubts;
     stream_origins& origins;
     metrics::registry& metrics;
     random_source& random;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,6 +97,7 @@
     metrics::registry metrics;
     link_monitor link{this->loop, this->replicas, this->random, this->metrics};
     crash_guard crashes{this->loop, this->peers, this->group, this->metrics};
+    replica_doubts doubts{this->replica_client, this->replicas};
     storage_directory storage_nodes{
         this->loop,
         this->store,
@@ -109,8 +110,8 @@
     relay_context context{
         this->settings, this->adapter, this->loop,    this->replica_client,
         this->peers,    this->group,   this->store,   this->configuration,
-        this->replicas, this->link,    this->crashes, this->origins,
-        this->metrics,  this->random};
+        this->replicas, this->link,    this->crashes, this->doubts,
+        this->origins,  this->metrics, this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
--- /dev/null
+++ b/src/relay/replica_doubts.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "net/http_client.hpp"
+#include "relay/replica_follower.hpp"
+#include "routing/lost_processes.hpp"
+#include "routing/replica_entry.hpp"
+
+#include <set>
+
+namespace parsleytrack::relay
+{
+
+/// Knows which listed replicas may have been started again, with another
+/// software version: a stream must not go on there until the list shows it.
+class replica_doubts
+{
+public:
+    /// \param client Sends requests to replicas; outlives this object, as does
+    /// \p replica_list.
+    replica_doubts(const net::http_client& client,
+                   const replica_follower& replica_list)
+        : http(client), replicas(replica_list)
+    {
+    }
+
+    /// Handles the end of a connection to a replica, or one that did not open,
+    /// here or at another node.
+    void handle_lost(const replica_process_id& process);
+
+    /// \returns Whether the replica may be another process than is listed.
+    bool may_be_replaced(const routing::replica_entry& replica) const;
+
+    /// \returns The listed replicas of a service that may be.
+    std::set<replica_id> doubtful(const service_name& service) const;
+
+private:
+    const net::http_client& http;
+    const replica_follower& replicas;
+    routing::lost_processes lost;
+};
+
+} // namespace parsleytrack::relay
--- a/src/relay/replica_report.hpp
+++ b/src/relay/replica_report.hpp
@@ -22,6 +22,8 @@
     bool leaving = false;
     /// Set when the replica has said something new of its limit.
     std::optional<replica_limit> limit = std::nullopt;
+    /// The request's connection has ended or did not open.
+    bool lost = false;
 };
 
 } // namespace parsleytrack::relay
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -65,9 +65,10 @@
     /// Does nothing for attempt_outcome::not_run and expired.
     ///
     /// \param outcome The outcome of the request at the replica.
+    /// \param lost Whether its connection has ended or did not open.
     void report_failure(const request_id& request, const service_name& service,
                         const routing::replica_entry& replica,
-                        attempt_outcome outcome);
+                        attempt_outcome outcome, bool lost);
 
     /// Handles a replica's announcement that it is leaving: marks it here and
     /// tells the broker, which stops granting its slots to all nodes.
--- a/src/relay/slot_client_reports.cpp
+++ b/src/relay/slot_client_reports.cpp
@@ -48,7 +48,7 @@
 void slot_client::report_failure(const request_id& request,
                                  const service_name& service,
                                  const routing::replica_entry& replica,
-                                 attempt_outcome outcome)
+                                 attempt_outcome outcome, bool lost)
 {
     if (outcome == attempt_outcome::not_run ||
         outcome == attempt_outcome::expired)
@@ -69,8 +69,12 @@
             return;
         }
     }
-    this->report(
-        replica_report{request, service, replica.id, process, leaving});
+    if (lost)
+    {
+        this->context.doubts.handle_lost(process);
+    }
+    this->report(replica_report{request, service, replica.id, process, leaving,
+                                std::nullopt, lost});
 }
 
 void slot_client::report_leaving(const service_name& service,
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -202,6 +202,10 @@
     {
         message.__set_limit(to_wire(*report.limit, now));
     }
+    if (report.lost)
+    {
+        message.__set_lost(true);
+    }
     return wire::encode(message);
 }
 
@@ -223,6 +227,7 @@
     {
         report.limit = from_wire(message.value().limit, now);
     }
+    report.lost = message.value().__isset.lost && message.value().lost;
     return report;
 }
 
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -47,10 +47,15 @@
         metrics_interval, [this] { this->export_metrics(); });
 }
 
-slots::slot_ticket slot_server::open(const slot_request& request,
+slots::slot_ticket slot_server::open(slot_request request,
                                      response_callback callback)
 {
     const time_point now = net::event_loop::now();
+    if (request.version)
+    {
+        request.excluded.merge(
+            this->context.doubts.doubtful(request.pool.service));
+    }
     const slots::slot_ticket ticket(this->next_ticket++);
     slots::slot_broker& broker = this->broker_of(request.pool);
     const slots::slot_request wanted = to_broker_request(request, now);
@@ -120,6 +125,10 @@
         this->context.replicas.mark_leaving(report.process, "another_node");
         return;
     }
+    if (report.lost)
+    {
+        this->context.doubts.handle_lost(report.process);
+    }
     if (report.limit)
     {
         this->context.replicas.observe_limit(
--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -33,8 +33,7 @@
     /// \param callback Receives the responses; never called before open() has
     /// returned.
     /// \returns The request's ticket, for close().
-    slots::slot_ticket open(const slot_request& request,
-                            response_callback callback);
+    slots::slot_ticket open(slot_request request, response_callback callback);
 
     /// Returns a granted slot, or withdraws a request that waits.
     void close(slots::slot_ticket ticket);
--- /dev/null
+++ b/src/routing/lost_processes.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace parsleytrack::routing
+{
+
+/// Remembers which processes of replicas seem to have ended. Another process,
+/// of another software version, may already respond at the address of such a
+/// replica, while the list of replicas still names the one before.
+class lost_processes
+{
+public:
+    /// How long the list may name a process that has ended. Covers the pings
+    /// after which a silent replica is removed, the first ping of the next
+    /// process and the delay of the list.
+    static constexpr duration list_delay = std::chrono::seconds(6);
+    /// Many processes that are lost within this time were lost with a link of
+    /// this node.
+    static constexpr duration burst_window = std::chrono::milliseconds(200);
+    static constexpr std::size_t burst_size = 3;
+    static constexpr std::size_t max_entries = 256;
+
+    bool is_empty() const { return this->entries.empty(); }
+
+    /// Records that a connection to a process has ended.
+    void record(const replica_process_id& process, time_point now);
+
+    /// \returns When the process was last lost, if another one may have taken
+    /// its place since and may not be listed yet.
+    std::optional<time_point> lost_at(const replica_process_id& process,
+                                      time_point now) const;
+
+private:
+    struct entry
+    {
+        replica_process_id process;
+        time_point at;
+    };
+
+    bool is_in_burst(time_point at) const;
+
+    /// The oldest first.
+    std::deque<entry> entries;
+};
+
+} // namespace parsleytrack::routing
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -75,4 +75,7 @@
   5: string process;
   // What the replica has said of its limit, if that has changed.
   6: optional replica_limit limit;
+  // The connection to the replica has ended or did not open; earlier versions
+  // do not say so.
+  7: optional bool lost;
 }
--- a/tests/relay/slot_codec_test.cpp
+++ b/tests/relay/slot_codec_test.cpp
@@ -1,4 +1,6 @@
 #include "relay/slot_codec.hpp"
+#include "wire/codec.hpp"
+#include "wire/generated/slots_types.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -80,3 +82,23 @@
     CHECK(decode_slot_request(encode(request)).value().version ==
           request.version);
 }
+
+// Guards against reports that nodes of an earlier version cannot read, or whose
+// reports cannot be read: their messages lack the field.
+TEST(slot_codec, a_report_without_a_loss_is_written_as_by_earlier_versions)
+{
+    wire::replica_report earlier;
+    earlier.request = "q";
+    earlier.service_name = "s";
+    earlier.replica = "r";
+    earlier.process = "r/1";
+    const std::string bytes = wire::encode(earlier);
+    replica_report report =
+        decode_replica_report(bytes, this->received).value();
+    CHECK_FALSE(report.lost);
+    CHECK(bytes == encode(report, this->received));
+    report.lost = true;
+    CHECK(decode_replica_report(encode(report, this->sent), this->received)
+              .value()
+              .lost);
+}
--- a/tests/relay_process/silent_replica_test.cpp
+++ b/tests/relay_process/silent_replica_test.cpp
@@ -96,6 +96,32 @@
     }
 }
 
+// Guards against waiting as long for a replica whose machine is not reached.
+TEST(relay_silent_replicas, a_replica_that_is_not_reached_is_left_sooner)
+{
+    constexpr duration longest_wait = std::chrono::milliseconds(1400);
+    relay_fleet fleet(
+        relay_fleet_options{.engine_count = 4, .has_proxies = true});
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(100);
+    }
+    raw_caller caller(fleet.loop, fleet.front_address(0));
+    caller.send("POST /stream/a HTTP/1.1\r\nHost: h\r\n"
+                "Parsleytrack-Request-Id: id1\r\n"
+                "Parsleytrack-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n");
+    CHECK(caller.read_until("id: 2\n"));
+    std::size_t used = 0;
+    while (fleet.engines.at(used)->open_streams() == 0)
+    {
+        ++used;
+    }
+    const time_point begin = net::event_loop::now();
+    fleet.replica_proxies.at(used)->set_fault(fault_proxy::fault::unreachable);
+    CHECK(caller.read_until("id: 6\n"));
+    CHECK(net::event_loop::now() - begin < longest_wait);
+}
+
 // Guards against ending an answer for its replica's silence when no other one
 // could go on with it, here in a planned stop of the node.
 TEST(relay_silent_replicas, the_only_replica_of_a_stream_is_not_left)
