Let the storage nodes remember which requests crash replicas

The storage nodes now take part in the inquiries and get the verdicts (relay::crash_memory). A node learns the verdicts when it learns of a storage node. A record in the store was weighed; it costs a call for each report.

--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -39,8 +39,10 @@
 crash_guard::crash_guard(net::event_loop& event_loop,
                          wire::peer_network& network,
                          peering::peer_group& nodes,
+                         storage_directory& storage_nodes,
                          metrics::registry& counters)
-    : loop(event_loop), peers(network), group(nodes), metrics(counters)
+    : loop(event_loop), peers(network), group(nodes), storage(storage_nodes),
+      metrics(counters)
 {
     using exchange_pointer = std::shared_ptr<wire::peer_exchange>;
     this->peers.on_call(message_type::trait_inquiry,
@@ -50,6 +52,8 @@
                         [this](const exchange_pointer& exchange)
                         { this->handle_verdicts(exchange); });
     this->group.on_change([this] { this->greet_new_nodes(); });
+    this->storage.on_start([this](const endpoint& address)
+                           { this->exchange_verdicts(address); });
 }
 
 std::optional<duration>
@@ -170,9 +174,10 @@
     const std::vector<request_trait> traits(this->suspects.begin(),
                                             this->suspects.end());
     this->suspects.clear();
-    this->gathered = this->knowledge_of(traits);
-    const std::string question =
-        encode(*this->gathered, net::event_loop::now());
+    const time_point now = net::event_loop::now();
+    this->gathered = known_of(this->history, {}, traits, now);
+    this->gathered->asked = traits;
+    const std::string question = encode(*this->gathered, now);
     const std::set<endpoint> asked = this->collecting_nodes(traits);
     this->awaited_replies = asked.size() + 1;
     for (const endpoint& address : asked)
@@ -228,7 +233,7 @@
     const time_point now = net::event_loop::now();
     const std::vector<request_trait> traits =
         std::exchange(this->gathered, std::nullopt)->asked;
-    trait_knowledge known = this->knowledge_of(traits);
+    trait_knowledge known = known_of(this->history, {}, traits, now);
     for (routing::crash_report& report : known.crashes)
     {
         // Nobody was asked about the other traits of other nodes' requests.
@@ -253,22 +258,6 @@
     this->start_inquiry();
 }
 
-trait_knowledge
-crash_guard::knowledge_of(const std::vector<request_trait>& traits) const
-{
-    trait_knowledge known;
-    known.asked = traits;
-    known.crashes = this->history.reports_with(traits, net::event_loop::now());
-    for (const request_trait& trait : traits)
-    {
-        if (const auto when = this->history.last_survival(trait))
-        {
-            known.survivals[trait] = *when;
-        }
-    }
-    return known;
-}
-
 std::set<endpoint>
 crash_guard::collecting_nodes(const std::vector<request_trait>& traits) const
 {
@@ -286,6 +275,10 @@
             }
         }
     }
+    for (const auto& [key, address] : this->storage.nodes())
+    {
+        chosen.insert(address);
+    }
     return chosen;
 }
 
--- a/src/relay/crash_guard.hpp
+++ b/src/relay/crash_guard.hpp
@@ -3,6 +3,7 @@
 #include "metrics/registry.hpp"
 #include "net/event_loop.hpp"
 #include "peering/peer_group.hpp"
+#include "relay/storage_directory.hpp"
 #include "relay/trait_knowledge.hpp"
 #include "routing/crash_history.hpp"
 #include "routing/trait_quarantine.hpp"
@@ -34,7 +35,8 @@
 
     /// \param event_loop Outlives this object, as do the other references.
     crash_guard(net::event_loop& event_loop, wire::peer_network& network,
-                peering::peer_group& nodes, metrics::registry& counters);
+                peering::peer_group& nodes, storage_directory& storage_nodes,
+                metrics::registry& counters);
 
     /// To be asked before a slot is requested, and again before the request is
     /// sent.
@@ -88,15 +90,16 @@
     void handle_inquiry(const std::shared_ptr<wire::peer_exchange>& exchange);
     void handle_verdicts(const std::shared_ptr<wire::peer_exchange>& exchange);
     void apply(const std::vector<routing::trait_verdict>& received);
-    trait_knowledge
-    knowledge_of(const std::vector<request_trait>& traits) const;
-    /// \returns The nodes that collect the reports about the traits.
+    /// \returns The nodes that collect the reports about the traits; the
+    /// storage nodes always do.
     std::set<endpoint>
     collecting_nodes(const std::vector<request_trait>& traits) const;
     void notify_all(const routing::trait_verdict& verdict);
-    void notify(const node_info& node, const std::string& message,
-                int attempts);
+    void notify(const endpoint& node, const std::string& message, int attempts);
     void greet_new_nodes();
+    /// Learns the verdicts that a storage node remembers, and tells it those
+    /// that it may have missed.
+    void exchange_verdicts(const endpoint& storage_node);
     std::vector<std::string> live_names() const;
     void log_verdict(const routing::trait_verdict& verdict,
                      const char* learned_from) const;
@@ -104,6 +107,7 @@
     net::event_loop& loop;
     wire::peer_network& peers;
     peering::peer_group& group;
+    storage_directory& storage;
     metrics::registry& metrics;
     routing::crash_history history;
     routing::trait_quarantine quarantine;
--- a/src/relay/crash_guard_messages.cpp
+++ b/src/relay/crash_guard_messages.cpp
@@ -36,10 +36,9 @@
     {
         this->history.add_report(report);
     }
-    trait_knowledge known = this->knowledge_of(question.value().asked);
-    known.asked.clear();
-    known.verdicts = this->quarantine.all();
-    exchange->finish(encode(known, now));
+    exchange->finish(encode(
+        known_of(this->history, this->quarantine, question.value().asked, now),
+        now));
 }
 
 void crash_guard::handle_verdicts(
@@ -78,17 +77,21 @@
     {
         if (node.id != this->group.own().id)
         {
-            this->notify(node, message, notice_attempts);
+            this->notify(node.peer, message, notice_attempts);
         }
     }
+    for (const auto& [key, address] : this->storage.nodes())
+    {
+        this->notify(address, message, notice_attempts);
+    }
 }
 
-void crash_guard::notify(const node_info& node, const std::string& message,
+void crash_guard::notify(const endpoint& node, const std::string& message,
                          int attempts)
 {
     const std::uint64_t number = this->next_number++;
     this->calls[number] = this->peers.call(
-        node.peer, wire::message_type::trait_verdicts, message, notice_timeout,
+        node, wire::message_type::trait_verdicts, message, notice_timeout,
         {{},
          [this, number, node, message,
           attempts](const result<std::string>& outcome)
@@ -100,7 +103,7 @@
                  return;
              }
              log_event(log_level::info, "trait_verdict_lost",
-                       {{"to", node.id.str()},
+                       {{"to", to_string(node)},
                         {"attempts_left", attempts - 1},
                         {"reason", outcome.error().message}});
              if (attempts <= 1)
@@ -151,9 +154,45 @@
                         { return names[index] == this->group.own().id.str(); });
         if (greets)
         {
-            this->notify(node, message, notice_attempts);
+            this->notify(node.peer, message, notice_attempts);
         }
     }
 }
 
+void crash_guard::exchange_verdicts(const endpoint& storage_node)
+{
+    const time_point now = net::event_loop::now();
+    if (!this->quarantine.is_empty())
+    {
+        trait_knowledge news;
+        news.verdicts = this->quarantine.all();
+        this->notify(storage_node, encode(news, now), notice_attempts);
+    }
+    const std::uint64_t number = this->next_number++;
+    this->calls[number] = this->peers.call(
+        storage_node, wire::message_type::trait_inquiry,
+        encode(trait_knowledge(), now), notice_timeout,
+        {{},
+         [this, number](const result<std::string>& reply)
+         {
+             this->loop.free_later(std::move(this->calls[number]));
+             this->calls.erase(number);
+             if (reply.has_error())
+             {
+                 log_event(log_level::info, "trait_verdicts_not_learned",
+                           {{"reason", reply.error().message}});
+                 return;
+             }
+             const auto knowledge =
+                 decode_trait_knowledge(reply.value(), net::event_loop::now());
+             if (knowledge.has_error())
+             {
+                 log_event(log_level::warning, "trait_reply_refused",
+                           {{"reason", knowledge.error().message}});
+                 return;
+             }
+             this->apply(knowledge.value().verdicts);
+         }});
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -96,7 +96,6 @@
     replica_follower replicas;
     metrics::registry metrics;
     link_monitor link{this->loop, this->replicas, this->random, this->metrics};
-    crash_guard crashes{this->loop, this->peers, this->group, this->metrics};
     replica_doubts doubts{this->replica_client, this->replicas};
     storage_directory storage_nodes{
         this->loop,
@@ -105,6 +104,8 @@
         this->group,
         this->random,
         static_cast<std::size_t>(this->settings.max_direct_followers)};
+    crash_guard crashes{this->loop, this->peers, this->group,
+                        this->storage_nodes, this->metrics};
     stream_origins origins{this->loop,    this->peers,    this->store,
                            this->adapter, this->replicas, this->storage_nodes};
     relay_context context{
--- a/src/relay/storage_directory.cpp
+++ b/src/relay/storage_directory.cpp
@@ -69,9 +69,9 @@
     this->addresses[record.key] = address;
     log_event(log_level::info, "storage_node_listed",
               {{"key", record.key}, {"address", to_string(address)}});
-    if (this->start_callback)
+    for (const auto& callback : this->start_callbacks)
     {
-        this->start_callback(address);
+        callback(address);
     }
 }
 
--- a/src/relay/storage_directory.hpp
+++ b/src/relay/storage_directory.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -38,7 +39,7 @@
     /// its address; it may have started.
     void on_start(std::function<void(const endpoint&)> callback)
     {
-        this->start_callback = std::move(callback);
+        this->start_callbacks.push_back(std::move(callback));
     }
 
 private:
@@ -46,7 +47,7 @@
     void apply_record(const key_value::stored_record& record);
 
     std::map<std::string, endpoint> addresses;
-    std::function<void(const endpoint&)> start_callback;
+    std::vector<std::function<void(const endpoint&)>> start_callbacks;
     feeds::record_feed feed;
 };
 
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -35,7 +35,7 @@
                key_value::record_follower::each_record(
                    [this](const key_value::stored_record& record)
                    { this->handle_record(record); })),
-      peers(this->loop), origins(this->peers),
+      peers(this->loop), origins(this->peers), crashes(this->peers),
       replica_list(this->loop, this->store, this->random,
                    protocol_adapter.keys().replica_prefix, change_batch_window,
                    {[this](const key_value::record_listing& listing, bool)
--- a/src/relay/storage_node.hpp
+++ b/src/relay/storage_node.hpp
@@ -4,6 +4,7 @@
 #include "key_value/record_follower.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
+#include "relay/crash_memory.hpp"
 #include "relay/origin_server.hpp"
 #include "relay/relay_adapter.hpp"
 #include "relay/storage_record.hpp"
@@ -22,8 +23,9 @@
 
 /// A node with a disk. All durable data is in the platform's store, so the node
 /// holds none and reports its retirement as completed as soon as it is
-/// requested. It remembers which software versions began the streams of the
-/// other nodes, which may all be killed at once.
+/// requested. It remembers for the other nodes, which may all be killed at
+/// once, which software versions began their streams and which requests crash
+/// replicas.
 class storage_node
 {
 public:
@@ -62,6 +64,7 @@
     key_value::record_follower follower;
     wire::peer_network peers;
     origin_server origins;
+    crash_memory crashes;
     std::map<replica_id, routing::replica_entry> replicas;
     key_value::record_follower replica_list;
     net::timer retry_timer;
--- a/src/relay/trait_knowledge.cpp
+++ b/src/relay/trait_knowledge.cpp
@@ -40,6 +40,24 @@
 
 } // namespace
 
+trait_knowledge known_of(const routing::crash_history& history,
+                         const routing::trait_quarantine& quarantine,
+                         const std::vector<request_trait>& traits,
+                         time_point now)
+{
+    trait_knowledge known;
+    known.crashes = history.reports_with(traits, now);
+    for (const request_trait& trait : traits)
+    {
+        if (const auto when = history.last_survival(trait))
+        {
+            known.survivals[trait] = *when;
+        }
+    }
+    known.verdicts = quarantine.all();
+    return known;
+}
+
 std::string encode(const trait_knowledge& knowledge, time_point now)
 {
     wire::trait_knowledge message;
--- a/src/relay/trait_knowledge.hpp
+++ b/src/relay/trait_knowledge.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/crash_history.hpp"
 #include "routing/crash_report.hpp"
 #include "routing/trait_quarantine.hpp"
 #include "units/ids.hpp"
@@ -25,6 +26,12 @@
     std::vector<routing::trait_verdict> verdicts;
 };
 
+/// \returns What a node replies to an inquiry about the traits.
+trait_knowledge known_of(const routing::crash_history& history,
+                         const routing::trait_quarantine& quarantine,
+                         const std::vector<request_trait>& traits,
+                         time_point now);
+
 /// \param now The sender's time; a message contains ages, since nodes do not
 /// share a clock.
 std::string encode(const trait_knowledge& knowledge, time_point now);
--- a/tests/relay_process/crashing_request_test.cpp
+++ b/tests/relay_process/crashing_request_test.cpp
@@ -34,9 +34,11 @@
     /// \param events Events that replicas send before they crash.
     explicit crashing_fleet(const char* path = "/plain/a",
                             const char* service = "web",
-                            int engines = engine_count, int events = 0)
+                            int engines = engine_count, int events = 0,
+                            int storage_nodes = 0)
         : fleet(relay_fleet_options{.node_count = node_count,
-                                    .engine_count = engines}),
+                                    .engine_count = engines,
+                                    .storage_count = storage_nodes}),
           bad_path(path), service_name(service)
     {
         this->fleet.store.erase("servers/i-web");
@@ -197,6 +199,31 @@
     crashing.check_blocked();
 }
 
+// Guards against beginning anew when all nodes that callers use are killed at
+// once: each time would cost three more replicas.
+TEST(relay_crashing_requests, a_kill_of_all_nodes_ends_no_block)
+{
+    crashing_fleet crashing("/once/a", "llm", engine_count, 3, 2);
+    crashing.react();
+    for (int kill = 0; kill < 2; ++kill)
+    {
+        for (int node = 0; node < node_count; ++node)
+        {
+            crashing.fleet.process(node).kill();
+        }
+        for (int node = 0; node < node_count; ++node)
+        {
+            crashing.fleet.start(node);
+        }
+        for (int node = 0; node < node_count; ++node)
+        {
+            crashing.fleet.wait_ready(node);
+        }
+        crashing.fleet.run_for(std::chrono::seconds(1));
+        crashing.check_blocked();
+    }
+}
+
 // Guards against giving up items of jobs that were in progress when replicas
 // crashed under another request: they are still owed.
 TEST(relay_crashing_requests, items_in_progress_are_still_completed)
