Keep outputs of items to one version when a replica starts again

Cause: streams alone avoided replicas that may have been replaced. Items went on there, and an item that began there was recorded under the version that the list named.

Items that have begun wait for another replica, as streams do; others avoid such replicas where there is another. When the list changes under a run, its version is corrected, or its output discarded if it is of two versions.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -204,6 +204,13 @@
                      "replicas crash under a part of the prompt");
         return;
     }
+    if (this->progress.last_event > 0 &&
+        this->context.doubts.may_be_replaced(*entry))
+    {
+        this->finish(item_run_result::interrupted,
+                     "the replica may run another version");
+        return;
+    }
     if (this->progress.last_event > 0 &&
         this->progress.version != entry->version)
     {
@@ -259,6 +266,7 @@
     {
         this->handle_end(outcome, response, reason);
     };
+    this->first_event = this->progress.last_event;
     this->restart_stall_timer();
     this->attempt = std::make_unique<replica_exchange>(
         this->context.http, names, *entry, std::move(request),
@@ -267,6 +275,21 @@
     this->connection = this->attempt->connection();
 }
 
+bool item_run::follow_replacement()
+{
+    const routing::replica_entry* replacement =
+        this->context.doubts.replacement_of(this->replica, *this->began);
+    if (replacement == nullptr)
+    {
+        return true;
+    }
+    const bool is_joined =
+        this->first_event > 0 && replacement->version != this->replica.version;
+    this->replica = *replacement;
+    this->progress.version = this->replica.version;
+    return !is_joined;
+}
+
 void item_run::discard_progress()
 {
     this->progress = jobs::item_progress();
@@ -293,6 +316,12 @@
         return;
     }
     const char* problem = nullptr;
+    if (!this->follow_replacement())
+    {
+        this->discard_progress();
+        this->attempt->abort("the replica runs another software version");
+        return;
+    }
     for (const stream_event& event : this->splitter.feed(chunk))
     {
         const bool has_output = this->sequence.has_events();
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -103,6 +103,11 @@
     void handle_grant(const replica_id& replica);
     void send(const replica_id& replica, time_point send_by);
     void handle_chunk(std::string_view chunk);
+    /// Notes the version of the process that responds if the list of replicas
+    /// has named the process before it until now.
+    ///
+    /// \returns Whether the output is of one version.
+    bool follow_replacement();
     /// Discards the output so far; the next run of the item starts anew.
     void discard_progress();
     void restart_stall_timer();
@@ -132,6 +137,8 @@
     std::optional<time_point> began;
     net::connection_use connection;
     int status = 0;
+    /// Number of the event after which this run goes on; 0 from the start.
+    std::int64_t first_event = 0;
     event_splitter splitter;
     event_sequence sequence;
     output_limit limit;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -140,13 +140,23 @@
     this->runs[item] = std::move(run);
     std::set<replica_id> avoided =
         this->retries.avoided(item, usable, net::event_loop::now());
-    if (this->progress.progress_of(item).last_event > 0)
-    {
-        avoided.merge(this->context.doubts.doubtful(service));
-    }
+    avoided.merge(this->doubtful_replicas(item, service, usable));
     started.start(service, route.priority, this->due_in(), std::move(avoided));
 }
 
+std::set<replica_id>
+job_owner::doubtful_replicas(std::size_t item, const service_name& service,
+                             const std::set<replica_id>& usable)
+{
+    const std::set<replica_id> doubtful =
+        this->context.doubts.doubtful(service);
+    const bool has_begun = this->progress.progress_of(item).last_event > 0;
+    const bool has_other = std::any_of(usable.begin(), usable.end(),
+                                       [&doubtful](const replica_id& replica)
+                                       { return !doubtful.contains(replica); });
+    return has_begun || has_other ? doubtful : std::set<replica_id>();
+}
+
 std::set<replica_id> job_owner::usable_replicas(std::size_t item,
                                                 const service_name& service)
 {
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -95,6 +95,12 @@
     void confirm_outcomes(time_point sent);
     void fail_unconfirmed();
     void start_item(std::size_t item, const routing::route& route);
+    /// \param usable The replicas that may run the item.
+    /// \returns Replicas that may run another version than is listed. Empty for
+    /// an item that has not begun if there is no other.
+    std::set<replica_id> doubtful_replicas(std::size_t item,
+                                           const service_name& service,
+                                           const std::set<replica_id>& usable);
     /// \returns The replicas that may run the item. Its progress is erased if
     /// those of the version that has begun it have left.
     std::set<replica_id> usable_replicas(std::size_t item,
--- a/src/relay/online_call_origin.cpp
+++ b/src/relay/online_call_origin.cpp
@@ -127,22 +127,18 @@
 
 bool online_call::follow_replacement()
 {
-    if (this->peer != exchange_peer::replica || !this->is_resumable_stream() ||
-        net::event_loop::now() - this->sent_at >
-            routing::lost_processes::list_delay)
+    if (this->peer != exchange_peer::replica || !this->is_resumable_stream())
     {
         return true;
     }
-    const auto& listed = this->context.replicas.registry().all();
-    const auto found = listed.find(this->replica.id);
-    if (found == listed.end() || routing::process_of(found->second) ==
-                                     routing::process_of(this->replica))
+    const routing::replica_entry* replacement =
+        this->context.doubts.replacement_of(this->replica, this->sent_at);
+    if (replacement == nullptr)
     {
         return true;
     }
-    // The connection would have ended with the process that was listed before.
-    const bool changes_version = found->second.version != this->replica.version;
-    this->replica = found->second;
+    const bool changes_version = replacement->version != this->replica.version;
+    this->replica = *replacement;
     if (!changes_version)
     {
         return true;
@@ -152,7 +148,7 @@
                {"replica", this->replica.id.str()},
                {"version", this->replica.version.str()},
                {"earlier_attempts", this->sends - 1}});
-    if (this->version && this->keeps_version)
+    if (this->keeps_version)
     {
         return false;
     }
--- a/src/relay/replica_doubts.cpp
+++ b/src/relay/replica_doubts.cpp
@@ -45,4 +45,20 @@
     return found;
 }
 
+const routing::replica_entry*
+replica_doubts::replacement_of(const routing::replica_entry& used,
+                               time_point sent_at) const
+{
+    if (net::event_loop::now() - sent_at > routing::lost_processes::list_delay)
+    {
+        return nullptr;
+    }
+    const auto& listed = this->replicas.registry().all();
+    const auto found = listed.find(used.id);
+    const bool is_replaced =
+        found != listed.end() &&
+        routing::process_of(found->second) != routing::process_of(used);
+    return is_replaced ? &found->second : nullptr;
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -4,6 +4,7 @@
 #include "relay/replica_follower.hpp"
 #include "routing/lost_processes.hpp"
 #include "routing/replica_entry.hpp"
+#include "units/time.hpp"
 
 #include <set>
 
@@ -33,6 +34,14 @@
     /// \returns The listed replicas of a service that may be.
     std::set<replica_id> doubtful(const service_name& service) const;
 
+    /// \param sent_at When a request was sent that gets its response now.
+    /// \returns The process that responds, if the list has named the one before
+    /// when the request was sent: the connection would have ended with that.
+    /// Otherwise nullptr.
+    const routing::replica_entry*
+    replacement_of(const routing::replica_entry& used,
+                   time_point sent_at) const;
+
 private:
     const net::http_client& http;
     const replica_follower& replicas;
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -217,6 +217,12 @@
     const std::size_t chosen = this->draw(this->fleet.engines.size());
     replica_stand_in& replica = *this->fleet.engines[chosen];
     fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
+    if (this->kinds == fault_kinds::with_returning_replicas &&
+        this->draw(2) == 0)
+    {
+        this->crash_replica(chosen);
+        return;
+    }
     const duration span = this->draw_span(300, 3000);
     bool is_replaced = false;
     switch (this->draw(this->has_announcements() ? 4 : 3))
@@ -273,6 +279,30 @@
                 });
 }
 
+void fault_plan::crash_replica(std::size_t chosen)
+{
+    replica_stand_in& replica = *this->fleet.engines[chosen];
+    fault_proxy& proxy = *this->fleet.replica_proxies[chosen];
+    this->note("replica " + replica.name() + " crashes");
+    proxy.set_fault(fault_proxy::fault::reset);
+    const duration down_time = this->draw_span(200, 1500);
+    const duration record_delay = this->draw_span(0, 1200);
+    this->after(down_time,
+                [this, &replica, &proxy]
+                {
+                    replica.version = replica.version == "v1" ? "v2" : "v1";
+                    replica.restart();
+                    proxy.set_fault(fault_proxy::fault::none);
+                    this->note("replica " + replica.name() + " is back as " +
+                               replica.version);
+                });
+    this->after(down_time + record_delay,
+                [this, &replica] {
+                    this->fleet.store.put("servers/" + replica.name(),
+                                          replica.record("llm"));
+                });
+}
+
 void fault_plan::change_configuration()
 {
     this->version += static_cast<int>(1 + this->draw(3));
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -57,6 +57,9 @@
     void strike_links(int node);
     void strike_store();
     void strike_replica();
+    /// Ends a replica's process, whose next one has the same id and another
+    /// version.
+    void crash_replica(std::size_t chosen);
     void change_configuration();
     void kill(int node);
     void freeze(int node);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -23,6 +23,9 @@
             "whether nodes also lose their links to all replicas, and replicas "
             "come back with another version, in addition to "
             "--repeated_responses");
+DEFINE_bool(returning_replicas, false,
+            "whether replicas also crash and come back under their ids with "
+            "another version, in addition to --repeated_responses");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -42,6 +45,10 @@
     {
         kinds = fault_kinds::with_stranded_nodes;
     }
+    if (FLAGS_returning_replicas)
+    {
+        kinds = fault_kinds::with_returning_replicas;
+    }
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
