--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -17,9 +17,6 @@
 /// Longer than for online requests, since no caller waits and prompts are
 /// processed again after a preemption.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(1500);
-/// A replica that completes no event for this long is stalled, also if it sends
-/// a byte now and then. Several times the pauses of a slow replica.
-constexpr duration stall_timeout = std::chrono::seconds(5);
 /// Interval of checks whether a blocked item may run, and the number of checks
 /// after which other items of the job get their turn.
 constexpr duration block_check_interval = std::chrono::seconds(1);
@@ -275,93 +272,6 @@
     this->connection = this->attempt->connection();
 }
 
-bool item_run::follow_replacement()
-{
-    const routing::replica_entry* replacement =
-        this->context.doubts.replacement_of(this->replica, *this->began);
-    if (replacement == nullptr)
-    {
-        return true;
-    }
-    const bool is_joined =
-        this->first_event > 0 && replacement->version != this->replica.version;
-    this->replica = *replacement;
-    this->progress.version = this->replica.version;
-    return !is_joined;
-}
-
-void item_run::discard_progress()
-{
-    this->progress = jobs::item_progress();
-    this->sequence = event_sequence(event_numbering::consecutive, 0);
-}
-
-void item_run::restart_stall_timer()
-{
-    this->stall_timer = this->context.loop.call_after(
-        stall_timeout,
-        [this]
-        {
-            if (this->attempt)
-            {
-                this->attempt->abort("the replica completes no event");
-            }
-        });
-}
-
-void item_run::handle_chunk(std::string_view chunk)
-{
-    if (this->status != status_ok)
-    {
-        return;
-    }
-    const char* problem = nullptr;
-    if (!this->follow_replacement())
-    {
-        this->discard_progress();
-        this->attempt->abort("the replica runs another software version");
-        return;
-    }
-    for (const stream_event& event : this->splitter.feed(chunk))
-    {
-        const bool has_output = this->sequence.has_events();
-        problem = this->sequence.append(event);
-        if (problem != nullptr)
-        {
-            break;
-        }
-        // Comments of the event stream carry no data.
-        if (!event.number)
-        {
-            continue;
-        }
-        if (this->limit.is_exceeded_by(this->sequence.last_number(),
-                                       this->progress.output.size() +
-                                           event.data.size()))
-        {
-            problem = "the output exceeds what the item may have";
-            this->discard_progress();
-            break;
-        }
-        if (has_output)
-        {
-            this->progress.output += '\n';
-        }
-        this->progress.output += event.data;
-        this->progress.last_event = this->sequence.last_number();
-        this->progress.version = this->replica.version;
-        this->restart_stall_timer();
-    }
-    if (problem == nullptr && this->splitter.is_too_long())
-    {
-        problem = "an event exceeds the size limit";
-    }
-    if (problem != nullptr)
-    {
-        this->attempt->abort(problem);
-    }
-}
-
 void item_run::handle_end(attempt_outcome outcome,
                           const net::http_response& response,
                           const std::string& reason)
--- a/tests/relay_process/silent_replica_test.cpp
+++ b/tests/relay_process/silent_replica_test.cpp
@@ -18,6 +18,8 @@
 
 /// How long a sound replica may be silent.
 constexpr duration silence = std::chrono::milliseconds(1100);
+/// Longer than a replica is waited for while another one could take over.
+constexpr duration long_silence = std::chrono::milliseconds(2200);
 /// After such a gap callers abandon a stream.
 constexpr duration callers_patience = std::chrono::seconds(2);
 
@@ -126,7 +128,6 @@
 // could go on with it, here in a planned stop of the node.
 TEST(relay_silent_replicas, the_only_replica_of_a_stream_is_not_left)
 {
-    constexpr duration long_silence = std::chrono::milliseconds(2200);
     for (const bool is_stopped : {false, true})
     {
         relay_fleet fleet(relay_fleet_options{.engine_count = 0});
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -12,6 +12,14 @@
 
 constexpr int events_before_truncation = 3;
 
+std::string event_text(int number)
+{
+    const std::string digits = std::to_string(number);
+    std::string text = "id: ";
+    text.append(digits).append("\ndata: t").append(digits).append("\n\n");
+    return text;
+}
+
 } // namespace
 
 replica_stand_in::replica_stand_in(net::event_loop& event_loop,
@@ -142,9 +150,7 @@
             const int first = resumed == nullptr ? 1 : std::stoi(*resumed) + 1;
             for (int count = 0; count < this->events_before_crash; ++count)
             {
-                const std::string number = std::to_string(first + count);
-                exchange->write_chunk("id: " + number + "\ndata: t" + number +
-                                      "\n\n");
+                exchange->write_chunk(event_text(first + count));
             }
         }
         return;
@@ -217,8 +223,7 @@
         this->streams.erase(number);
         return;
     }
-    exchange->write_chunk("id: " + std::to_string(entry.next) + "\ndata: t" +
-                          std::to_string(entry.next) + "\n\n");
+    exchange->write_chunk(event_text(entry.next));
     this->sent_events.emplace(entry.request, entry.next, entry.version);
     ++entry.next;
 }
