Report a replica that is lost after a silence

A replica whose silence had been reported was not reported again when its connection ended, so that streams could go on at the process that replaced it. Found in review of the change; relay_silent_replicas passes as before, no test shows the difference.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -248,7 +248,6 @@
         this->context.http, this->context.adapter.headers(), target,
         this->make_request(send_by), this->request.id, std::move(hooks), kind);
     this->last_connection = this->attempt->connection();
-    this->silence_is_reported = false;
     this->restart_silence_timer();
 }
 
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -50,11 +50,12 @@
         return;
     }
     this->report_crash(outcome);
-    if (!this->silence_is_reported)
+    const bool lost =
+        this->attempt->was_cut() || outcome == attempt_outcome::not_sent;
+    if (lost || !this->silence_is_reported)
     {
-        this->slots.report_failure(
-            this->request.id, this->service, this->replica, outcome,
-            this->attempt->was_cut() || outcome == attempt_outcome::not_sent);
+        this->slots.report_failure(this->request.id, this->service,
+                                   this->replica, outcome, lost);
     }
     this->send_again(answered ? "the response is incomplete" : reason);
 }
--- a/src/relay/online_call_silence.cpp
+++ b/src/relay/online_call_silence.cpp
@@ -42,6 +42,7 @@
 
 void online_call::restart_silence_timer()
 {
+    this->silence_is_reported = false;
     if (!this->is_watched())
     {
         return;
