--- a/src/relay/crash_guard_messages.cpp
+++ b/src/relay/crash_guard_messages.cpp
@@ -3,6 +3,7 @@
 #include "decisions/rendezvous.hpp"
 #include "logging/log.hpp"
 #include "relay/crash_guard.hpp"
+#include "relay/trait_messages.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,37 +24,19 @@
 void crash_guard::handle_inquiry(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
-    const time_point now = net::event_loop::now();
-    const auto question = decode_trait_knowledge(exchange->request(), now);
-    if (question.has_error())
-    {
-        log_event(log_level::warning, "trait_inquiry_refused",
-                  {{"reason", question.error().message}});
-        exchange->fail(question.error());
-        return;
-    }
-    for (const routing::crash_report& report : question.value().crashes)
-    {
-        this->history.add_report(report);
-    }
-    exchange->finish(encode(
-        known_of(this->history, this->quarantine, question.value().asked, now),
-        now));
+    answer_inquiry(*exchange, this->history, this->quarantine);
 }
 
 void crash_guard::handle_verdicts(
     const std::shared_ptr<wire::peer_exchange>& exchange)
 {
-    const auto message =
-        decode_trait_knowledge(exchange->request(), net::event_loop::now());
-    if (message.has_error())
+    const auto message = read_message(*exchange, "trait_verdicts_refused",
+                                      net::event_loop::now());
+    if (!message)
     {
-        log_event(log_level::warning, "trait_verdicts_refused",
-                  {{"reason", message.error().message}});
-        exchange->fail(message.error());
         return;
     }
-    this->apply(message.value().verdicts);
+    this->apply(message->verdicts);
     exchange->finish({});
 }
 
--- a/src/relay/crash_memory.hpp
+++ b/src/relay/crash_memory.hpp
@@ -18,8 +18,7 @@
     explicit crash_memory(wire::peer_network& network);
 
 private:
-    void handle_inquiry(const std::shared_ptr<wire::peer_exchange>& exchange);
-    void handle_verdicts(const std::shared_ptr<wire::peer_exchange>& exchange);
+    void handle_verdicts(wire::peer_exchange& exchange);
 
     routing::crash_history history;
     routing::trait_quarantine quarantine;
