--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -206,6 +206,10 @@
 {
     stream& entry = this->streams.at(number);
     const auto exchange = entry.exchange;
+    if (this->is_silent && exchange->is_open())
+    {
+        return;
+    }
     const bool is_truncated = this->behaviour == fault::truncating &&
                               entry.next > events_before_truncation;
     if (entry.next > this->event_count || is_truncated || !exchange->is_open())
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -83,6 +83,8 @@
     std::string version = "v1";
     /// Header fields that each response gets in addition.
     net::http_header_list extra_headers;
+    /// Whether streams pause.
+    bool is_silent = false;
     /// Number of events after which a stream ends.
     int event_count = stream_events;
     /// Interval between the events of streams that start from now on.
