Let a node that is told to stop while it starts stop as planned

The plan of faults shows why: the node was started and told to stop within the same millisecond (7.124 s), and had written nothing of its own when it had ended 32 ms later (the lines that the failure prints are those of the process before).

Cause: only SIGHUP was deferred while a node starts. SIGTERM and SIGINT had their default action until the node's loop ran, so that a stop in that time ended the process by the signal. Ruled out: a crash (the code is -15) and a signal of the soak to another process (its plan names this one).

Mend: main() defers all three first. The test waits until the program runs and sends SIGTERM at once: exit code -15 before, 0 after.

The soak's check: a signal that comes before main() cannot be deferred by any program. The plan asks the system when it tells a node to stop whether the process handles or defers SIGTERM, and accepts an end by SIGTERM only if it does not yet. Any other end, and this one at any other time, still counts.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -25,6 +25,9 @@
 int main(int argc, char** argv)
 {
     using namespace parsleytrack;
+    // SIGHUP last: tests take it as the sign that all three are deferred.
+    net::event_loop::defer_signal(SIGTERM);
+    net::event_loop::defer_signal(SIGINT);
     net::event_loop::defer_signal(SIGHUP);
     gflags::SetUsageMessage("--settings FILE [--relay]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tests/process_support/child_process.hpp
+++ b/tests/process_support/child_process.hpp
@@ -26,6 +26,10 @@
     /// Sends a signal, unless the process has ended.
     void signal(int number);
 
+    /// \returns Whether it has a handler for a signal or defers it; not so
+    /// before its program's first lines have run.
+    bool handles(int number) const;
+
     /// Kills it and waits for its end.
     void kill();
 
@@ -49,6 +53,9 @@
 
 private:
     void keep_status(int status);
+    /// \returns What the system says of it under a name, or nothing once it
+    /// has ended.
+    std::string status_field(const std::string& name) const;
 
     pid_t pid = -1;
     bool ended = false;
--- a/tests/relay_process/stop_stage_test.cpp
+++ b/tests/relay_process/stop_stage_test.cpp
@@ -110,6 +110,23 @@
     CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
 }
 
+// Guards against a process that ends by the signal, with no regard to what it
+// has begun, when it is told to stop while it starts.
+TEST(relay_stop_stages, a_process_that_still_starts_stops_as_planned)
+{
+    relay_fleet fleet(2);
+    fleet.process(0).kill();
+    fleet.start(0);
+    const time_point begin = net::event_loop::now();
+    while (!fleet.process(0).handles(SIGHUP) &&
+           net::event_loop::now() - begin < relay_fleet::wait_timeout)
+    {
+    }
+    fleet.process(0).signal(SIGTERM);
+    CHECK(fleet.wait([&fleet] { return fleet.process(0).has_ended(); }));
+    CHECK_EQUAL(0, fleet.process(0).exit_code());
+}
+
 // Guards against holding up a stop for a caller that sends nothing more.
 TEST(relay_stop_stages, a_head_that_never_ends_does_not_hold_up_the_stop)
 {
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -47,6 +47,8 @@
     {
         up,
         frozen,
+        /// Told to stop before its program ran, which could not defer that.
+        stopped_early,
         stopping,
         down
     };
@@ -66,6 +68,8 @@
     void stop(int node);
     void after(duration span, std::function<void()> action);
     void watch_processes();
+    /// \returns Whether a process may end in this way.
+    static bool may_end(node_mode mode, int exit_code);
     void note(const std::string& what, bool planned = false);
     std::size_t draw(std::size_t count);
     duration draw_span(std::int64_t least_ms, std::int64_t most_ms);
