Let items go on after short runs only at a version that the list confirms

What a run checks while it lasts (follow_replacement) ended with the run. Ruled out: a lost mark of a replica that may be replaced; the nodes had seen no loss, as they had started since.

Mend: a connection belongs to one process, and the list names the process two seconds after it was opened (a silent replica is removed after 1.2 s, changes take half a second). An item whose run ended sooner waits for that; it starts anew if the list names another version then, if the replica has left, or if the store is away. Saved progress names no version until then, which old and new owners take for one that has left. Weighed: to discard all output of short runs would cost the work of each run that is reclaimed soon.

--- a/src/jobs/item_retries.cpp
+++ b/src/jobs/item_retries.cpp
@@ -11,7 +11,7 @@
     history& known = this->items[item];
     known.tried.insert(replica);
     known.last_fault = now;
-    known.earliest_start = now + known.next_pause;
+    this->hold(item, now + known.next_pause);
     known.next_pause = std::min(known.next_pause * 2, longest_pause);
 }
 
@@ -21,12 +21,18 @@
     history& known = this->items[item];
     known.tried.insert(replica);
     known.last_fault = now;
-    known.earliest_start = now + interruption_pause;
+    this->hold(item, now + interruption_pause);
 }
 
 void item_retries::record_interruption(std::size_t item, time_point now)
 {
-    this->items[item].earliest_start = now + interruption_pause;
+    this->hold(item, now + interruption_pause);
+}
+
+void item_retries::hold(std::size_t item, time_point until)
+{
+    history& known = this->items[item];
+    known.earliest_start = std::max(known.earliest_start, until);
 }
 
 bool item_retries::may_start(std::size_t item, time_point now) const
--- a/src/jobs/item_retries.hpp
+++ b/src/jobs/item_retries.hpp
@@ -40,6 +40,9 @@
     /// Records that the item's run ended without fault of a replica.
     void record_interruption(std::size_t item, time_point now);
 
+    /// Lets an item wait, at least until a time.
+    void hold(std::size_t item, time_point until);
+
     /// Forgets an item that has ended.
     void erase(std::size_t item) { this->items.erase(item); }
 
--- a/src/net/http_call.hpp
+++ b/src/net/http_call.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "units/time.hpp"
+
 #include <cstdint>
 #include <functional>
 
@@ -13,6 +15,8 @@
     std::uint64_t connection = 0;
     /// Number of requests that were sent on it before.
     std::uint64_t earlier_requests = 0;
+    /// When the connection was opened.
+    time_point opened_at = {};
 };
 
 /// A request in progress. Destroying it cancels the request: the connection is
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -35,7 +35,7 @@
                                  std::uint64_t number)
     : connection(evhttp_connection_base_new(base, nullptr, target.host.c_str(),
                                             target.port)),
-      created(event_loop::now()), next_use{number, 0}
+      created(event_loop::now()), next_use{number, 0, created}
 {
     check_invariant(this->connection != nullptr,
                     "evhttp_connection_base_new() must succeed");
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -44,6 +44,12 @@
 class item_run
 {
 public:
+    /// For how long after a replica's process has ended its entry may stay in
+    /// the list: a silent replica is removed after 1.2 s, and changes take half
+    /// a second to arrive. What can be waited for; replica_doubts remembers
+    /// for longer.
+    static constexpr duration list_delay = std::chrono::seconds(2);
+
     using end_callback =
         std::function<void(item_run_result end, const std::string& reason)>;
     /// Asked at the last moment before the item is sent.
@@ -83,6 +89,7 @@
 
     /// \returns The replica of the last attempt; empty if there was none.
     const replica_id& last_replica() const { return this->replica.id; }
+    const routing::replica_entry& last_entry() const { return this->replica; }
 
     /// \returns The software version of the replica of the last attempt.
     const software_version& last_version() const
@@ -90,6 +97,16 @@
         return this->replica.version;
     }
 
+    /// \returns Whether the replica of the last attempt has added output, and
+    /// the list of replicas may still name the process before it.
+    bool has_unconfirmed_output() const;
+
+    /// \returns When the list names the process that the last attempt was at.
+    time_point confirmed_at() const
+    {
+        return this->connection.opened_at + list_delay;
+    }
+
     /// \returns The connection of the last attempt.
     net::connection_use last_connection() const { return this->connection; }
 
--- a/src/relay/item_run_output.cpp
+++ b/src/relay/item_run_output.cpp
@@ -36,6 +36,11 @@
     this->sequence = event_sequence(event_numbering::consecutive, 0);
 }
 
+bool item_run::has_unconfirmed_output() const
+{
+    return this->sequence.run_has_events() && this->progress.version.empty();
+}
+
 void item_run::restart_stall_timer()
 {
     this->stall_timer = this->context.loop.call_after(
@@ -89,7 +94,10 @@
         }
         this->progress.output += event.data;
         this->progress.last_event = this->sequence.last_number();
-        this->progress.version = this->replica.version;
+        // Whoever takes the item over starts it anew until then.
+        this->progress.version = net::event_loop::now() < this->confirmed_at()
+                                     ? software_version()
+                                     : this->replica.version;
         this->restart_stall_timer();
     }
     if (problem == nullptr && this->splitter.is_too_long())
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -127,6 +127,7 @@
 {
     const jobs::job_input& input = this->owned.input();
     this->run_target = route.run_target;
+    this->confirm_version(item);
     const service_name& service = route.services.front().service;
     const std::set<replica_id> usable = this->usable_replicas(item, service);
     auto run = std::make_unique<item_run>(
@@ -144,51 +145,6 @@
     started.start(service, route.priority, this->due_in(), std::move(avoided));
 }
 
-std::set<replica_id>
-job_owner::doubtful_replicas(std::size_t item, const service_name& service,
-                             const std::set<replica_id>& usable)
-{
-    const std::set<replica_id> doubtful =
-        this->context.doubts.doubtful(service);
-    const bool has_begun = this->progress.progress_of(item).last_event > 0;
-    const bool has_other = std::any_of(usable.begin(), usable.end(),
-                                       [&doubtful](const replica_id& replica)
-                                       { return !doubtful.contains(replica); });
-    return has_begun || has_other ? doubtful : std::set<replica_id>();
-}
-
-std::set<replica_id> job_owner::usable_replicas(std::size_t item,
-                                                const service_name& service)
-{
-    std::set<replica_id> all;
-    std::set<replica_id> same_version;
-    jobs::item_progress& known = this->progress.progress_of(item);
-    for (const routing::replica_entry* replica :
-         this->context.replicas.registry().usable(service))
-    {
-        all.insert(replica->id);
-        if (replica->version == known.version)
-        {
-            same_version.insert(replica->id);
-        }
-    }
-    if (known.last_event == 0)
-    {
-        return all;
-    }
-    if (same_version.empty() && !all.empty())
-    {
-        log_event(log_level::info, "item_starts_anew",
-                  {{"job", this->owned.input().id.str()},
-                   {"item", this->owned.input().items[item].id},
-                   {"version", known.version.str()},
-                   {"after_event", known.last_event}});
-        known = jobs::item_progress();
-        return all;
-    }
-    return same_version;
-}
-
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
                                 const std::string& reason, int max_failures)
 {
@@ -198,18 +154,17 @@
     const replica_id& replica = run->last_replica();
     const time_point now = net::event_loop::now();
     const char* outcome = "completed";
+    this->hold_unconfirmed(item, *run);
     switch (end)
     {
     case item_run_result::completed:
         this->owned.complete_item(item, known.output);
-        this->progress.erase(item);
-        this->retries.erase(item);
+        this->forget(item);
         break;
     case item_run_result::impossible:
         outcome = "impossible";
         this->owned.abandon_item(item);
-        this->progress.erase(item);
-        this->retries.erase(item);
+        this->forget(item);
         break;
     case item_run_result::failed:
         outcome = "failed";
@@ -217,8 +172,7 @@
         if (this->owned.fail_item(item, max_failures))
         {
             outcome = "given_up";
-            this->progress.erase(item);
-            this->retries.erase(item);
+            this->forget(item);
         }
         break;
     case item_run_result::rejected:
@@ -284,6 +238,7 @@
     this->unconfirmed_items.clear();
     for (const auto& [item, run] : std::exchange(this->runs, {}))
     {
+        this->hold_unconfirmed(item, *run);
         this->owned.return_item(item);
     }
 }
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -105,6 +105,18 @@
     /// those of the version that has begun it have left.
     std::set<replica_id> usable_replicas(std::size_t item,
                                          const service_name& service);
+    /// Forgets an item that has an outcome.
+    void forget(std::size_t item);
+    /// Discards an item's output.
+    ///
+    /// \param version The version that it is of, for the log.
+    void start_anew(std::size_t item, const software_version& version);
+    /// Lets an item wait after a run that was too short for the list of
+    /// replicas to show which process, of which version, it was at.
+    void hold_unconfirmed(std::size_t item, const item_run& run);
+    /// Keeps the output of such a run only if the list still names the version
+    /// and would show a change.
+    void confirm_version(std::size_t item);
     /// Calls start_items() when the next item that pauses may start.
     void schedule_start();
     void handle_item_end(std::size_t item, item_run_result end,
@@ -153,6 +165,8 @@
     std::function<void()> lost_callback;
     progress_tracker progress;
     jobs::item_retries retries;
+    /// The replicas of the last runs of items whose versions are not confirmed.
+    std::map<std::size_t, routing::replica_entry> unconfirmed_sources;
     result_readers readers;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
     state_confirmation confirmation;
--- a/tests/jobs/item_retries_test.cpp
+++ b/tests/jobs/item_retries_test.cpp
@@ -102,3 +102,16 @@
     this->now += std::chrono::microseconds(1);
     CHECK(this->avoided().empty());
 }
+
+// Guards against an item that starts before the time for which it is held,
+// because a run that ended in the meantime has set a shorter pause.
+TEST(item_retries, an_item_that_is_held_waits_for_at_least_that_long)
+{
+    const time_point until = this->now + std::chrono::seconds(1);
+    this->retries.hold(0, until);
+    this->retries.record_interruption(0, this->now);
+    CHECK_FALSE(
+        this->retries.may_start(0, until - std::chrono::microseconds(1)));
+    CHECK(this->retries.may_start(0, until));
+    CHECK(this->retries.may_start(1, this->now));
+}
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -2,12 +2,62 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
 #include <memory>
+#include <set>
 #include <string>
+#include <tuple>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
 
+namespace
+{
+
+/// \returns How many runs went on after an event that no replica of their
+/// version had sent.
+int joined_runs(const relay_fleet& fleet)
+{
+    std::set<std::tuple<std::string, int, std::string>> sent;
+    for (const auto& engine : fleet.engines)
+    {
+        sent.insert(engine->sent_events.begin(), engine->sent_events.end());
+    }
+    int joined = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& resumed : engine->resumptions)
+        {
+            joined += sent.contains(resumed) ? 0 : 1;
+        }
+    }
+    return joined;
+}
+
+/// Runs a job's items at a replica of another version than the list of
+/// replicas names, which ends them after three events.
+///
+/// \param node_count Number of nodes.
+std::unique_ptr<relay_fleet> begin_items_at_unlisted_version(int node_count)
+{
+    relay_fleet_options options;
+    options.node_count = node_count;
+    options.engine_count = 2;
+    auto fleet = std::make_unique<relay_fleet>(options);
+    replica_stand_in& unlisted = *fleet->engines.front();
+    unlisted.version = "v2";
+    unlisted.behaviour = replica_stand_in::fault::truncating;
+    fleet->engines.back()->behaviour = replica_stand_in::fault::full;
+    CHECK_EQUAL(202, fleet->submit(0, "job", 2).status);
+    CHECK(
+        fleet->wait([&unlisted] { return unlisted.sent_events.size() >= 3; }));
+    unlisted.stop();
+    fleet->engines.back()->behaviour = replica_stand_in::fault::none;
+    return fleet;
+}
+
+} // namespace
+
 TEST_GROUP(relay_replaced_processes){};
 
 // Guards against a stream that goes on at another software version because its
@@ -86,3 +136,42 @@
         CHECK(replica.sent_events.contains(resumed));
     }
 }
+
+// Guards against an item that has begun at a replica which is back with
+// another version than the list names, and goes on at a replica of the listed
+// one before the list has changed.
+TEST(relay_replaced_processes, items_of_short_runs_do_not_go_on_unconfirmed)
+{
+    const auto fleet = begin_items_at_unlisted_version(1);
+    fleet->run_for(std::chrono::milliseconds(500));
+    fleet->engines.front()->restart();
+    fleet->store.put("servers/i-0", fleet->engines.front()->record("llm"));
+    const auto results = fleet->results(0, "job");
+    CHECK_EQUAL(2, results.size());
+    CHECK_EQUAL(0, joined_runs(*fleet));
+}
+
+// Guards against the same at the node that the job is handed over to.
+TEST(relay_replaced_processes, nor_at_the_next_owner)
+{
+    const auto fleet = begin_items_at_unlisted_version(2);
+    const int owner = fleet->status(0)["jobs"].empty() ? 1 : 0;
+    fleet->process(owner).signal(SIGTERM);
+    CHECK(fleet->wait([&fleet, owner]
+                      { return fleet->process(owner).has_ended(); }));
+    const auto results = fleet->results(1 - owner, "job");
+    CHECK_EQUAL(2, results.size());
+    CHECK_EQUAL(0, joined_runs(*fleet));
+}
+
+// Guards against trust in a list that cannot show a change: the store is away.
+TEST(relay_replaced_processes, nor_while_the_store_is_away)
+{
+    const auto fleet = begin_items_at_unlisted_version(1);
+    fleet->store.set_refusing(fleet->store_address(0), true);
+    fleet->engines.front()->restart();
+    CHECK(fleet->wait(
+        [&fleet]
+        { return fleet->engines.back()->sent_events.size() >= 2 * 12; }));
+    CHECK_EQUAL(0, joined_runs(*fleet));
+}
