Count answers that begin and run into their time limit as failures

Cause: a request that expired told the broker nothing; its slot came back as that of any request. Ruled out: one request at a time does not show it (the broker grants the least used replica, 20 requests a second cost under one in twenty before, too); bursts do.

Mend: at the time limit, a replica whose answer to a plain request has begun is reported as failing.

--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -137,6 +137,8 @@
     void release_attempt();
     void fail(error reason);
     void expire();
+    /// Reports a replica whose answer, once begun, has not ended in time.
+    void report_unended_body();
     void finish(const char* outcome, int status);
     void report_end(const char* outcome, int status) const;
     duration remaining() const;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -215,6 +215,7 @@
     {
         // The replica may be running the request.
         ++this->runs;
+        this->report_unended_body();
     }
     const bool ran = this->runs > 0;
     this->fail(
@@ -223,6 +224,17 @@
               ran ? ran_state::unknown : ran_state::no, retry_after_refused});
 }
 
+void online_call::report_unended_body()
+{
+    if (!this->is_stream() && this->peer == exchange_peer::replica &&
+        this->attempt->has_head())
+    {
+        this->slots.report_failure(this->request.id, this->service,
+                                   this->replica, attempt_outcome::may_have_run,
+                                   false);
+    }
+}
+
 void online_call::finish(const char* outcome, int status)
 {
     if (std::exchange(this->ended, true))
--- a/tests/relay_process/endless_response_test.cpp
+++ b/tests/relay_process/endless_response_test.cpp
@@ -4,8 +4,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -112,3 +114,59 @@
         }
     }
 }
+
+// Guards against sending requests again and again to a replica whose answers
+// begin and run into their time limit.
+TEST(relay_endless_responses, slow_bodies_cost_few_requests)
+{
+    constexpr int bursts = 25;
+    constexpr int burst_size = 20;
+    constexpr std::size_t sound_runs = 20;
+    relay_fleet fleet(1);
+    replica_stand_in second(fleet.loop, "i-second");
+    fleet.store.put("servers/" + second.name(), second.record("web"));
+    raw_replica faulty(fleet.loop, "a-slow",
+                       raw_replica::fault::slow_endless_body);
+    fleet.store.put("servers/" + faulty.name(), faulty.record("web"));
+    std::vector<std::shared_ptr<relay_fleet::response>> responses;
+    const auto send_burst = [&fleet, &responses]
+    {
+        for (int sent = 0; sent < burst_size; ++sent)
+        {
+            responses.push_back(std::make_shared<relay_fleet::response>());
+            fleet.start_call(0, "POST", "/plain/a",
+                             "r" + std::to_string(responses.size()), "",
+                             responses.back());
+        }
+        fleet.run_for(std::chrono::seconds(1));
+    };
+    for (int burst = 0; burst < bursts; ++burst)
+    {
+        send_burst();
+    }
+    const auto has_ended = [](const auto& response)
+    {
+        return response->status >= 0;
+    };
+    CHECK(fleet.wait(
+        [&responses, has_ended] {
+            return std::all_of(responses.begin(), responses.end(), has_ended);
+        }));
+    CHECK_FALSE(faulty.runs.empty());
+    const auto unserved = std::count_if(responses.begin(), responses.end(),
+                                        [](const auto& response)
+                                        { return response->status != 200; });
+    constexpr int largest_share = 20;
+    CHECK_TEXT(unserved * largest_share < bursts * burst_size,
+               std::to_string(unserved).c_str());
+    // It is used again once it is sound.
+    faulty.set_fault(raw_replica::fault::none);
+    const std::size_t runs_before = faulty.runs.size();
+    const time_point begin = net::event_loop::now();
+    while (faulty.runs.size() < runs_before + sound_runs &&
+           net::event_loop::now() - begin < relay_fleet::wait_timeout)
+    {
+        send_burst();
+    }
+    CHECK(faulty.runs.size() >= runs_before + sound_runs);
+}
--- a/tests/relay_support/raw_replica.cpp
+++ b/tests/relay_support/raw_replica.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr duration trickle_interval = std::chrono::milliseconds(400);
+constexpr duration slow_body_interval = std::chrono::milliseconds(100);
 /// Rate of an endless response: a piece of about 64 KiB, 100 times a second.
 constexpr duration piece_interval = std::chrono::milliseconds(10);
 constexpr int lines_per_piece = 64;
@@ -116,6 +117,9 @@
     std::string bytes;
     switch (this->behaviour)
     {
+    case fault::none:
+        bytes = page_response(request);
+        break;
     case fault::extra_response:
         bytes = page_response(request) + page_response(this->previous_request);
         this->previous_request = request;
@@ -147,7 +151,11 @@
         break;
     case fault::trickle:
         bytes = response_head(request, "Connection: close") + "id: 1\ndata: ";
-        this->send_single_bytes();
+        this->repeat("x", trickle_interval);
+        break;
+    case fault::slow_endless_body:
+        bytes = response_head(request, "Transfer-Encoding: chunked");
+        this->repeat("1\r\nx\r\n", slow_body_interval);
         break;
     case fault::unframed_stream:
         bytes = response_head(request, "Connection: close") + events(12);
@@ -191,15 +199,15 @@
     }
 }
 
-void raw_replica::send_single_bytes()
+void raw_replica::repeat(const std::string& bytes, duration interval)
 {
     this->trickle_timer = this->loop.call_every(
-        trickle_interval,
-        [this]
+        interval,
+        [this, bytes]
         {
             for (const auto& [link, text] : this->connections)
             {
-                bufferevent_write(link, "x", 1);
+                bufferevent_write(link, bytes.data(), bytes.size());
             }
         });
 }
--- a/tests/relay_support/raw_replica.hpp
+++ b/tests/relay_support/raw_replica.hpp
@@ -19,6 +19,8 @@
 public:
     enum class fault
     {
+        /// Responds as it should.
+        none,
         /// Sends after each response a second one, for the previous request.
         extra_response,
         /// Starts an event and never ends it.
@@ -37,6 +39,8 @@
         endless_trailer,
         /// Sends interim responses without end.
         endless_interim,
+        /// Sends a chunked body without end, ten bytes a second.
+        slow_endless_body,
         /// Sends a byte of an event now and then and never ends it.
         trickle,
         /// Resets the connection after reading the request.
@@ -59,6 +63,13 @@
 
     const std::string& name() const { return this->id; }
 
+    /// Changes how it responds from now on.
+    void set_fault(fault chosen)
+    {
+        this->trickle_timer.cancel();
+        this->behaviour = chosen;
+    }
+
     /// Number of runs by request id.
     std::map<std::string, int> runs;
 
@@ -70,7 +81,8 @@
 private:
     void accept(int descriptor);
     void respond(bufferevent* link, const std::string& request);
-    void send_single_bytes();
+    /// Sends bytes on all connections, again and again.
+    void repeat(const std::string& bytes, duration interval);
     /// Sends more of each endless response.
     void send_pieces();
     /// \param event Number of the next event.
