Let each node name its build

The line event=started, the metric parsleytrack_build_info and BUILD in "parsleytrack relay nodes" name the commit, or the version where the sources have no history. A node of an earlier build shows "-". Nothing is sent between nodes for it: the command asks each node for its status.

Test: relay_status, each_node_names_its_build (new behaviour; no build before has the field).

--- a/src/cli/relay_commands.cpp
+++ b/src/cli/relay_commands.cpp
@@ -102,22 +102,22 @@
 
 void print_nodes(const json& all)
 {
-    table rows({"NODE", "ZONE", "STATE", "CONFIGURATION", "CONFIRMED_MS",
-                "STORE", "REPLICAS", "REPLICAS_MS", "JOBS"});
+    table rows({"NODE", "BUILD", "ZONE", "STATE", "CONFIGURATION",
+                "CONFIRMED_MS", "STORE", "REPLICAS", "REPLICAS_MS", "JOBS"});
     for (const json& node : all)
     {
         if (node.value("silent", false))
         {
-            rows.add({cell(node, "node"), cell(node, "availability_zone"),
+            rows.add({cell(node, "node"), "-", cell(node, "availability_zone"),
                       "silent, held " + cell(node, "state"), "-", "-", "-", "-",
                       "-", "-"});
             continue;
         }
         const json& configuration = node.at("configuration");
         const bool reachable = node.at("store").value("reachable", false);
-        rows.add({cell(node, "node"), cell(node, "availability_zone"),
-                  state_of(node), cell(configuration, "version"),
-                  cell(configuration, "age_ms"),
+        rows.add({cell(node, "node"), cell(node, "build"),
+                  cell(node, "availability_zone"), state_of(node),
+                  cell(configuration, "version"), cell(configuration, "age_ms"),
                   reachable ? "reached" : "out of reach",
                   std::to_string(node.at("replicas").size()),
                   cell(node, "replicas_age_ms"),
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -15,6 +15,7 @@
 #include "relay/status_report.hpp"
 #include "relay/stop_schedule.hpp"
 #include "settings/relay_settings_loader.hpp"
+#include "units/build_name.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -369,7 +370,8 @@
     self.store_calls_timer = self.loop.call_every(
         store_calls_interval, [&self] { self.status.log_store_calls(); });
     log_event(log_level::info, "started",
-              {{"peer", to_string(self.settings.peer)},
+              {{"build", build_name()},
+               {"peer", to_string(self.settings.peer)},
                {"zone", self.settings.availability_zone.str()},
                {"store", to_string(self.settings.store)},
                {"seeds", self.settings.seeds.size()}});
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -2,6 +2,7 @@
 #include "routing/content_trait.hpp"
 
 #include "logging/log.hpp"
+#include "units/build_name.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -165,6 +166,7 @@
 {
     const nlohmann::json document{
         {"node", this->context.settings.id.str()},
+        {"build", build_name()},
         {"availability_zone", this->context.settings.availability_zone.str()},
         {"stopping", stopping},
         {"stranded", this->context.link.is_stranded()},
@@ -194,6 +196,8 @@
         metrics.set_gauge("parsleytrack_store_calls", {{"kind", count.kind}},
                           static_cast<double>(store.calls_made().*count.value));
     }
+    metrics.set_gauge("parsleytrack_build_info", {{"build", build_name()}},
+                      1.0);
     const auto table = this->context.configuration.current();
     metrics.set_gauge("parsleytrack_store_reachable", {},
                       store.is_reachable() ? 1.0 : 0.0);
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -1,6 +1,7 @@
 #include "relay/storage_node.hpp"
 
 #include "logging/log.hpp"
+#include "units/build_name.hpp"
 
 #include <csignal>
 #include <random>
@@ -168,7 +169,8 @@
     const net::timer on_reload = this->loop.on_signal(
         SIGHUP, [] { log_event(log_level::info, "reload_without_effect"); });
     log_event(log_level::info, "started",
-              {{"zone", this->settings.availability_zone.str()},
+              {{"build", build_name()},
+               {"zone", this->settings.availability_zone.str()},
                {"store", to_string(this->settings.store)}});
     this->loop.run();
     log_event(log_level::info, "stopped");
--- a/tests/relay_process/status_test.cpp
+++ b/tests/relay_process/status_test.cpp
@@ -1,4 +1,5 @@
 #include "relay_support/relay_fleet.hpp"
+#include "units/build_name.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -102,3 +103,22 @@
         CHECK_TEXT(text.find(part) != std::string::npos, part);
     }
 }
+
+// Guards against an upgrade of which operators cannot see how far it is.
+TEST(relay_status, each_node_names_its_build)
+{
+    relay_fleet fleet(2);
+    const std::string build = build_name();
+    CHECK_FALSE(build.empty());
+    CHECK(
+        fleet.wait([&fleet] { return fleet.status(0)["nodes"].size() == 2; }));
+    for (const auto& node : run_command(fleet, "nodes"))
+    {
+        STRCMP_EQUAL(build.c_str(), node["build"].get<std::string>().c_str());
+    }
+    STRCMP_CONTAINS(
+        ("parsleytrack_build_info{build=\"" + build + "\"} 1").c_str(),
+        fleet.metrics_text(0).c_str());
+    STRCMP_CONTAINS(("event=started node=n0 build=" + build).c_str(),
+                    fleet.process(0).output().c_str());
+}
