Send an item that a full replica has refused to another one

Seen while a test for replaced processes was written: one of two items was not done in 20 s, with an idle replica. Each of its 690 runs went to the one that is full (503, "did not run").

Cause: a refusal ended the run as interrupted, without fault of the replica; 30 ms later the broker, by whose count it has free slots, granted it again. Online requests exclude such a replica, items did not.

Mend: item_run_result::refused; a replica that has refused an item is avoided for a second if another can run it (item_retries::record_refusal).

--- a/src/jobs/item_retries.cpp
+++ b/src/jobs/item_retries.cpp
@@ -24,6 +24,16 @@
     this->hold(item, now + interruption_pause);
 }
 
+void item_retries::record_refusal(std::size_t item, const replica_id& replica,
+                                  time_point now)
+{
+    history& known = this->items[item];
+    known.tried.insert(replica);
+    known.last_fault =
+        std::max(known.last_fault, now + refusal_time - avoidance_time);
+    this->hold(item, now + interruption_pause);
+}
+
 void item_retries::record_interruption(std::size_t item, time_point now)
 {
     this->hold(item, now + interruption_pause);
--- a/src/jobs/item_retries.hpp
+++ b/src/jobs/item_retries.hpp
@@ -28,6 +28,8 @@
     /// An item waits this long for other replicas than those that it has been
     /// at, counted from its last run.
     static constexpr duration avoidance_time = std::chrono::seconds(5);
+    /// The same for those that have only refused it.
+    static constexpr duration refusal_time = std::chrono::seconds(1);
 
     /// Records that a replica answered the item with an error.
     void record_error(std::size_t item, const replica_id& replica,
@@ -37,6 +39,11 @@
     void record_loss(std::size_t item, const replica_id& replica,
                      time_point now);
 
+    /// Records that a replica did not run the item. It is avoided for a shorter
+    /// time: a full replica has free slots again soon.
+    void record_refusal(std::size_t item, const replica_id& replica,
+                        time_point now);
+
     /// Records that the item's run ended without fault of a replica.
     void record_interruption(std::size_t item, time_point now);
 
@@ -63,7 +70,7 @@
 private:
     struct history
     {
-        /// Replicas that answered with an error or were lost.
+        /// Replicas that answered with an error, refused or were lost.
         std::set<replica_id> tried;
         duration next_pause = first_pause;
         time_point last_fault;
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -46,6 +46,7 @@
         return status == status_failed ? item_run_result::failed
                                        : item_run_result::rejected;
     case attempt_outcome::not_run:
+        return item_run_result::refused;
     case attempt_outcome::wrong_replica:
     case attempt_outcome::expired:
         return item_run_result::interrupted;
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -35,6 +35,8 @@
     rejected,
     /// No complete answer came from the replica; to be resumed likewise.
     lost,
+    /// The replica did not run the item; to be resumed likewise.
+    refused,
     /// To be resumed from the saved progress.
     interrupted
 };
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -139,10 +139,8 @@
         { this->handle_item_end(item, end, reason, max_failures); });
     item_run& started = *run;
     this->runs[item] = std::move(run);
-    std::set<replica_id> avoided =
-        this->retries.avoided(item, usable, net::event_loop::now());
-    avoided.merge(this->doubtful_replicas(item, service, usable));
-    started.start(service, route.priority, this->due_in(), std::move(avoided));
+    started.start(service, route.priority, this->due_in(),
+                  this->avoided_replicas(item, service, usable));
 }
 
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
@@ -180,6 +178,11 @@
         this->retries.record_error(item, replica, now);
         this->owned.return_item(item);
         break;
+    case item_run_result::refused:
+        outcome = "interrupted";
+        this->retries.record_refusal(item, replica, now);
+        this->owned.return_item(item);
+        break;
     case item_run_result::lost:
         outcome = "interrupted";
         this->retries.record_loss(item, replica, now);
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -96,6 +96,11 @@
     void fail_unconfirmed();
     void start_item(std::size_t item, const routing::route& route);
     /// \param usable The replicas that may run the item.
+    /// \returns Those at which it must not run now.
+    std::set<replica_id> avoided_replicas(std::size_t item,
+                                          const service_name& service,
+                                          const std::set<replica_id>& usable);
+    /// \param usable The replicas that may run the item.
     /// \returns Replicas that may run another version than is listed. Empty for
     /// an item that has not begun if there is no other.
     std::set<replica_id> doubtful_replicas(std::size_t item,
--- a/src/relay/job_owner_versions.cpp
+++ b/src/relay/job_owner_versions.cpp
@@ -4,12 +4,28 @@
 #include "relay/job_owner.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
 namespace parsleytrack::relay
 {
 
+std::set<replica_id>
+job_owner::avoided_replicas(std::size_t item, const service_name& service,
+                            const std::set<replica_id>& usable)
+{
+    std::set<replica_id> avoided =
+        this->doubtful_replicas(item, service, usable);
+    // An item must not wait for replicas at which it cannot run either.
+    std::set<replica_id> possible;
+    std::set_difference(usable.begin(), usable.end(), avoided.begin(),
+                        avoided.end(), std::inserter(possible, possible.end()));
+    avoided.merge(
+        this->retries.avoided(item, possible, net::event_loop::now()));
+    return avoided;
+}
+
 std::set<replica_id>
 job_owner::doubtful_replicas(std::size_t item, const service_name& service,
                              const std::set<replica_id>& usable)
--- a/tests/jobs/item_retries_test.cpp
+++ b/tests/jobs/item_retries_test.cpp
@@ -115,3 +115,17 @@
     CHECK(this->retries.may_start(0, until));
     CHECK(this->retries.may_start(1, this->now));
 }
+
+// Guards against an item that waits as long for others when its replica was
+// only full.
+TEST(item_retries, a_replica_that_refused_is_avoided_for_a_shorter_time)
+{
+    this->retries.record_refusal(0, a, this->now);
+    CHECK(this->avoided() == std::set<replica_id>{a});
+    this->now += item_retries::refusal_time;
+    CHECK(this->avoided().empty());
+    this->retries.record_loss(0, b, this->now);
+    this->retries.record_refusal(0, a, this->now);
+    this->now += item_retries::refusal_time;
+    CHECK(this->avoided() == (std::set<replica_id>{a, b}));
+}
--- a/tests/relay_process/item_attempt_test.cpp
+++ b/tests/relay_process/item_attempt_test.cpp
@@ -159,3 +159,18 @@
     CHECK(arrivals.at(2) - arrivals.at(1) >= first_pause);
     CHECK(arrivals.at(3) - arrivals.at(2) >= second_pause);
 }
+
+// Guards against items that go to a full replica again and again, since it has
+// free slots by what its broker knows, while another one is idle.
+TEST(relay_item_attempts, a_full_replica_keeps_no_item_waiting)
+{
+    relay_fleet fleet(relay_fleet_options{.engine_count = 2});
+    fleet.engines.front()->behaviour = replica_stand_in::fault::full;
+    const time_point begin = net::event_loop::now();
+    CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
+    const auto results = fleet.results(0, "job");
+    CHECK_EQUAL(2, count_state(results, "completed"));
+    CHECK(net::event_loop::now() - begin < give_up_limit);
+    // Each item may be refused once.
+    CHECK(fleet.engines.front()->arrivals.size() <= 2);
+}
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,11 +35,30 @@
     return joined;
 }
 
+/// \returns How many items have got their last event.
+std::size_t ended_items(const relay_fleet& fleet)
+{
+    std::set<std::string> ended;
+    for (const auto& engine : fleet.engines)
+    {
+        for (const auto& [request, event, version] : engine->sent_events)
+        {
+            if (event == replica_stand_in::stream_events)
+            {
+                ended.insert(request);
+            }
+        }
+    }
+    return ended.size();
+}
+
 /// Runs a job's items at a replica of another version than the list of
 /// replicas names, which ends them after three events.
 ///
 /// \param node_count Number of nodes.
-std::unique_ptr<relay_fleet> begin_items_at_unlisted_version(int node_count)
+/// \param before Called when the job has been accepted and nothing has run.
+std::unique_ptr<relay_fleet> begin_items_at_unlisted_version(
+    int node_count, const std::function<void(relay_fleet&)>& before = {})
 {
     relay_fleet_options options;
     options.node_count = node_count;
@@ -46,9 +66,14 @@
     auto fleet = std::make_unique<relay_fleet>(options);
     replica_stand_in& unlisted = *fleet->engines.front();
     unlisted.version = "v2";
-    unlisted.behaviour = replica_stand_in::fault::truncating;
+    unlisted.behaviour = replica_stand_in::fault::full;
     fleet->engines.back()->behaviour = replica_stand_in::fault::full;
     CHECK_EQUAL(202, fleet->submit(0, "job", 2).status);
+    if (before)
+    {
+        before(*fleet);
+    }
+    unlisted.behaviour = replica_stand_in::fault::truncating;
     CHECK(
         fleet->wait([&unlisted] { return unlisted.sent_events.size() >= 3; }));
     unlisted.stop();
@@ -167,11 +192,15 @@
 // Guards against trust in a list that cannot show a change: the store is away.
 TEST(relay_replaced_processes, nor_while_the_store_is_away)
 {
-    const auto fleet = begin_items_at_unlisted_version(1);
-    fleet->store.set_refusing(fleet->store_address(0), true);
+    const auto lose_store = [](relay_fleet& fleet)
+    {
+        fleet.store.set_refusing(fleet.store_address(0), true);
+        CHECK(fleet.wait(
+            [&fleet]
+            { return fleet.status(0)["store"]["reachable"] == false; }));
+    };
+    const auto fleet = begin_items_at_unlisted_version(1, lose_store);
     fleet->engines.front()->restart();
-    CHECK(fleet->wait(
-        [&fleet]
-        { return fleet->engines.back()->sent_events.size() >= 2 * 12; }));
+    CHECK(fleet->wait([&fleet] { return ended_items(*fleet) == 2; }));
     CHECK_EQUAL(0, joined_runs(*fleet));
 }
