Read a starting process's deferred signals at one moment

Cause, in the test's frame: while a process is started, all signals are blocked for a moment (posix_spawn), and child_process::handles() took that for the SIGHUP that main() defers; SIGTERM then came before main().

--- a/tests/process_support/child_process.cpp
+++ b/tests/process_support/child_process.cpp
@@ -136,14 +136,22 @@
 
 bool child_process::handles(int number) const
 {
-    constexpr int hexadecimal = 16;
-    std::uint64_t mask = 0;
-    for (const std::string name : {"SigBlk:", "SigCgt:"})
+    const auto read_mask = [this](const char* field)
     {
-        const std::string field = this->status_field(name);
-        mask |= field.empty() ? 0 : std::stoull(field, nullptr, hexadecimal);
-    }
-    return (mask >> (number - 1) & 1U) != 0;
+        constexpr int hexadecimal = 16;
+        const std::string mask = this->status_field(field);
+        return mask.empty() ? 0 : std::stoull(mask, nullptr, hexadecimal);
+    };
+    const auto bit_of = [](int signal_number)
+    {
+        return 1ULL << (signal_number - 1);
+    };
+    // While it is started, all signals are blocked for a moment; both bits must
+    // be of one moment.
+    const std::uint64_t blocked = read_mask("SigBlk:");
+    const bool defers =
+        (blocked & (bit_of(number) | bit_of(SIGUSR2))) == bit_of(number);
+    return defers || (read_mask("SigCgt:") & bit_of(number)) != 0;
 }
 
 std::string child_process::status_field(const std::string& name) const
