--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -46,11 +46,11 @@
 class item_run
 {
 public:
-    /// For how long after a replica's process has ended its entry may stay in
-    /// the list: a silent replica is removed after 1.2 s, and changes take half
-    /// a second to arrive. What can be waited for; replica_doubts remembers
-    /// for longer.
-    static constexpr duration list_delay = std::chrono::seconds(2);
+    /// How long after a connection was opened the list of replicas names the
+    /// process at its other end, where the store and this node work as usual: a
+    /// silent replica is removed after 1.2 s, and changes take half a second to
+    /// arrive.
+    static constexpr duration confirmation_delay = std::chrono::seconds(2);
 
     using end_callback =
         std::function<void(item_run_result end, const std::string& reason)>;
@@ -106,7 +106,7 @@
     /// \returns When the list names the process that the last attempt was at.
     time_point confirmed_at() const
     {
-        return this->connection.opened_at + list_delay;
+        return this->connection.opened_at + confirmation_delay;
     }
 
     /// \returns The connection of the last attempt.
--- a/src/relay/item_run_output.cpp
+++ b/src/relay/item_run_output.cpp
@@ -94,7 +94,8 @@
         }
         this->progress.output += event.data;
         this->progress.last_event = this->sequence.last_number();
-        // Whoever takes the item over starts it anew until then.
+        // A node that takes the job over before the version is confirmed must
+        // start the item anew.
         this->progress.version = net::event_loop::now() < this->confirmed_at()
                                      ? software_version()
                                      : this->replica.version;
--- a/src/relay/job_owner_versions.cpp
+++ b/src/relay/job_owner_versions.cpp
@@ -17,7 +17,8 @@
 {
     std::set<replica_id> avoided =
         this->doubtful_replicas(item, service, usable);
-    // An item must not wait for replicas at which it cannot run either.
+    // An item does not wait for a replica that is avoided for its doubtful
+    // version.
     std::set<replica_id> possible;
     std::set_difference(usable.begin(), usable.end(), avoided.begin(),
                         avoided.end(), std::inserter(possible, possible.end()));
@@ -104,7 +105,7 @@
     const routing::replica_entry& used = source.mapped();
     const auto& listed = this->context.replicas.registry().all();
     const auto found = listed.find(used.id);
-    // No news come from a store that is away.
+    // While the store is away, the list would not show a change.
     if (found == listed.end() || found->second.version != used.version ||
         !this->context.store.is_reachable())
     {
--- a/tests/process_support/child_process.cpp
+++ b/tests/process_support/child_process.cpp
@@ -146,8 +146,8 @@
     {
         return 1ULL << (signal_number - 1);
     };
-    // While it is started, all signals are blocked for a moment; both bits must
-    // be of one moment.
+    // While the process is started, all signals are blocked for a moment. That
+    // is told apart by a second signal, read at the same time.
     const std::uint64_t blocked = read_mask("SigBlk:");
     const bool defers =
         (blocked & (bit_of(number) | bit_of(SIGUSR2))) == bit_of(number);
