Check the keys of workspaces, and keep them from replicas

Change: the configuration holds a directory of workspaces; each node checks keys by it, refuses unknown ones with 401, replaces the key by the workspace's name, for items too, and gives the workspace's priority to slot requests. Job ids carry the digest of the workspace, so that a job exists for its workspace alone, and the tokens that wait are counted for each workspace on a route.

Ruled out: a check of the job's workspace in each call about it, which needs the record first and can be forgotten in a new call.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -28,6 +28,10 @@
     message.host = input.host;
     message.submitted_at_ms = input.submitted_at_ms;
     message.configuration = input.accepted_by.count();
+    if (!input.workspace.empty())
+    {
+        message.__set_workspace(input.workspace.str());
+    }
     for (const job_item& item : input.items)
     {
         wire::node_job_item& entry = message.items.emplace_back();
@@ -58,6 +62,7 @@
     input.host = message.value().host;
     input.submitted_at_ms = message.value().submitted_at_ms;
     input.accepted_by = configuration_version(message.value().configuration);
+    input.workspace = workspace_name(message.value().workspace);
     for (wire::node_job_item& entry : message.value().items)
     {
         job_item& item = input.items.emplace_back();
@@ -86,6 +91,10 @@
     message.item_count = static_cast<std::int32_t>(state.item_count);
     message.waiting_tokens = state.waiting_tokens.count();
     message.age_ms = to_milliseconds(state.age);
+    if (!state.workspace.empty())
+    {
+        message.__set_workspace(state.workspace.str());
+    }
     for (const item_outcome& outcome : state.outcomes)
     {
         wire::node_job_outcome& entry = message.outcomes.emplace_back();
@@ -116,6 +125,7 @@
     state.submitted_at_ms = read.submitted_at_ms;
     state.item_count = static_cast<std::size_t>(read.item_count);
     state.waiting_tokens = token_count(read.waiting_tokens);
+    state.workspace = workspace_name(read.workspace);
     state.age = std::max<duration>(duration::zero(),
                                    std::chrono::milliseconds(read.age_ms));
     for (const wire::node_job_outcome& entry : read.outcomes)
--- a/src/jobs/job_input.hpp
+++ b/src/jobs/job_input.hpp
@@ -24,6 +24,8 @@
     /// Version of the configuration by which the job was accepted; 0 in records
     /// of earlier releases.
     configuration_version accepted_by;
+    /// Whose job it is; empty if the configuration had no workspaces.
+    workspace_name workspace;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -43,6 +43,8 @@
     /// Tokens that the route's usage includes for this job; at least those of
     /// the items that have no outcome.
     token_count waiting_tokens;
+    /// Whose job it is; empty if the configuration had no workspaces.
+    workspace_name workspace;
 
     bool is_finished() const
     {
--- a/src/net/error_response.cpp
+++ b/src/net/error_response.cpp
@@ -20,6 +20,8 @@
     {
     case error_code::bad_request:
         return 400;
+    case error_code::unauthorized:
+        return 401;
     case error_code::bad_settings:
         return 422;
     case error_code::too_large:
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -60,7 +60,14 @@
                {"previous",
                 this->table ? this->table->contents().version.count() : 0},
                {"routes", read.value().routes.size()},
+              {"workspaces", read.value().workspaces.size()},
+              {"keys", read.value().workspaces.key_count()},
                {"revision", record.revision.count()}});
+    for (const std::string& problem : read.value().workspaces.problems())
+    {
+        log_event(log_level::warning, "workspace_problem",
+                  {{"version", version.count()}, {"problem", problem}});
+    }
     this->table =
         std::make_shared<routing::route_table>(std::move(read.value()));
     for (const auto& callback : this->change_callbacks)
--- a/src/relay/header_names.hpp
+++ b/src/relay/header_names.hpp
@@ -29,6 +29,10 @@
     /// In a response: the requests per second that the replica takes from all
     /// nodes together, while it names them.
     std::string limit;
+    /// In a caller's request: the key of its workspace.
+    std::string key;
+    /// In a request to a replica: the name of the caller's workspace.
+    std::string workspace;
     /// In a response: the replica's proof that the response is its own.
     std::string digest;
 };
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -1,6 +1,7 @@
 #include "relay/item_run.hpp"
 
 #include "logging/log.hpp"
+#include "relay/caller_authorization.hpp"
 #include "relay/item_check.hpp"
 #include "relay/stream_head.hpp"
 
@@ -61,10 +62,12 @@
 
 item_run::item_run(const relay_context& node, slot_client& slot_source,
                    const jobs::job_item& run_item, std::string run_host,
+                   workspace_name run_workspace,
                    jobs::item_progress& known_progress, send_check check,
                    end_callback on_end)
     : context(node), slots(slot_source), item(run_item),
-      host(std::move(run_host)), progress(known_progress),
+      host(std::move(run_host)), workspace(std::move(run_workspace)),
+      progress(known_progress),
       may_send(std::move(check)), ended_callback(std::move(on_end)),
       traits(node.adapter.parse_prompt_parts(run_item.headers)),
       sequence(event_numbering::consecutive, known_progress.last_event),
@@ -224,6 +227,10 @@
     request.method = "POST";
     request.target = this->item.target;
     request.headers = item_headers(this->item, names);
+    if (!this->workspace.empty())
+    {
+        replace_key(request.headers, names, this->workspace);
+    }
     request.headers.emplace_back("Host", this->host);
     request.headers.emplace_back(names.request_id, this->item.id);
     if (this->progress.last_event > 0)
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -64,6 +64,7 @@
     /// \param slot_source Outlives this object.
     /// \param run_item The item to run; outlives this object.
     /// \param host Value of the request's Host header.
+    /// \param workspace Whose item it is; empty if there are no workspaces.
     /// \param progress Progress to resume from, extended by this run; outlives
     /// this object.
     /// \param may_send Asked before the item is sent.
@@ -71,6 +72,7 @@
     /// object.
     item_run(const relay_context& node, slot_client& slot_source,
              const jobs::job_item& run_item, std::string host,
+             workspace_name workspace,
              jobs::item_progress& progress, send_check may_send,
              end_callback on_end);
 
@@ -138,6 +140,7 @@
     slot_client& slots;
     const jobs::job_item& item;
     std::string host;
+    workspace_name workspace;
     jobs::item_progress& progress;
     send_check may_send;
     end_callback ended_callback;
--- a/src/relay/job_acceptor.cpp
+++ b/src/relay/job_acceptor.cpp
@@ -61,6 +61,7 @@
     jobs::job_state& state = entry->state;
     state.id = entry->input->id;
     state.route_name = entry->input->route_name;
+    state.workspace = entry->input->workspace;
     state.owner = owner.id;
     state.owner_process = owner.process;
     state.submitted_at_ms = entry->input->submitted_at_ms;
@@ -72,7 +73,7 @@
 void job_acceptor::write(const std::shared_ptr<submission>& entry)
 {
     const jobs::job_state& state = entry->state;
-    const usage_tracker::usage usage = this->usages.get(state.route_name);
+    const usage_tracker::usage usage = this->usages.get(jobs::account_of(state));
     entry->waiting = usage.waiting + state.waiting_tokens;
     if (entry->limit > token_count(0) && entry->waiting > entry->limit)
     {
@@ -84,7 +85,7 @@
         this->reject_over_limit(entry, usage.waiting);
         return;
     }
-    const std::string usage_key = job_usage_key(state.route_name);
+    const std::string usage_key = job_usage_key(jobs::account_of(state));
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(state.id), store_revision()},
                               {usage_key, usage.revision}};
@@ -108,15 +109,15 @@
         entry->callback(reason);
         return;
     }
-    const std::string& route = entry->state.route_name;
+    const jobs::usage_account account = jobs::account_of(entry->state);
     if (outcome.value().applied)
     {
         const store_revision revision = outcome.value().revision;
-        this->usages.set(route, {entry->waiting, revision});
+        this->usages.set(account, {entry->waiting, revision});
         entry->callback(accepted_job{entry->state, revision, false});
         return;
     }
-    if (this->usages.update_from(route, outcome.value().current))
+    if (this->usages.update_from(account, outcome.value().current))
     {
         entry->usage_is_fresh = true;
     }
@@ -150,7 +151,7 @@
 
 void job_acceptor::read_usage(const std::shared_ptr<submission>& entry)
 {
-    const std::string key = job_usage_key(entry->state.route_name);
+    const std::string key = job_usage_key(jobs::account_of(entry->state));
     this->context.store.get(
         key, key_value::read_freshness::latest,
         [this, entry](const result<key_value::stored_record>& record)
@@ -163,7 +164,8 @@
                 entry->callback(reason);
                 return;
             }
-            this->usages.update(entry->state.route_name, record.value());
+            this->usages.update(jobs::account_of(entry->state),
+                                record.value());
             entry->usage_is_fresh = true;
             this->write(entry);
         });
--- a/src/relay/job_cancellation.cpp
+++ b/src/relay/job_cancellation.cpp
@@ -68,12 +68,12 @@
 void job_cancellation::write(jobs::job_state state, store_revision revision,
                              int attempt, end_callback callback)
 {
-    const usage_tracker::usage usage = this->usages.get(state.route_name);
+    const usage_tracker::usage usage = this->usages.get(jobs::account_of(state));
     const token_count remaining =
         std::max(token_count(0), usage.waiting - state.waiting_tokens);
     state.cancelled = true;
     state.waiting_tokens = token_count(0);
-    const std::string usage_key = job_usage_key(state.route_name);
+    const std::string usage_key = job_usage_key(jobs::account_of(state));
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(state.id), revision},
                               {usage_key, usage.revision}};
@@ -93,12 +93,13 @@
             }
             if (outcome.value().applied)
             {
-                this->usages.set(state.route_name,
+                this->usages.set(jobs::account_of(state),
                                  {remaining, outcome.value().revision});
                 callback(state);
                 return;
             }
-            this->usages.update_from(state.route_name, outcome.value().current);
+            this->usages.update_from(jobs::account_of(state),
+                                     outcome.value().current);
             if (attempt >= max_attempts)
             {
                 callback(error{error_code::store_unavailable,
--- a/src/relay/job_keys.cpp
+++ b/src/relay/job_keys.cpp
@@ -1,5 +1,7 @@
 #include "relay/job_keys.hpp"
 
+#include "workspaces/key_digest.hpp"
+
 namespace parsleytrack::relay
 {
 
@@ -40,9 +42,20 @@
     return "parsleytrack/jobs/progress/" + job.str();
 }
 
-std::string job_usage_key(const std::string& route_name)
+std::string job_usage_key(const jobs::usage_account& account)
+{
+    const std::string key = "parsleytrack/jobs/usage/" + account.route_name;
+    return account.workspace.empty()
+               ? key
+               : key + "/" + workspaces::name_digest(account.workspace.str());
+}
+
+job_id stored_job_id(const workspace_name& workspace, const job_id& id)
 {
-    return "parsleytrack/jobs/usage/" + route_name;
+    return workspace.empty()
+               ? id
+               : job_id(workspaces::name_digest(workspace.str()) + "." +
+                        id.str());
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_keys.hpp
+++ b/src/relay/job_keys.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/usage_account.hpp"
 #include "units/ids.hpp"
 
 #include <cstddef>
@@ -26,7 +27,13 @@
 /// \returns Key of the progress of items without an outcome.
 std::string job_progress_key(const job_id& job);
 
-/// \returns Key of the number of tokens that wait on a route.
-std::string job_usage_key(const std::string& route_name);
+/// \returns Key of the number of tokens that wait on an account.
+std::string job_usage_key(const jobs::usage_account& account);
+
+/// \param workspace Whose job it is; empty if there are no workspaces.
+/// \param id The id that the caller has given.
+/// \returns The id in the store and between nodes. Jobs of different workspaces
+/// never meet, even if callers choose the same id.
+job_id stored_job_id(const workspace_name& workspace, const job_id& id);
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -132,6 +132,7 @@
     const std::set<replica_id> usable = this->usable_replicas(item, service);
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
+        input.workspace,
         this->progress.progress_of(item),
         [this, item] { return this->may_send(item); },
         [this, item, max_failures = route.max_attempts](
@@ -139,10 +140,19 @@
         { this->handle_item_end(item, end, reason, max_failures); });
     item_run& started = *run;
     this->runs[item] = std::move(run);
-    started.start(service, route.priority, this->due_in(),
+    started.start(service, this->priority_on(route), this->due_in(),
                   this->avoided_replicas(item, service, usable));
 }
 
+int job_owner::priority_on(const routing::route& route) const
+{
+    const auto table = this->context.configuration.current();
+    const workspaces::workspace* workspace =
+        table->contents().workspaces.find(this->owned.input().workspace);
+    return workspace == nullptr ? route.priority
+                                : workspace->priority_or(route.priority);
+}
+
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
                                 const std::string& reason, int max_failures)
 {
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -95,6 +95,9 @@
     void confirm_outcomes(time_point sent);
     void fail_unconfirmed();
     void start_item(std::size_t item, const routing::route& route);
+    /// \returns The priority of the job's items: its workspace's or the
+    /// route's.
+    int priority_on(const routing::route& route) const;
     /// \param usable The replicas that may run the item.
     /// \returns Those at which it must not run now.
     std::set<replica_id> avoided_replicas(std::size_t item,
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -33,7 +33,7 @@
         return;
     }
     const usage_tracker::usage usage =
-        this->usages.get(this->owned.input().route_name);
+        this->usages.get(jobs::account_of(this->owned.state()));
     jobs::job_commit commit;
     commit.state = this->owned.state();
     commit.expected_revision = this->owned.revision();
@@ -86,7 +86,7 @@
     // the job, the conditions fail again.
     const bool usage_changed =
         outcome.has_value() &&
-        this->usages.update_from(commit.state.route_name,
+        this->usages.update_from(jobs::account_of(commit.state),
                                  outcome.value().current);
     if (usage_changed && ++this->handover_attempts < max_handover_attempts)
     {
@@ -98,7 +98,7 @@
 {
     this->commit_is_scheduled = false;
     const usage_tracker::usage usage =
-        this->usages.get(this->owned.input().route_name);
+        this->usages.get(jobs::account_of(this->owned.state()));
     auto commit =
         this->owned.begin_commit(this->must_release_tokens(usage.waiting));
     if (!commit)
@@ -201,7 +201,7 @@
     this->owned.commit_applied(commit, revision);
     if (commit.released_tokens > token_count(0))
     {
-        this->usages.set(commit.state.route_name, {usage, revision});
+        this->usages.set(jobs::account_of(commit.state), {usage, revision});
     }
     this->log_state("job_committed");
     this->readers.answer_ready();
@@ -220,7 +220,7 @@
 void job_owner::resolve_conflict(const jobs::job_commit& commit,
                                  const key_value::transaction_outcome& outcome)
 {
-    this->usages.update_from(commit.state.route_name, outcome.current);
+    this->usages.update_from(jobs::account_of(commit.state), outcome.current);
     for (const key_value::stored_record& record : outcome.current)
     {
         if (record.key != job_state_key(commit.state.id) ||
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -91,7 +91,7 @@
 void job_service::submit(
     const std::shared_ptr<net::http_exchange>& exchange,
     const std::shared_ptr<const routing::route_table>& table,
-    const routing::route& route)
+    const routing::route& route, const workspaces::workspace* workspace)
 {
     const std::string& id_header = this->context.adapter.headers().request_id;
     const auto& headers = exchange->head().headers;
@@ -117,7 +117,9 @@
         return;
     }
     jobs::job_input input;
-    input.id = job_id(*id);
+    input.workspace =
+        workspace == nullptr ? workspace_name() : workspace->name;
+    input.id = stored_job_id(input.workspace, job_id(*id));
     input.route_name = route.name;
     input.host = *host;
     input.accepted_by = table->contents().version;
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -32,13 +32,19 @@
     job_service(const relay_context& node, slot_client& slot_source);
 
     /// Handles the submission of a job.
+    ///
+    /// \param workspace The caller's workspace; null if there are none.
     void submit(const std::shared_ptr<net::http_exchange>& exchange,
                 const std::shared_ptr<const routing::route_table>& table,
-                const routing::route& route);
+                const routing::route& route,
+                const workspaces::workspace* workspace);
 
     /// Handles a request about a job that was accepted before.
+    ///
+    /// \param workspace The caller's workspace; null if there are none. Jobs of
+    /// others do not exist for it.
     void handle_call(const std::shared_ptr<net::http_exchange>& exchange,
-                     const job_call& call);
+                     const workspaces::workspace* workspace, job_call call);
 
     /// \returns The jobs that this node runs, and finished ones still in
     /// memory.
--- a/src/relay/job_service_calls.cpp
+++ b/src/relay/job_service_calls.cpp
@@ -1,6 +1,7 @@
 // Callers' requests about jobs that were accepted before.
 
 #include "logging/log.hpp"
+#include "relay/job_keys.hpp"
 #include "relay/job_service.hpp"
 #include "relay/refusal.hpp"
 
@@ -21,8 +22,13 @@
 } // namespace
 
 void job_service::handle_call(
-    const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
+    const std::shared_ptr<net::http_exchange>& exchange,
+    const workspaces::workspace* workspace, job_call call)
 {
+    if (workspace != nullptr)
+    {
+        call.job = stored_job_id(workspace->name, call.job);
+    }
     switch (call.requested)
     {
     case job_call::operation::read_results:
--- a/src/relay/job_transaction.cpp
+++ b/src/relay/job_transaction.cpp
@@ -10,7 +10,7 @@
                                              usage_tracker::usage usage)
 {
     const job_id& job = commit.state.id;
-    const std::string usage_key = job_usage_key(commit.state.route_name);
+    const std::string usage_key = job_usage_key(jobs::account_of(commit.state));
     key_value::record_transaction transaction;
     transaction.conditions = {{job_state_key(job), commit.expected_revision}};
     transaction.puts = {{job_state_key(job), jobs::encode(commit.state)}};
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -1,5 +1,6 @@
 #include "relay/online_call.hpp"
 
+#include "relay/caller_authorization.hpp"
 #include "relay/replica_request.hpp"
 #include "relay/request_content.hpp"
 
@@ -116,7 +117,7 @@
     slot_request wanted;
     wanted.request = this->request.id;
     wanted.pool.service = this->service;
-    wanted.priority = this->request.route->priority;
+    wanted.priority = this->request.priority();
     wanted.useful_for = this->useful_time();
     wanted.wait_when_late = this->request.elapsed_before > duration::zero() ||
                             this->version || this->sends > 0;
@@ -276,6 +277,11 @@
         sent.tcp_keepalive = true;
         return sent;
     }
+    if (!this->request.table->contents().workspaces.empty())
+    {
+        replace_key(sent.headers, this->context.adapter.headers(),
+                    this->request.workspace_id());
+    }
     if (may_repeat && !this->is_stream())
     {
         sent.idle_timeout = longest_body_pause();
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -67,7 +67,8 @@
 void online_service::handle_request(
     const std::shared_ptr<net::http_exchange>& exchange,
     std::shared_ptr<const routing::route_table> table,
-    const routing::route& route, std::optional<time_point> closes_at)
+    const routing::route& route, const workspaces::workspace* workspace,
+    std::optional<time_point> closes_at)
 {
     const header_names& names = this->context.adapter.headers();
     const std::string* id =
@@ -89,6 +90,7 @@
     online_request request;
     request.id = request_id(*id);
     request.route = &route;
+    request.workspace = workspace;
     request.received = net::event_loop::now();
     request.hop = read_hop(exchange->head().headers);
     const auto remaining_time = parse_remaining_time(exchange->head(), names);
--- a/src/relay/online_service.hpp
+++ b/src/relay/online_service.hpp
@@ -26,11 +26,14 @@
     ///
     /// \param table The current configuration.
     /// \param route The route that matches the request.
+    /// \param workspace The caller's workspace, kept by the table; null if it
+    /// has none.
     /// \param closes_at When this node closes its connections in a planned
     /// stop; a request that may last longer is refused.
     void handle_request(const std::shared_ptr<net::http_exchange>& exchange,
                         std::shared_ptr<const routing::route_table> table,
                         const routing::route& route,
+                        const workspaces::workspace* workspace,
                         std::optional<time_point> closes_at);
 
     std::size_t open_calls() const { return this->calls.size(); }
--- a/src/relay/relay_adapter.hpp
+++ b/src/relay/relay_adapter.hpp
@@ -42,6 +42,11 @@
     virtual result<routing::replica_entry>
     parse_replica(const std::string& key, std::string_view value) const = 0;
 
+    /// \returns The caller's key; absent when the request shows none, or more
+    /// than one.
+    virtual std::optional<std::string>
+    parse_key(const net::http_header_list& headers) const = 0;
+
     /// \returns The parts of a request's prompt that other requests may share,
     /// in their order; empty when the request has no prompt.
     virtual std::vector<request_trait>
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -6,6 +6,7 @@
 #include "net/http_server.hpp"
 #include "peering/first_incarnation.hpp"
 #include "relay/address_service.hpp"
+#include "relay/caller_authorization.hpp"
 #include "relay/job_service.hpp"
 #include "relay/online_service.hpp"
 #include "relay/refusal.hpp"
@@ -208,7 +209,11 @@
     const net::http_request_head& head = exchange->head();
     if (const auto call = this->adapter.parse_job_call(head))
     {
-        this->jobs.handle_call(exchange, *call);
+        if (const auto workspace =
+                authorize_caller(this->context, *exchange, *table, false))
+        {
+            this->jobs.handle_call(exchange, *workspace, *call);
+        }
         return;
     }
     const std::string* host = net::find_header(head.headers, "Host");
@@ -229,13 +234,19 @@
                                 {}});
         return;
     }
+    const auto workspace =
+        authorize_caller(this->context, *exchange, *table, route->is_public);
+    if (!workspace)
+    {
+        return;
+    }
     if (route->kind == routing::request_kind::batch)
     {
-        this->jobs.submit(exchange, table, *route);
+        this->jobs.submit(exchange, table, *route, *workspace);
         return;
     }
     this->online.handle_request(
-        exchange, table, *route,
+        exchange, table, *route, *workspace,
         this->stop ? std::optional(this->stop->closes_at()) : std::nullopt);
 }
 
--- a/src/relay/usage_tracker.cpp
+++ b/src/relay/usage_tracker.cpp
@@ -9,13 +9,13 @@
 namespace parsleytrack::relay
 {
 
-usage_tracker::usage usage_tracker::get(const std::string& route_name) const
+usage_tracker::usage usage_tracker::get(const jobs::usage_account& account) const
 {
-    const auto found = this->values.find(route_name);
+    const auto found = this->values.find(account);
     return found == this->values.end() ? usage{} : found->second;
 }
 
-void usage_tracker::update(const std::string& route_name,
+void usage_tracker::update(const jobs::usage_account& account,
                            const key_value::stored_record& record)
 {
     usage value;
@@ -35,28 +35,28 @@
             value.waiting = read.value();
         }
     }
-    this->values[route_name] = value;
+    this->values[account] = value;
 }
 
 bool usage_tracker::update_from(
-    const std::string& route_name,
+    const jobs::usage_account& account,
     const std::vector<key_value::stored_record>& current)
 {
     const auto found =
         std::find_if(current.begin(), current.end(),
-                     [key = job_usage_key(route_name)](const auto& record)
+                     [key = job_usage_key(account)](const auto& record)
                      { return record.key == key; });
     if (found == current.end())
     {
         return false;
     }
-    this->update(route_name, *found);
+    this->update(account, *found);
     return true;
 }
 
-void usage_tracker::set(const std::string& route_name, usage value)
+void usage_tracker::set(const jobs::usage_account& account, usage value)
 {
-    this->values[route_name] = value;
+    this->values[account] = value;
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/usage_tracker.hpp
+++ b/src/relay/usage_tracker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/usage_account.hpp"
 #include "key_value/record_transaction.hpp"
 #include "units/numbers.hpp"
 
@@ -11,7 +12,7 @@
 {
 
 /// Remembers the last known values of the records that count the tokens waiting
-/// on each route. A transaction that changes one is conditional on its
+/// on each account. A transaction that changes one is conditional on its
 /// revision, so an outdated value costs a retry but never causes an error.
 class usage_tracker
 {
@@ -22,24 +23,24 @@
         store_revision revision;
     };
 
-    /// \returns The last known usage of the route; zero when it is unknown.
-    usage get(const std::string& route_name) const;
+    /// \returns The last known usage of the account; zero when it is unknown.
+    usage get(const jobs::usage_account& account) const;
 
     /// Updates the usage from a record that was read or returned by a conflict.
-    void update(const std::string& route_name,
+    void update(const jobs::usage_account& account,
                 const key_value::stored_record& record);
 
-    /// Updates the usage from the route's record among those of a conflict.
+    /// Updates the usage from the account's record among those of a conflict.
     ///
-    /// \returns Whether the route's record was among them.
-    bool update_from(const std::string& route_name,
+    /// \returns Whether the account's record was among them.
+    bool update_from(const jobs::usage_account& account,
                      const std::vector<key_value::stored_record>& current);
 
     /// Records a value that was written.
-    void set(const std::string& route_name, usage value);
+    void set(const jobs::usage_account& account, usage value);
 
 private:
-    std::map<std::string, usage> values;
+    std::map<jobs::usage_account, usage> values;
 };
 
 } // namespace parsleytrack::relay
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -4,6 +4,7 @@
 #include "routing/route.hpp"
 #include "routing/service.hpp"
 #include "units/numbers.hpp"
+#include "workspaces/workspace_directory.hpp"
 
 #include <vector>
 
@@ -17,6 +18,8 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits;
+    /// Empty when callers need no key.
+    workspaces::workspace_directory workspaces;
 };
 
 } // namespace parsleytrack::routing
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -42,13 +42,16 @@
     duration longest_pause = duration::zero();
     /// 0 is the most urgent.
     int priority = 0;
+    /// Whether callers need no key, though there are workspaces.
+    bool is_public = false;
     /// Whether a stream may be resumed on another replica.
     bool resumable = false;
     /// Batch: how long after its submission a job's results are due.
     duration run_target = duration::zero();
     /// Batch: how long after its submission an item may be abandoned.
     duration retention = duration::zero();
-    /// Batch: maximum tokens of unfinished items of all jobs; 0 for no limit.
+    /// Batch: maximum tokens of unfinished items of all jobs, or of those of
+    /// each workspace if there are any; 0 for no limit.
     token_count waiting_tokens_limit;
 
     /// \returns Whether a request may be retried after it may have run.
--- a/src/settings/relay_settings.hpp
+++ b/src/settings/relay_settings.hpp
@@ -44,6 +44,9 @@
     duration result_retention = std::chrono::minutes(15);
     /// Maximum duration of a planned shutdown.
     duration stop_timeout = std::chrono::seconds(8);
+    /// Requests with keys are refused while the configuration has not been
+    /// confirmed for this long; absent for no limit.
+    std::optional<duration> key_confirmation;
     log_level level = log_level::info;
 };
 
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -106,6 +106,17 @@
                           "keep_results_s", settings.result_retention,
                           seconds(1), std::chrono::hours(24 * 365));
                   });
+    reader.object("keys",
+                  [&settings](object_reader& section)
+                  {
+                      const duration limit = section.seconds(
+                          "confirmed_within_s", seconds(5), milliseconds(100),
+                          std::chrono::hours(24));
+                      if (section.flag("strict", false))
+                      {
+                          settings.key_confirmation = limit;
+                      }
+                  });
     reader.object("stop",
                   [&settings](object_reader& section)
                   {
--- a/src/units/error_code.cpp
+++ b/src/units/error_code.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 25> names = {
-    "bad_request",       "bad_settings",      "too_large",
+constexpr std::array<std::string_view, 26> names = {
+    "bad_request",       "unauthorized",      "bad_settings",
+    "too_large",
     "not_found",         "unknown_service",   "unknown_model",
     "conflict",          "overloaded",        "workspace_limit",
     "deadline_exceeded", "shutting_down",     "no_replica",
--- a/src/units/error_code.hpp
+++ b/src/units/error_code.hpp
@@ -9,6 +9,8 @@
 enum class error_code
 {
     bad_request,
+    /// The caller has not shown a key of a workspace.
+    unauthorized,
     bad_settings,
     too_large,
     not_found,
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -25,6 +25,8 @@
   5: i64 submitted_at_ms;
   // Version of the configuration by which the job was accepted.
   6: i64 configuration;
+  // The workspace that submitted the job; absent if there were none.
+  7: optional string workspace;
 }
 
 // The outcome of one item. Its position in the list never changes.
@@ -49,9 +51,12 @@
   9: i64 waiting_tokens;
   // Lower bound of the job's age when this was written.
   10: i64 age_ms;
+  // The workspace that submitted the job; absent if there were none.
+  11: optional string workspace;
 }
 
-// Tokens of accepted items without an outcome, over all jobs of a route.
+// Tokens of accepted items without an outcome, over all jobs of a route, or
+// over those of one workspace on it.
 struct node_job_usage {
   1: i64 waiting_tokens;
 }
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -114,6 +114,7 @@
     }
     ++this->runs[*request];
     ++this->run_count;
+    this->received_headers[*request] = headers;
     const std::string* remaining_ms =
         net::find_header(headers, "Parsleytrack-Deadline-Ms");
     if (remaining_ms != nullptr)
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -99,6 +99,8 @@
     /// Remaining time in milliseconds that each request carried, and its time
     /// of arrival, by request id.
     std::map<std::string, std::pair<int, time_point>> received_deadlines;
+    /// Header fields of the last run of each request, by request id.
+    std::map<std::string, net::http_header_list> received_headers;
     /// Number of runs by request id.
     std::map<std::string, int> runs;
     /// Number of responses with status 500 by request id.
--- a/tests/settings/relay_settings_test.cpp
+++ b/tests/settings/relay_settings_test.cpp
@@ -43,6 +43,24 @@
     CHECK_FALSE(std::get<relay_settings>(outcome).front.has_value());
 }
 
+// Guards against a limit that takes effect where operators have not asked for
+// it: nodes without the store would refuse all keys.
+TEST(relay_settings, keys_need_no_confirmation_unless_strict)
+{
+    const std::string head =
+        R"({"node":{"id":"n","region":"r","availability_zone":"z"},
+            "listen":{"front":"","peer":"10.0.0.1:7000"},"seeds":[],
+            "store":{"address":"10.0.0.3:1"},"keys":)";
+    const auto read = [&head](const std::string& keys)
+    {
+        return std::get<relay_settings>(
+            parse_relay_settings(head + keys + "}", "file"));
+    };
+    CHECK_FALSE(read(R"({"confirmed_within_s":2})").key_confirmation);
+    CHECK(read(R"({"strict":true,"confirmed_within_s":2})").key_confirmation ==
+          std::chrono::seconds(2));
+}
+
 TEST(relay_settings, reports_all_findings_together)
 {
     CHECK_EQUAL(1, problems_in("{"));
