--- a/src/allotments/allotment_client.hpp
+++ b/src/allotments/allotment_client.hpp
@@ -6,6 +6,7 @@
 #include "net/timer.hpp"
 #include "units/ids.hpp"
 #include "units/numbers.hpp"
+#include "units/result.hpp"
 #include "wire/peer_call.hpp"
 #include "wire/peer_exchange.hpp"
 #include "workspaces/workspace.hpp"
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 
 namespace parsleytrack::allotments
 {
@@ -44,7 +46,7 @@
 
 /// Obtains permission to send the requests of limited workspaces, and serves
 /// the other nodes for the workspaces that this node owns. Registers the
-/// handler of wire::message_type::allotment_lease. Request handling in
+/// handler of wire::message_type::allotment_lease. See
 /// docs/design/allotments.md.
 class allotment_client
 {
@@ -86,13 +88,18 @@
     void run(const grant_command& command);
     void run(const refuse_command& command);
     void run(const send_command& command);
+    void handle_outcome(lease_call_number number,
+                        const result<std::string>& outcome);
+    /// Adds what was decided since the last call to the metrics.
+    void export_counts();
     void handle_peer_request(
         const std::shared_ptr<wire::peer_exchange>& exchange);
 
     allotment_services services;
     node_allotments decisions;
     std::map<std::uint64_t, callbacks> waiting;
-    std::map<std::uint64_t, std::unique_ptr<wire::peer_call>> calls;
+    std::map<lease_call_number, std::unique_ptr<wire::peer_call>> calls;
+    node_allotments::counts exported;
     net::timer tick_timer;
     std::uint64_t next_number = 1;
 };
--- a/src/wire/message_type.hpp
+++ b/src/wire/message_type.hpp
@@ -54,7 +54,9 @@
     stream_origin_notice = 100,
     stream_origin_inquiry = 101,
     /// Relay: the list of storage nodes, as for replica_feed.
-    storage_feed = 102
+    storage_feed = 102,
+    /// Quotas of workspaces: from any node to the owner of a workspace.
+    allotment_lease = 110
 };
 
 } // namespace parsleytrack::wire
