--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -103,6 +103,10 @@
         this->relay();
         return;
     }
+    if (!this->claim_allotment())
+    {
+        return;
+    }
     const std::set<replica_id> avoided = this->replicas_to_avoid();
     if (this->version && !this->context.replicas.registry().has_usable(
                              this->service, *this->version, avoided))
@@ -212,6 +216,10 @@
     if (kind == exchange_peer::replica)
     {
         this->record_origin(target);
+        if (this->claim)
+        {
+            this->claim->use();
+        }
     }
     this->splitter = event_splitter();
     this->sequence.begin_run();
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -68,6 +68,12 @@
     /// \returns The attempt that brought the first event: the one that the
     /// caller names, or this one. Empty if the caller does not name it.
     request_id first_attempt() const;
+    /// Claims a request of the workspace's allotment before the first slot is
+    /// requested.
+    ///
+    /// \returns Whether a slot may be requested now; otherwise the call goes on
+    /// or ends with the outcome of the claim.
+    bool claim_allotment();
     void request_slot();
     duration useful_time() const;
     /// \returns How much longer a slot is of use to a caller who accepts that
@@ -153,6 +159,8 @@
     std::vector<request_trait> traits;
 
     std::unique_ptr<origin_search> search;
+    std::unique_ptr<allotments::allotment_claim> claim;
+    bool is_claimed = false;
     std::unique_ptr<slot_lease> lease;
     std::unique_ptr<replica_exchange> attempt;
     /// The replica of the current attempt, or else of the last one; describes a
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allotments/allotment_client.hpp"
 #include "key_value/record_client.hpp"
 #include "metrics/registry.hpp"
 #include "net/event_loop.hpp"
@@ -34,6 +35,7 @@
     replica_follower& replicas;
     link_monitor& link;
     crash_guard& crashes;
+    allotments::allotment_client& allotments;
     replica_doubts& doubts;
     stream_origins& origins;
     metrics::registry& metrics;
--- a/src/settings/relay_settings.hpp
+++ b/src/settings/relay_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "logging/log.hpp"
+#include "settings/allotment_settings.hpp"
 #include "units/endpoint.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
@@ -47,6 +48,7 @@
     /// Requests with keys are refused while the configuration has not been
     /// confirmed for this long; absent for no limit.
     std::optional<duration> key_confirmation;
+    allotment_settings allotments;
     log_level level = log_level::info;
 };
 
