--- /dev/null
+++ b/src/slots/slot_broker_choice.cpp
@@ -0,0 +1,42 @@
+// Which replica of a broker serves a request.
+
+#include "slots/slot_broker.hpp"
+
+#include <tuple>
+
+namespace parsleytrack::slots
+{
+
+slot_broker::replica_state*
+slot_broker::choose(const slot_request& wanted,
+                    const std::set<software_version>& avoided, time_point now)
+{
+    replica_state* best = nullptr;
+    // Same zone first, then the most free slots. Only the response to a request
+    // shows that a limit has ended.
+    std::tuple<bool, bool, bool, bool, int> best_score{};
+    for (auto& [id, state] : this->replicas)
+    {
+        const software_version& version = state.replica.version;
+        const bool fits = !wanted.version || *wanted.version == version;
+        if (!state.health.usable(now) || wanted.excluded.contains(id) ||
+            (!fits && wanted.depends_on_version(now)))
+        {
+            continue;
+        }
+        const int free = state.free(now);
+        const std::tuple<bool, bool, bool, bool, int> score{
+            fits, !avoided.contains(version),
+            state.pacer && now - state.pacer->last_taken() >=
+                               this->options.limit_check_interval,
+            state.replica.availability_zone == wanted.availability_zone, free};
+        if (free > 0 && (best == nullptr || score > best_score))
+        {
+            best = &state;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace parsleytrack::slots
