Share a pool's slots fairly between workspaces

Cause: waiting requests were ordered by priority and deadline alone, so a workspace at several times its usual load took the slots of all others.

The broker serves by this order and refuses by the place in it; Retry-After counts callers of the workspace that were refused before and gets up to half added. Requests name their workspace in the new field of slot_request. workspace_usage uses the decaying sum of the new package in place of its own.

Ruled out: fair_queue, which counts requests, knows no priorities and visits all workspaces for each grant; random jitter, as multiples of the golden ratio of the ticket are spread more evenly and need no generator in the broker.

--- a/src/decisions/workspace_usage.cpp
+++ b/src/decisions/workspace_usage.cpp
@@ -1,7 +1,5 @@
 #include "decisions/workspace_usage.hpp"
 
-#include <cmath>
-
 namespace parsleytrack
 {
 
@@ -20,9 +18,7 @@
 void workspace_usage::asked(const workspace_name& workspace, time_point now)
 {
     this->forget_idle(now);
-    usage& known = this->workspaces[workspace];
-    known.requests = decayed(known, now) + 1.0;
-    known.updated = now;
+    this->requests.try_emplace(workspace, memory).first->second.add(1.0, now);
 }
 
 bool workspace_usage::over_share(const workspace_name& workspace,
@@ -31,16 +27,16 @@
     double own = 0;
     double others = 0;
     int other_count = 0;
-    for (const auto& [name, known] : this->workspaces)
+    for (const auto& [name, sum] : this->requests)
     {
-        const double requests = decayed(known, now);
+        const double count = sum.at(now);
         if (name == workspace)
         {
-            own = requests;
+            own = count;
         }
-        else if (requests > forgotten_requests)
+        else if (count > forgotten_requests)
         {
-            others += requests;
+            others += count;
             other_count += 1;
         }
     }
@@ -48,13 +44,6 @@
            own > over_share_factor * others / other_count;
 }
 
-double workspace_usage::decayed(const usage& known, time_point now)
-{
-    const double age = static_cast<double>((now - known.updated).count()) /
-                       static_cast<double>(memory.count());
-    return known.requests * std::exp(-age);
-}
-
 void workspace_usage::forget_idle(time_point now)
 {
     if (now < this->next_cleanup)
@@ -62,13 +51,8 @@
         return;
     }
     this->next_cleanup = now + memory;
-    for (auto entry = this->workspaces.begin();
-         entry != this->workspaces.end();)
-    {
-        entry = decayed(entry->second, now) < forgotten_requests
-                    ? this->workspaces.erase(entry)
-                    : std::next(entry);
-    }
+    std::erase_if(this->requests, [now](const auto& entry)
+                  { return entry.second.at(now) < forgotten_requests; });
 }
 
 } // namespace parsleytrack
--- a/src/decisions/workspace_usage.hpp
+++ b/src/decisions/workspace_usage.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sharing/decaying_sum.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
@@ -21,16 +22,9 @@
     bool over_share(const workspace_name& workspace, time_point now) const;
 
 private:
-    struct usage
-    {
-        double requests = 0;
-        time_point updated;
-    };
-
-    static double decayed(const usage& known, time_point now);
     void forget_idle(time_point now);
 
-    std::map<workspace_name, usage> workspaces;
+    std::map<workspace_name, sharing::decaying_sum> requests;
     time_point next_cleanup = time_point::min();
 };
 
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -1,5 +1,7 @@
 #include "slots/slot_broker.hpp"
 
+#include "sharing/retry_delay.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,7 +9,9 @@
 {
 
 slot_broker::slot_broker(const slot_broker_options& broker_options)
-    : options(broker_options), mean_hold(broker_options.initial_hold_estimate)
+    : options(broker_options), online_sharing(broker_options),
+      batch_sharing(broker_options),
+      mean_hold(broker_options.initial_hold_estimate)
 {
 }
 
@@ -50,10 +54,8 @@
                           time_point now)
 {
     const waiting_request waiting{ticket, wanted};
-    queue& waiting_queue =
-        wanted.kind == work_class::online ? this->online : this->batch;
-    waiting_queue.emplace(rank_of(waiting, now >= wanted.useful_until),
-                          waiting);
+    this->queue_of(wanted.kind)
+        .emplace(rank_of(waiting, now >= wanted.useful_until), waiting);
     this->serve(now);
 }
 
@@ -84,6 +86,8 @@
     }
     const held_slot slot = found->second;
     this->held.erase(found);
+    this->sharing_of(slot.request.kind)
+        .use.end(slot.request.workspace, now - slot.since, now);
     this->batch_held -= slot.request.kind == work_class::batch ? 1 : 0;
     this->pending_reclaims -= slot.reclaimed ? 1 : 0;
     const auto replica = this->replicas.find(slot.replica);
@@ -136,6 +140,8 @@
 void slot_broker::add_held(slot_ticket ticket, held_slot slot)
 {
     this->batch_held += slot.request.kind == work_class::batch ? 1 : 0;
+    this->sharing_of(slot.request.kind)
+        .use.take(slot.request.workspace, slot.since);
     this->held.insert_or_assign(ticket, std::move(slot));
 }
 
@@ -159,16 +165,28 @@
         static_cast<int>(this->online.size() + this->batch.size())});
 }
 
-void slot_broker::refuse(const waiting_request& waiting, duration wait)
+void slot_broker::refuse(const waiting_request& waiting, std::size_t ahead,
+                         const capacity& present, time_point now)
 {
-    this->commands.push_back(
-        slot_command{waiting.ticket,
-                     slot_decision::refused,
-                     {},
-                     std::clamp(wait, this->options.min_retry_after,
-                                this->options.max_retry_after),
-                     0,
-                     static_cast<int>(this->online.size())});
+    sharing_state& state = this->sharing_of(waiting.request.kind);
+    const workspace_name& workspace = waiting.request.workspace;
+    const bool shared = shares(state, waiting);
+    if (shared)
+    {
+        // Callers refused before return first.
+        ahead += static_cast<std::size_t>(state.use.returning(workspace, now));
+        state.use.refuse(workspace, now);
+    }
+    const duration wait = std::clamp(this->predicted_wait(ahead, present),
+                                     this->options.min_retry_after,
+                                     this->options.max_retry_after);
+    this->commands.push_back(slot_command{
+        waiting.ticket,
+        slot_decision::refused,
+        {},
+        shared ? sharing::spread_retry(wait, waiting.ticket.count()) : wait,
+        0,
+        static_cast<int>(this->online.size())});
 }
 
 } // namespace parsleytrack::slots
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -1,6 +1,10 @@
 #pragma once
 
 #include "decisions/replica_health.hpp"
+#include "sharing/priority_turns.hpp"
+#include "sharing/service_order.hpp"
+#include "sharing/use_ledger.hpp"
+#include "sharing/workspace_use.hpp"
 #include "slots/request_pacer.hpp"
 #include "slots/slot_broker_options.hpp"
 #include "slots/slot_command.hpp"
@@ -20,7 +24,9 @@
 /// Grants the slots of the replicas of one pool, so that the number of requests
 /// at each replica is known before one is sent. Online requests have priority
 /// over batch work, which fills the remaining slots and returns them when they
-/// are reclaimed. Requests that cannot get a slot in time are refused at once.
+/// are reclaimed. Among requests of equal priority, the workspace that uses the
+/// least slot time is served first. Requests that cannot get a slot in time are
+/// refused at once.
 class slot_broker
 {
 public:
@@ -65,6 +71,11 @@
     /// \returns How long online requests hold a slot on average.
     duration mean_online_hold() const { return this->mean_hold; }
 
+    /// \returns The workspaces that use the most slots for one kind of work, in
+    /// descending order; empty while no request names a workspace.
+    std::vector<sharing::workspace_use>
+    largest_users(work_class kind, std::size_t count, time_point now) const;
+
     std::size_t waiting_online() const { return this->online.size(); }
     std::size_t waiting_batch() const { return this->batch.size(); }
 
@@ -100,17 +111,69 @@
         slot_request request;
     };
 
-    /// Order in which waiting requests are served.
+    /// Order of waiting requests. Those of equal lateness, priority and
+    /// workspace are a lane, which is served in this order.
     struct rank
     {
         bool late = false;
         int priority = 0;
+        workspace_name workspace;
         time_point useful_until;
         slot_ticket ticket;
         auto operator<=>(const rank&) const = default;
+
+        bool is_same_lane(const rank& other) const;
     };
     using queue = std::map<rank, waiting_request>;
 
+    /// What decides which workspace is next for one kind of work.
+    struct sharing_state
+    {
+        sharing::use_ledger use;
+        sharing::priority_turns turns;
+
+        explicit sharing_state(const slot_broker_options& options)
+            : use(options.initial_hold_estimate, options.hold_weight)
+        {
+        }
+    };
+
+    /// Visits the waiting requests of a queue in the order of service.
+    class service_pass
+    {
+    public:
+        service_pass(queue& visited, const sharing_state& state,
+                     time_point now);
+
+        /// \returns The next request; the queue's end when none is left.
+        queue::iterator next();
+
+        /// Goes on to the request after the one found by next(), which gets a
+        /// slot.
+        ///
+        /// \param remove Whether to remove it from the queue.
+        void grant(bool remove);
+
+        /// Goes on to the request after the one found by next(), which cannot
+        /// be served.
+        void skip(bool remove);
+
+        const sharing::priority_turns& turns() const
+        {
+            return this->order->turns();
+        }
+
+    private:
+        /// \returns Whether the lane has another request.
+        bool advance(bool remove);
+
+        queue& requests;
+        /// The next request of each lane.
+        std::vector<queue::iterator> lanes;
+        std::optional<sharing::service_order> order;
+        std::size_t current = 0;
+    };
+
     /// What the replicas can do for requests that wait.
     struct capacity
     {
@@ -127,12 +190,12 @@
     void serve(time_point now);
     void serve_online(time_point now);
     void serve_batch(time_point now);
-    /// Grants slots to waiting requests, in their order.
+    /// Grants slots to waiting requests, in the order of service.
     ///
     /// \param avoided Versions that are granted last.
     /// \param may_grant Asked before each grant.
     template <std::predicate Condition>
-    void serve_queue(queue& waiting, const std::set<software_version>& avoided,
+    void serve_queue(work_class kind, const std::set<software_version>& avoided,
                      Condition may_grant, time_point now);
     /// \returns The versions that waiting online requests depend on.
     std::set<software_version> versions_waited_for() const;
@@ -148,7 +211,14 @@
     void add_held(slot_ticket ticket, held_slot slot);
     void grant(const waiting_request& waiting, replica_state& chosen,
                time_point now);
-    void refuse(const waiting_request& waiting, duration wait);
+    /// Refuses a request that others precede.
+    void refuse(const waiting_request& waiting, std::size_t ahead,
+                const capacity& present, time_point now);
+    /// \returns Whether workspaces share the slots.
+    static bool shares(const sharing_state& state,
+                       const waiting_request& waiting);
+    queue& queue_of(work_class kind);
+    sharing_state& sharing_of(work_class kind);
     replica_state* choose(const slot_request& wanted,
                           const std::set<software_version>& avoided,
                           time_point now);
@@ -171,6 +241,8 @@
     int pending_reclaims = 0;
     queue online;
     queue batch;
+    sharing_state online_sharing;
+    sharing_state batch_sharing;
     duration mean_hold;
     std::vector<slot_command> commands;
 };
--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -10,8 +10,8 @@
 slot_broker::rank slot_broker::rank_of(const waiting_request& waiting,
                                        bool late)
 {
-    return rank{late, waiting.request.priority, waiting.request.useful_until,
-                waiting.ticket};
+    return rank{late, waiting.request.priority, waiting.request.workspace,
+                waiting.request.useful_until, waiting.ticket};
 }
 
 void slot_broker::serve(time_point now)
@@ -23,44 +23,53 @@
 }
 
 template <std::predicate Condition>
-void slot_broker::serve_queue(queue& waiting,
+void slot_broker::serve_queue(work_class kind,
                               const std::set<software_version>& avoided,
                               Condition may_grant, time_point now)
 {
+    queue& waiting = this->queue_of(kind);
+    if (waiting.empty() || this->free_slots(now) <= 0 || !may_grant())
+    {
+        return;
+    }
+    sharing_state& state = this->sharing_of(kind);
+    service_pass pass(waiting, state, now);
     std::set<software_version> exhausted;
-    auto entry = waiting.begin();
-    while (entry != waiting.end() && may_grant())
+    for (auto entry = pass.next(); entry != waiting.end() && may_grant();
+         entry = pass.next())
     {
         const slot_request& wanted = entry->second.request;
         const bool depends = wanted.depends_on_version(now);
         if (depends && exhausted.contains(*wanted.version))
         {
-            ++entry;
+            pass.skip(false);
             continue;
         }
         replica_state* chosen = this->choose(wanted, avoided, now);
         if (chosen != nullptr)
         {
             this->grant(entry->second, *chosen, now);
-            entry = waiting.erase(entry);
+            pass.grant(true);
             continue;
         }
         if (!wanted.is_restricted(now))
         {
-            return;
+            break;
         }
         if (depends && wanted.excluded.empty())
         {
             exhausted.insert(*wanted.version);
         }
-        ++entry;
+        pass.skip(false);
     }
+    state.turns = pass.turns();
 }
 
 void slot_broker::serve_online(time_point now)
 {
     this->serve_queue(
-        this->online, this->versions_waited_for(), [] { return true; }, now);
+        work_class::online, this->versions_waited_for(), [] { return true; },
+        now);
 }
 
 void slot_broker::serve_batch(time_point now)
@@ -77,7 +86,7 @@
     const int reserve = static_cast<int>(this->current_capacity().slots *
                                          this->options.online_reserve);
     this->serve_queue(
-        this->batch, {},
+        work_class::batch, {},
         [this, reserve, now] { return this->free_slots(now) > reserve; }, now);
 }
 
@@ -96,10 +105,17 @@
 
 void slot_broker::refuse_unmeetable_deadlines(time_point now)
 {
+    if (this->online.empty())
+    {
+        return;
+    }
     std::size_t ahead = 0;
     std::map<software_version, std::size_t> ahead_at_version;
     const capacity all = this->current_capacity();
-    for (auto entry = this->online.begin(); entry != this->online.end();)
+    // The place in the order of service decides, not that of arrival.
+    service_pass pass(this->online, this->online_sharing, now);
+    for (auto entry = pass.next(); entry != this->online.end();
+         entry = pass.next())
     {
         const waiting_request& waiting = entry->second;
         const auto& version = waiting.request.version;
@@ -113,11 +129,11 @@
         {
             ++before;
             ahead += version ? 1 : 0;
-            ++entry;
+            pass.grant(false);
             continue;
         }
-        this->refuse(waiting, this->predicted_wait(before, present));
-        entry = this->online.erase(entry);
+        this->refuse(waiting, before, present, now);
+        pass.skip(true);
     }
 }
 
@@ -141,8 +157,8 @@
             this->online.emplace(rank_of(waiting, true), waiting);
             continue;
         }
-        this->refuse(waiting, this->predicted_wait(this->online.size(),
-                                                   this->current_capacity()));
+        this->refuse(waiting, this->online.size(), this->current_capacity(),
+                     now);
     }
 }
 
--- /dev/null
+++ b/src/slots/slot_broker_sharing.cpp
@@ -0,0 +1,99 @@
+// In which order the workspaces of a broker are served.
+
+#include "slots/slot_broker.hpp"
+
+#include <iterator>
+#include <limits>
+
+namespace parsleytrack::slots
+{
+
+bool slot_broker::rank::is_same_lane(const rank& other) const
+{
+    return this->late == other.late && this->priority == other.priority &&
+           this->workspace == other.workspace;
+}
+
+slot_broker::service_pass::service_pass(queue& visited,
+                                        const sharing_state& state,
+                                        time_point now)
+    : requests(visited)
+{
+    std::vector<sharing::lane> found;
+    bool shared = state.use.has_workspaces();
+    for (auto entry = visited.begin(); entry != visited.end();)
+    {
+        rank last = entry->first;
+        this->lanes.push_back(entry);
+        found.push_back(
+            {last.late, last.priority, state.use.use_of(last.workspace, now)});
+        shared = shared || !last.workspace.empty();
+        last.useful_until = time_point::max();
+        last.ticket = slot_ticket(std::numeric_limits<std::int64_t>::max());
+        entry = visited.upper_bound(last);
+    }
+    this->order.emplace(found, state.use.expected_hold(), state.turns, shared);
+}
+
+slot_broker::queue::iterator slot_broker::service_pass::next()
+{
+    const auto lane = this->order->next();
+    if (!lane)
+    {
+        return this->requests.end();
+    }
+    this->current = *lane;
+    return this->lanes[*lane];
+}
+
+void slot_broker::service_pass::grant(bool remove)
+{
+    this->order->grant(this->advance(remove));
+}
+
+void slot_broker::service_pass::skip(bool remove)
+{
+    this->order->skip(this->advance(remove));
+}
+
+bool slot_broker::service_pass::advance(bool remove)
+{
+    queue::iterator& entry = this->lanes[this->current];
+    const auto following = std::next(entry);
+    const bool has_more = following != this->requests.end() &&
+                          following->first.is_same_lane(entry->first);
+    if (remove)
+    {
+        this->requests.erase(entry);
+    }
+    entry = following;
+    return has_more;
+}
+
+bool slot_broker::shares(const sharing_state& state,
+                         const waiting_request& waiting)
+{
+    return !waiting.request.workspace.empty() || state.use.has_workspaces();
+}
+
+slot_broker::queue& slot_broker::queue_of(work_class kind)
+{
+    return kind == work_class::online ? this->online : this->batch;
+}
+
+slot_broker::sharing_state& slot_broker::sharing_of(work_class kind)
+{
+    return kind == work_class::online ? this->online_sharing
+                                      : this->batch_sharing;
+}
+
+std::vector<sharing::workspace_use>
+slot_broker::largest_users(work_class kind, std::size_t count,
+                           time_point now) const
+{
+    const sharing_state& state =
+        kind == work_class::online ? this->online_sharing : this->batch_sharing;
+    return state.use.largest(count, now);
+}
+
+} // namespace parsleytrack::slots
--- a/src/slots/slot_request.hpp
+++ b/src/slots/slot_request.hpp
@@ -25,6 +25,8 @@
     /// When nobody waits for the response any more. A request that is not
     /// expected to get a slot before is refused at once.
     time_point abandoned_at = time_point::max();
+    /// Requests share the slots by workspace; those without one as one.
+    workspace_name workspace;
     /// Replicas in this zone are preferred.
     availability_zone_name availability_zone;
     /// Replicas on which this request has failed before.
