Name the workspace in slot requests and report the largest users

The broker needs the caller's workspace to share the slots: field 15 of slot_order, absent without a workspace, so that messages are then written as before.

A request is accepted with a margin of 0.8 standard deviations of the grants before it, and capacity that workspaces with less use claim is not counted.

test_slots, test_sharing, test_relay, test_wire and test_metrics pass.

--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -116,6 +116,15 @@
     find_value(this->contents->gauges, name, labels) = value;
 }
 
+void registry::clear_gauge(std::string_view name)
+{
+    const auto found = this->contents->gauges.find(name);
+    if (found != this->contents->gauges.end())
+    {
+        this->contents->gauges.erase(found);
+    }
+}
+
 void registry::observe(std::string_view name, const label_list& labels,
                        duration value)
 {
--- a/src/metrics/registry.hpp
+++ b/src/metrics/registry.hpp
@@ -37,6 +37,10 @@
     void set_gauge(std::string_view name, const label_list& labels,
                    double value);
 
+    /// Removes all values of a gauge, so that those that are not set again are
+    /// no longer reported.
+    void clear_gauge(std::string_view name);
+
     /// Records a latency in a histogram.
     void observe(std::string_view name, const label_list& labels,
                  duration value);
--- a/src/relay/pool_state.hpp
+++ b/src/relay/pool_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "sharing/workspace_use.hpp"
 #include "units/time.hpp"
 
 #include <string>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -24,6 +26,10 @@
     int waiting_batch = 0;
     /// How long online requests hold a slot on average.
     duration mean_hold = duration::zero();
+    /// The workspaces that use the most slots, for online requests and for
+    /// batch work; empty while no request names one.
+    std::vector<sharing::workspace_use> online_users = {};
+    std::vector<sharing::workspace_use> batch_users = {};
 
     /// \returns Whether the pool is in use.
     bool is_busy() const
--- a/src/relay/slot_codec.cpp
+++ b/src/relay/slot_codec.cpp
@@ -112,6 +112,10 @@
         message.__set_any_version_in_ms(
             to_milliseconds(*request.any_version_in));
     }
+    if (!request.workspace.empty())
+    {
+        message.__set_workspace(request.workspace.str());
+    }
     return wire::encode(message);
 }
 
@@ -152,6 +156,10 @@
         request.any_version_in = std::chrono::milliseconds(
             std::clamp(read.any_version_in_ms, std::int64_t{0}, max_span_ms));
     }
+    if (read.__isset.workspace)
+    {
+        request.workspace = workspace_name(read.workspace);
+    }
     return request;
 }
 
--- a/src/relay/slot_request.cpp
+++ b/src/relay/slot_request.cpp
@@ -15,6 +15,7 @@
     {
         wanted.abandoned_at = now + *request.abandoned_in;
     }
+    wanted.workspace = request.workspace;
     wanted.availability_zone = request.availability_zone;
     wanted.excluded = request.excluded;
     wanted.version = request.version;
--- a/src/relay/slot_request.hpp
+++ b/src/relay/slot_request.hpp
@@ -36,6 +36,8 @@
     /// Remaining time after which other versions may be granted as well; absent
     /// if never.
     std::optional<duration> any_version_in = std::nullopt;
+    /// The caller's workspace; empty if there is none.
+    workspace_name workspace = {};
     availability_zone_name availability_zone;
     /// Set when the slot is in use already: granted by another broker, or
     /// chosen without one.
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -292,66 +292,6 @@
     }
 }
 
-std::vector<pool_state> slot_server::pools() const
-{
-    const time_point now = net::event_loop::now();
-    std::vector<pool_state> list;
-    for (const auto& [pool, broker] : this->brokers)
-    {
-        pool_state& state = list.emplace_back();
-        state.name = pool.name();
-        state.slots = broker.total_slots();
-        state.free = broker.free_slots(now);
-        state.online = broker.used_slots() - broker.used_by_batch();
-        state.batch = broker.used_by_batch();
-        state.limited_replicas = broker.limited_replicas();
-        state.waiting_online = static_cast<int>(broker.waiting_online());
-        state.waiting_batch = static_cast<int>(broker.waiting_batch());
-        state.mean_hold = broker.mean_online_hold();
-    }
-    return list;
-}
-
-void slot_server::export_metrics() const
-{
-    for (const pool_state& pool : this->pools())
-    {
-        this->export_pool_metrics(pool);
-    }
-}
-
-void slot_server::export_pool_metrics(const pool_state& pool) const
-{
-    const auto gauge = [this, &pool](const char* use, int value)
-    {
-        this->context.metrics.set_gauge(
-            "parsleytrack_slots", {{"pool", pool.name}, {"use", use}}, value);
-    };
-    gauge("all", pool.slots);
-    gauge("free", pool.free);
-    gauge("online", pool.online);
-    gauge("batch", pool.batch);
-    gauge("limited_replicas", pool.limited_replicas);
-    gauge("waiting_online", pool.waiting_online);
-    gauge("waiting_batch", pool.waiting_batch);
-    if (!pool.is_busy())
-    {
-        return;
-    }
-    log_event(
-        log_level::info, "slots",
-        {{"pool", pool.name},
-         {"slots", pool.slots},
-         {"free", pool.free},
-         {"online", pool.online},
-         {"batch", pool.batch},
-         {"limited_replicas", pool.limited_replicas},
-         {"waiting_online", pool.waiting_online},
-         {"waiting_batch", pool.waiting_batch},
-         {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
-         {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
-}
-
 void slot_server::execute_commands(slots::slot_broker& broker)
 {
     for (const slots::slot_command& command : broker.take_commands())
--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -71,6 +71,8 @@
     void tick();
     void export_metrics() const;
     void export_pool_metrics(const pool_state& pool) const;
+    void export_users(const std::string& pool, const char* kind,
+                      const std::vector<sharing::workspace_use>& users) const;
     void execute_commands(slots::slot_broker& broker);
 
     const relay_context& context;
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -135,6 +135,18 @@
     return list;
 }
 
+json describe_users(const std::vector<sharing::workspace_use>& users)
+{
+    json list = json::array();
+    for (const sharing::workspace_use& user : users)
+    {
+        list.push_back({{"workspace", user.workspace.str()},
+                        {"held", user.held},
+                        {"recent", user.recent}});
+    }
+    return list;
+}
+
 json describe_pools(const slot_server& server)
 {
     json list = json::array();
@@ -148,7 +160,9 @@
                         {"limited_replicas", pool.limited_replicas},
                         {"waiting_online", pool.waiting_online},
                         {"waiting_batch", pool.waiting_batch},
-                        {"mean_hold_ms", to_milliseconds(pool.mean_hold)}});
+                        {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
+                        {"online_users", describe_users(pool.online_users)},
+                        {"batch_users", describe_users(pool.batch_users)}});
     }
     return list;
 }
--- a/src/sharing/use_ledger.cpp
+++ b/src/sharing/use_ledger.cpp
@@ -56,6 +56,47 @@
                      found->second.held * this->mean_hold;
 }
 
+void use_ledger::refresh_claims(time_point now)
+{
+    if (now < this->next_claims)
+    {
+        return;
+    }
+    this->next_claims = now + claim_interval;
+    this->claims.clear();
+    for (const auto& [workspace, known] : this->accounts)
+    {
+        const double recent = known.recent_time(now);
+        const double use = recent + known.held * this->mean_hold;
+        const double slots = recent / seconds(use_memory);
+        this->claims.push_back({use, slots, slots * use});
+    }
+    std::sort(this->claims.begin(), this->claims.end(),
+              [](const claim& left, const claim& right)
+              { return left.use < right.use; });
+    for (std::size_t index = 1; index < this->claims.size(); ++index)
+    {
+        const claim& before = this->claims[index - 1];
+        this->claims[index].slots += before.slots;
+        this->claims[index].slots_times_use += before.slots_times_use;
+    }
+}
+
+double use_ledger::claimed_before(double use) const
+{
+    const auto end = std::lower_bound(
+        this->claims.begin(), this->claims.end(), use,
+        [](const claim& entry, double limit) { return entry.use < limit; });
+    if (end == this->claims.begin())
+    {
+        return 0.0;
+    }
+    // A workspace with little less use goes first only until its use is equal,
+    // so its slots count by the relative difference.
+    const claim& sums = *std::prev(end);
+    return sums.slots - sums.slots_times_use / use;
+}
+
 double use_ledger::returning(const workspace_name& workspace,
                              time_point now) const
 {
--- a/src/sharing/use_ledger.hpp
+++ b/src/sharing/use_ledger.hpp
@@ -38,6 +38,14 @@
     /// plus the time for which its held slots are expected to be held.
     double use_of(const workspace_name& workspace, time_point now) const;
 
+    /// Prepares claimed_before().
+    void refresh_claims(time_point now);
+
+    /// \returns The slots that workspaces with less use are expected to hold
+    /// and that are thus not left to one with this use. As of the last
+    /// refresh_claims().
+    double claimed_before(double use) const;
+
     /// \returns About how many refused callers of a workspace have not
     /// returned yet.
     double returning(const workspace_name& workspace, time_point now) const;
@@ -75,10 +83,24 @@
     static constexpr duration return_time = std::chrono::seconds(1);
     static constexpr duration cleanup_interval = std::chrono::seconds(10);
 
+    /// Sums over a workspace and all with less use.
+    struct claim
+    {
+        double use = 0.0;
+        double slots = 0.0;
+        double slots_times_use = 0.0;
+    };
+
+    /// How often the claims are computed: they visit all workspaces.
+    static constexpr duration claim_interval = std::chrono::milliseconds(50);
+
     account& find_or_add(const workspace_name& workspace, time_point now);
     void forget_idle(time_point now);
 
     std::unordered_map<workspace_name, account> accounts;
+    /// In ascending order of use.
+    std::vector<claim> claims;
+    time_point next_claims = time_point::min();
     double mean_hold;
     double weight;
     time_point next_cleanup = time_point::min();
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -109,6 +109,8 @@
     {
         slot_ticket ticket;
         slot_request request;
+        /// Whether it was found to be on time once.
+        bool accepted = false;
     };
 
     /// Order of waiting requests. Those of equal lateness, priority and
@@ -158,6 +160,13 @@
         /// be served.
         void skip(bool remove);
 
+        /// \returns Slots that workspaces with less use than that of the
+        /// request found by next() are expected to take first.
+        double claimed_slots();
+
+        /// \returns Whether workspaces share the slots.
+        bool is_shared() const { return this->shared; }
+
         const sharing::priority_turns& turns() const
         {
             return this->order->turns();
@@ -167,9 +176,18 @@
         /// \returns Whether the lane has another request.
         bool advance(bool remove);
 
+        struct lane_state
+        {
+            /// The next request of the lane.
+            queue::iterator next;
+            double use = 0.0;
+            std::optional<double> claimed = std::nullopt;
+        };
+
         queue& requests;
-        /// The next request of each lane.
-        std::vector<queue::iterator> lanes;
+        const sharing::use_ledger& ledger;
+        bool shared;
+        std::vector<lane_state> lanes;
         std::optional<sharing::service_order> order;
         std::size_t current = 0;
     };
@@ -184,6 +202,8 @@
         double unlimited_slots = 0.0;
         /// Slots that batch work can give back for other requests.
         int reclaimable = 0;
+        /// \returns What is left of it when other workspaces go first.
+        capacity left_by(double claimed_slots) const;
     };
 
     static rank rank_of(const waiting_request& waiting, bool late);
@@ -227,8 +247,12 @@
         const std::optional<software_version>& version = std::nullopt) const;
     /// \returns Whether a request that others precede in its queue is expected
     /// to get a slot by a time.
+    ///
+    /// \param shared Whether workspaces share the slots. New requests then need
+    /// a margin.
     bool is_meetable(std::size_t ahead, const waiting_request& waiting,
-                     const capacity& present, time_point now) const;
+                     const capacity& present, bool shared,
+                     time_point now) const;
     duration predicted_wait(std::size_t ahead, const capacity& present) const;
     static void update_pacer(replica_state& state, time_point now);
 
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -4,10 +4,21 @@
 #include "slots/slot_broker.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleytrack::slots
 {
 
+namespace
+{
+
+/// By how many standard deviations the grants may lag behind those expected
+/// for a request to be accepted: grants come at random moments, and a request
+/// that is accepted at the limit would be refused soon after.
+constexpr double accepted_margin = 0.8;
+
+} // namespace
+
 int slot_broker::total_slots() const
 {
     int total = 0;
@@ -101,8 +112,21 @@
     return present;
 }
 
+slot_broker::capacity slot_broker::capacity::left_by(double claimed_slots) const
+{
+    // What a turn of its priority leaves at least.
+    constexpr double least_share = 1.0 / sharing::priority_turns::interval;
+    capacity left = *this;
+    left.slots =
+        std::max(this->slots - claimed_slots, this->slots * least_share);
+    left.unlimited_slots = std::max(this->unlimited_slots - claimed_slots,
+                                    this->unlimited_slots * least_share);
+    return left;
+}
+
 bool slot_broker::is_meetable(std::size_t ahead, const waiting_request& waiting,
-                              const capacity& present, time_point now) const
+                              const capacity& present, bool shared,
+                              time_point now) const
 {
     const slot_request& wanted = waiting.request;
     const time_point until =
@@ -137,7 +161,10 @@
             state.replica.slots * (1.0 + spans) - state.used;
         grants += std::clamp<double>(paced, 0.0, std::max(0.0, by_slots));
     }
-    return static_cast<double>(ahead) + 1.0 <= grants;
+    const double needed = static_cast<double>(ahead) + 1.0;
+    const bool is_new = shared && !waiting.accepted;
+    return needed + (is_new ? accepted_margin * std::sqrt(needed) : 0.0) <=
+           grants;
 }
 
 duration slot_broker::predicted_wait(std::size_t ahead,
--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -112,21 +112,27 @@
     std::size_t ahead = 0;
     std::map<software_version, std::size_t> ahead_at_version;
     const capacity all = this->current_capacity();
+    this->online_sharing.use.refresh_claims(now);
     // The place in the order of service decides, not that of arrival.
     service_pass pass(this->online, this->online_sharing, now);
     for (auto entry = pass.next(); entry != this->online.end();
          entry = pass.next())
     {
-        const waiting_request& waiting = entry->second;
+        waiting_request& waiting = entry->second;
         const auto& version = waiting.request.version;
-        const capacity present =
-            version ? this->current_capacity(version) : all;
+        capacity present = version ? this->current_capacity(version) : all;
+        if (pass.is_shared())
+        {
+            present = present.left_by(pass.claimed_slots());
+        }
         std::size_t& before = version ? ahead_at_version[*version] : ahead;
         // Without any replica nothing is known of when one will be there.
         const bool keeps_waiting =
             waiting.request.wait_when_late && all.slots <= 0.0;
-        if (keeps_waiting || this->is_meetable(before, waiting, present, now))
+        if (keeps_waiting ||
+            this->is_meetable(before, waiting, present, pass.is_shared(), now))
         {
+            waiting.accepted = true;
             ++before;
             ahead += version ? 1 : 0;
             pass.grant(false);
--- a/src/slots/slot_broker_sharing.cpp
+++ b/src/slots/slot_broker_sharing.cpp
@@ -17,22 +17,22 @@
 slot_broker::service_pass::service_pass(queue& visited,
                                         const sharing_state& state,
                                         time_point now)
-    : requests(visited)
+    : requests(visited), ledger(state.use), shared(state.use.has_workspaces())
 {
     std::vector<sharing::lane> found;
-    bool shared = state.use.has_workspaces();
     for (auto entry = visited.begin(); entry != visited.end();)
     {
         rank last = entry->first;
-        this->lanes.push_back(entry);
-        found.push_back(
-            {last.late, last.priority, state.use.use_of(last.workspace, now)});
-        shared = shared || !last.workspace.empty();
+        const double use = state.use.use_of(last.workspace, now);
+        this->lanes.push_back({entry, use});
+        found.push_back({last.late, last.priority, use});
+        this->shared = this->shared || !last.workspace.empty();
         last.useful_until = time_point::max();
         last.ticket = slot_ticket(std::numeric_limits<std::int64_t>::max());
         entry = visited.upper_bound(last);
     }
-    this->order.emplace(found, state.use.expected_hold(), state.turns, shared);
+    this->order.emplace(found, state.use.expected_hold(), state.turns,
+                        this->shared);
 }
 
 slot_broker::queue::iterator slot_broker::service_pass::next()
@@ -43,7 +43,7 @@
         return this->requests.end();
     }
     this->current = *lane;
-    return this->lanes[*lane];
+    return this->lanes[*lane].next;
 }
 
 void slot_broker::service_pass::grant(bool remove)
@@ -58,7 +58,7 @@
 
 bool slot_broker::service_pass::advance(bool remove)
 {
-    queue::iterator& entry = this->lanes[this->current];
+    queue::iterator& entry = this->lanes[this->current].next;
     const auto following = std::next(entry);
     const bool has_more = following != this->requests.end() &&
                           following->first.is_same_lane(entry->first);
@@ -70,6 +70,16 @@
     return has_more;
 }
 
+double slot_broker::service_pass::claimed_slots()
+{
+    lane_state& lane = this->lanes[this->current];
+    if (!lane.claimed)
+    {
+        lane.claimed = this->ledger.claimed_before(lane.use);
+    }
+    return *lane.claimed;
+}
+
 bool slot_broker::shares(const sharing_state& state,
                          const waiting_request& waiting)
 {
--- a/src/wire/slots.thrift
+++ b/src/wire/slots.thrift
@@ -29,6 +29,9 @@
   13: optional string version;
   // Time after which other versions may be granted as well.
   14: optional i64 any_version_in_ms;
+  // The caller's workspace; absent if there is none. Earlier versions do not
+  // name it.
+  15: optional string workspace;
 }
 
 enum slot_verdict {
--- a/tests/metrics/registry_test.cpp
+++ b/tests/metrics/registry_test.cpp
@@ -23,6 +23,21 @@
     STRCMP_CONTAINS("reason=\"a\\\"b\"", text.c_str());
 }
 
+// Guards against reports of workspaces that are long gone, whose number grows
+// without bound.
+TEST(registry, a_cleared_gauge_has_only_the_values_set_since)
+{
+    this->metrics.set_gauge("slots", {{"workspace", "gone"}}, 1.0);
+    this->metrics.set_gauge("other", {}, 1.0);
+    this->metrics.clear_gauge("slots");
+    this->metrics.clear_gauge("unknown");
+    this->metrics.set_gauge("slots", {{"workspace", "present"}}, 2.0);
+    const std::string text = this->metrics.prometheus_text();
+    CHECK(text.find("gone") == std::string::npos);
+    STRCMP_CONTAINS("slots{workspace=\"present\"} 2\n", text.c_str());
+    STRCMP_CONTAINS("other 1\n", text.c_str());
+}
+
 TEST(registry, buckets_are_cumulative)
 {
     this->metrics.observe("first_token_seconds", {},
--- a/tests/relay/slot_codec_test.cpp
+++ b/tests/relay/slot_codec_test.cpp
@@ -83,6 +83,27 @@
           request.version);
 }
 
+// Guards against nodes of an earlier version that cannot read a request, or
+// whose requests cannot be read: their messages lack the workspace.
+TEST(slot_codec,
+     a_request_without_a_workspace_is_written_as_by_earlier_versions)
+{
+    wire::slot_order earlier;
+    earlier.request = "q";
+    earlier.service_name = "s";
+    earlier.priority = 2;
+    earlier.useful_for_ms = 225;
+    const std::string bytes = wire::encode(earlier);
+    slot_request request = decode_slot_request(bytes).value();
+    CHECK(request.workspace.empty());
+    CHECK(bytes == encode(request));
+    request.workspace = workspace_name("w");
+    const slot_request read = decode_slot_request(encode(request)).value();
+    CHECK(read.workspace == request.workspace);
+    CHECK(to_broker_request(read, this->received).workspace ==
+          request.workspace);
+}
+
 // Guards against reports that nodes of an earlier version cannot read, or whose
 // reports cannot be read: their messages lack the field.
 TEST(slot_codec, a_report_without_a_loss_is_written_as_by_earlier_versions)
--- a/tests/wire/examples/write_examples.cpp
+++ b/tests/wire/examples/write_examples.cpp
@@ -181,6 +181,7 @@
     order.node = "n1";
     order.__set_version("v1");
     order.__set_any_version_in_ms(340);
+    order.__set_workspace("w");
     write("slot_order", order);
     replica_limit limit;
     limit.process = "i-1/1796520959";
