--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -124,6 +124,7 @@
     order.pool.service = this->service;
     order.kind = work_class::batch;
     order.priority = this->priority;
+    order.workspace = this->workspace;
     order.useful_for = this->due - net::event_loop::now();
     order.wait_when_late = true;
     order.excluded = this->excluded;
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -122,6 +122,7 @@
     wanted.request = this->request.id;
     wanted.pool.service = this->service;
     wanted.priority = this->request.priority();
+    wanted.workspace = this->request.workspace_id();
     wanted.useful_for = this->useful_time();
     wanted.wait_when_late = this->request.elapsed_before > duration::zero() ||
                             this->version || this->sends > 0;
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -1,14 +1,17 @@
 #include "slots/slot_broker.hpp"
 
+#include "sharing/retry_delay.hpp"
+
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace parsleytrack::slots
 {
 
 slot_broker::slot_broker(const slot_broker_options& broker_options)
-    : options(broker_options), mean_hold(broker_options.initial_hold_estimate)
+    : options(broker_options), online_sharing(broker_options),
+      batch_sharing(broker_options),
+      mean_hold(broker_options.initial_hold_estimate)
 {
 }
 
@@ -50,11 +53,9 @@
 void slot_broker::request(slot_ticket ticket, const slot_request& wanted,
                           time_point now)
 {
-    const waiting_request waiting{ticket, wanted};
-    queue& waiting_queue =
-        wanted.kind == work_class::online ? this->online : this->batch;
-    waiting_queue.emplace(rank_of(waiting, now >= wanted.useful_until),
-                          waiting);
+    const waiting_request waiting{ticket, wanted, false};
+    this->queue_of(wanted.kind)
+        .emplace(rank_of(waiting, now >= wanted.useful_until), waiting);
     this->serve(now);
 }
 
@@ -85,6 +86,8 @@
     }
     const held_slot slot = found->second;
     this->held.erase(found);
+    this->sharing_of(slot.request.kind)
+        .use.end(slot.request.workspace, now - slot.since, now);
     this->batch_held -= slot.request.kind == work_class::batch ? 1 : 0;
     this->pending_reclaims -= slot.reclaimed ? 1 : 0;
     const auto replica = this->replicas.find(slot.replica);
@@ -134,148 +137,11 @@
     return std::exchange(this->commands, {});
 }
 
-slot_broker::rank slot_broker::rank_of(const waiting_request& waiting,
-                                       bool late)
-{
-    return rank{late, waiting.request.priority, waiting.request.useful_until,
-                waiting.ticket};
-}
-
-void slot_broker::serve(time_point now)
-{
-    this->serve_online(now);
-    this->refuse_unmeetable_deadlines(now);
-    this->serve_batch(now);
-    this->reclaim_for_waiting(now);
-}
-
-template <std::predicate Condition>
-void slot_broker::serve_queue(queue& waiting,
-                              const std::set<software_version>& avoided,
-                              Condition may_grant, time_point now)
-{
-    std::set<software_version> exhausted;
-    auto entry = waiting.begin();
-    while (entry != waiting.end() && may_grant())
-    {
-        const slot_request& wanted = entry->second.request;
-        const bool depends = wanted.depends_on_version(now);
-        if (depends && exhausted.contains(*wanted.version))
-        {
-            ++entry;
-            continue;
-        }
-        replica_state* chosen = this->choose(wanted, avoided, now);
-        if (chosen != nullptr)
-        {
-            this->grant(entry->second, *chosen, now);
-            entry = waiting.erase(entry);
-            continue;
-        }
-        if (!wanted.is_restricted(now))
-        {
-            return;
-        }
-        if (depends && wanted.excluded.empty())
-        {
-            exhausted.insert(*wanted.version);
-        }
-        ++entry;
-    }
-}
-
-void slot_broker::serve_online(time_point now)
-{
-    this->serve_queue(
-        this->online, this->versions_waited_for(), [] { return true; }, now);
-}
-
-void slot_broker::serve_batch(time_point now)
-{
-    // An online request that depends on a version leaves no slot unused that it
-    // could have.
-    const bool online_waits = std::any_of(
-        this->online.begin(), this->online.end(),
-        [](const auto& entry) { return !entry.second.request.version; });
-    if (online_waits)
-    {
-        return;
-    }
-    const int reserve = static_cast<int>(this->current_capacity().slots *
-                                         this->options.online_reserve);
-    this->serve_queue(
-        this->batch, {},
-        [this, reserve, now] { return this->free_slots(now) > reserve; }, now);
-}
-
-std::set<software_version> slot_broker::versions_waited_for() const
-{
-    std::set<software_version> versions;
-    for (const auto& [order, waiting] : this->online)
-    {
-        if (waiting.request.version)
-        {
-            versions.insert(*waiting.request.version);
-        }
-    }
-    return versions;
-}
-
-void slot_broker::refuse_unmeetable_deadlines(time_point now)
-{
-    std::size_t ahead = 0;
-    std::map<software_version, std::size_t> ahead_at_version;
-    const capacity all = this->current_capacity();
-    for (auto entry = this->online.begin(); entry != this->online.end();)
-    {
-        const waiting_request& waiting = entry->second;
-        const auto& version = waiting.request.version;
-        const capacity present =
-            version ? this->current_capacity(version) : all;
-        std::size_t& before = version ? ahead_at_version[*version] : ahead;
-        // Without any replica nothing is known of when one will be there.
-        const bool keeps_waiting =
-            waiting.request.wait_when_late && all.slots <= 0.0;
-        if (keeps_waiting || this->is_meetable(before, waiting, present, now))
-        {
-            ++before;
-            ahead += version ? 1 : 0;
-            ++entry;
-            continue;
-        }
-        this->refuse(waiting, this->predicted_wait(before, present));
-        entry = this->online.erase(entry);
-    }
-}
-
-void slot_broker::expire(time_point now)
-{
-    std::vector<waiting_request> late;
-    for (auto entry = this->online.begin(); entry != this->online.end();)
-    {
-        if (entry->first.late || now <= entry->second.request.useful_until)
-        {
-            ++entry;
-            continue;
-        }
-        late.push_back(entry->second);
-        entry = this->online.erase(entry);
-    }
-    for (const waiting_request& waiting : late)
-    {
-        if (waiting.request.wait_when_late)
-        {
-            this->online.emplace(rank_of(waiting, true), waiting);
-            continue;
-        }
-        this->refuse(waiting, this->predicted_wait(this->online.size(),
-                                                   this->current_capacity()));
-    }
-}
-
 void slot_broker::add_held(slot_ticket ticket, held_slot slot)
 {
     this->batch_held += slot.request.kind == work_class::batch ? 1 : 0;
+    this->sharing_of(slot.request.kind)
+        .use.take(slot.request.workspace, slot.since);
     this->held.insert_or_assign(ticket, std::move(slot));
 }
 
@@ -299,48 +165,28 @@
         static_cast<int>(this->online.size() + this->batch.size())});
 }
 
-void slot_broker::refuse(const waiting_request& waiting, duration wait)
-{
-    this->commands.push_back(
-        slot_command{waiting.ticket,
-                     slot_decision::refused,
-                     {},
-                     std::clamp(wait, this->options.min_retry_after,
-                                this->options.max_retry_after),
-                     0,
-                     static_cast<int>(this->online.size())});
-}
-
-slot_broker::replica_state*
-slot_broker::choose(const slot_request& wanted,
-                    const std::set<software_version>& avoided, time_point now)
+void slot_broker::refuse(const waiting_request& waiting, std::size_t ahead,
+                         const capacity& present, time_point now)
 {
-    replica_state* best = nullptr;
-    // Same zone first, then the most free slots. Only the response to a request
-    // shows that a limit has ended.
-    std::tuple<bool, bool, bool, bool, int> best_score{};
-    for (auto& [id, state] : this->replicas)
+    sharing_state& state = this->sharing_of(waiting.request.kind);
+    const workspace_name& workspace = waiting.request.workspace;
+    const bool shared = shares(state, waiting);
+    if (shared)
     {
-        const software_version& version = state.replica.version;
-        const bool fits = !wanted.version || *wanted.version == version;
-        if (!state.health.usable(now) || wanted.excluded.contains(id) ||
-            (!fits && wanted.depends_on_version(now)))
-        {
-            continue;
-        }
-        const int free = state.free(now);
-        const std::tuple<bool, bool, bool, bool, int> score{
-            fits, !avoided.contains(version),
-            state.pacer && now - state.pacer->last_taken() >=
-                               this->options.limit_check_interval,
-            state.replica.availability_zone == wanted.availability_zone, free};
-        if (free > 0 && (best == nullptr || score > best_score))
-        {
-            best = &state;
-            best_score = score;
-        }
+        // Callers refused before return first.
+        ahead += static_cast<std::size_t>(state.use.returning(workspace, now));
+        state.use.refuse(workspace, now);
     }
-    return best;
+    const duration wait = std::clamp(this->predicted_wait(ahead, present),
+                                     this->options.min_retry_after,
+                                     this->options.max_retry_after);
+    this->commands.push_back(slot_command{
+        waiting.ticket,
+        slot_decision::refused,
+        {},
+        shared ? sharing::spread_retry(wait, waiting.ticket.count()) : wait,
+        0,
+        static_cast<int>(this->online.size())});
 }
 
 } // namespace parsleytrack::slots
