--- a/src/sharing/priority_turns.cpp
+++ b/src/sharing/priority_turns.cpp
@@ -35,6 +35,12 @@
     this->last_grants.emplace_back(priority, this->grants);
 }
 
+std::uint64_t priority_turns::grants_before_turn(int priority) const
+{
+    const std::uint64_t since = this->grants + 1 - this->last_grant(priority);
+    return since < interval ? interval - since : 0;
+}
+
 std::uint64_t priority_turns::last_grant(int priority) const
 {
     const auto found = std::find_if(
--- a/src/sharing/priority_turns.hpp
+++ b/src/sharing/priority_turns.hpp
@@ -36,6 +36,9 @@
         return this->grants + 1 - this->last_grant(priority) >= interval;
     }
 
+    /// \returns How many grants to others precede the next turn of a priority.
+    std::uint64_t grants_before_turn(int priority) const;
+
     /// \returns The number of the last grant to a priority; 0 if it has had
     /// none or that is no longer known.
     std::uint64_t last_grant(int priority) const;
--- a/src/sharing/use_ledger.cpp
+++ b/src/sharing/use_ledger.cpp
@@ -25,10 +25,12 @@
 {
 }
 
-void use_ledger::take(const workspace_name& workspace, time_point now)
+void use_ledger::take(const workspace_name& workspace, int priority,
+                      time_point now)
 {
     account& known = this->find_or_add(workspace, now);
     ++known.held;
+    known.priority = priority;
     known.excess.add(-seconds(use_memory), now);
 }
 
@@ -69,25 +71,48 @@
         const double recent = known.recent_time(now);
         const double use = recent + known.held * this->mean_hold;
         const double slots = recent / seconds(use_memory);
-        this->claims.push_back({use, slots, slots * use});
+        this->claims[known.priority].push_back({use, slots, slots * use});
     }
-    std::sort(this->claims.begin(), this->claims.end(),
-              [](const claim& left, const claim& right)
-              { return left.use < right.use; });
-    for (std::size_t index = 1; index < this->claims.size(); ++index)
+    for (auto& [priority, list] : this->claims)
     {
-        const claim& before = this->claims[index - 1];
-        this->claims[index].slots += before.slots;
-        this->claims[index].slots_times_use += before.slots_times_use;
+        std::sort(list.begin(), list.end(),
+                  [](const claim& left, const claim& right)
+                  { return left.use < right.use; });
+        for (std::size_t index = 1; index < list.size(); ++index)
+        {
+            list[index].slots += list[index - 1].slots;
+            list[index].slots_times_use += list[index - 1].slots_times_use;
+        }
+    }
+}
+
+double use_ledger::claimed_before(int priority, double use) const
+{
+    double slots = 0.0;
+    for (const auto& [claiming, list] : this->claims)
+    {
+        if (claiming > priority)
+        {
+            break;
+        }
+        slots +=
+            claiming < priority ? list.back().slots : claimed_before(list, use);
     }
+    return slots;
+}
+
+bool use_ledger::has_more_urgent(int priority) const
+{
+    return !this->claims.empty() && this->claims.begin()->first < priority;
 }
 
-double use_ledger::claimed_before(double use) const
+double use_ledger::claimed_before(const std::vector<claim>& ascending,
+                                  double use)
 {
-    const auto end = std::lower_bound(
-        this->claims.begin(), this->claims.end(), use,
-        [](const claim& entry, double limit) { return entry.use < limit; });
-    if (end == this->claims.begin())
+    const auto end = std::lower_bound(ascending.begin(), ascending.end(), use,
+                                      [](const claim& entry, double limit)
+                                      { return entry.use < limit; });
+    if (end == ascending.begin())
     {
         return 0.0;
     }
--- a/src/sharing/use_ledger.hpp
+++ b/src/sharing/use_ledger.hpp
@@ -6,6 +6,7 @@
 #include "units/time.hpp"
 
 #include <cstddef>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -25,7 +26,10 @@
     /// Records that a slot is taken. A slot that another broker granted is
     /// recorded in the same way: as each held slot adds the same amount, the
     /// shares are right from the start.
-    void take(const workspace_name& workspace, time_point now);
+    ///
+    /// \param priority That of the workspace's requests; 0 is the most urgent.
+    /// The last one counts.
+    void take(const workspace_name& workspace, int priority, time_point now);
 
     /// Records that a slot is returned.
     void end(const workspace_name& workspace, duration held_for,
@@ -41,10 +45,14 @@
     /// Prepares claimed_before().
     void refresh_claims(time_point now);
 
-    /// \returns The slots that workspaces with less use are expected to hold
-    /// and that are thus not left to one with this use. As of the last
-    /// refresh_claims().
-    double claimed_before(double use) const;
+    /// \returns The slots that workspaces with a more urgent priority, or with
+    /// less use, are expected to hold and that are thus not left to a workspace
+    /// with this priority and use. As of the last refresh_claims().
+    double claimed_before(int priority, double use) const;
+
+    /// \returns Whether workspaces with a more urgent priority use slots. As of
+    /// the last refresh_claims().
+    bool has_more_urgent(int priority) const;
 
     /// \returns About how many refused callers of a workspace have not
     /// returned yet.
@@ -66,6 +74,7 @@
     struct account
     {
         int held = 0;
+        int priority = 0;
         /// The slot time that was held recently, minus what the present number
         /// of held slots tends to. While that number stays, the difference
         /// decays.
@@ -94,12 +103,14 @@
     /// How often the claims are computed: they visit all workspaces.
     static constexpr duration claim_interval = std::chrono::milliseconds(50);
 
+    static double claimed_before(const std::vector<claim>& ascending,
+                                 double use);
     account& find_or_add(const workspace_name& workspace, time_point now);
     void forget_idle(time_point now);
 
     std::unordered_map<workspace_name, account> accounts;
-    /// In ascending order of use.
-    std::vector<claim> claims;
+    /// By priority, in ascending order of use.
+    std::map<int, std::vector<claim>> claims;
     time_point next_claims = time_point::min();
     double mean_hold;
     double weight;
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -141,7 +141,7 @@
 {
     this->batch_held += slot.request.kind == work_class::batch ? 1 : 0;
     this->sharing_of(slot.request.kind)
-        .use.take(slot.request.workspace, slot.since);
+        .use.take(slot.request.workspace, slot.request.priority, slot.since);
     this->held.insert_or_assign(ticket, std::move(slot));
 }
 
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -140,6 +140,25 @@
         }
     };
 
+    /// What the replicas can do for requests that wait.
+    struct capacity
+    {
+        /// All slots; of a replica that names a limit, the slots that requests
+        /// at this rate use.
+        double slots = 0.0;
+        /// Those of replicas that name no limit.
+        double unlimited_slots = 0.0;
+        /// Slots that batch work can give back for other requests.
+        int reclaimable = 0;
+        /// Whether any replica names a limit.
+        bool is_limited = false;
+
+        /// \param share The part of all slots that other workspaces take
+        /// first.
+        /// \returns What is left of it.
+        capacity left_by(double share) const;
+    };
+
     /// Visits the waiting requests of a queue in the order of service.
     class service_pass
     {
@@ -160,9 +179,14 @@
         /// be served.
         void skip(bool remove);
 
-        /// \returns Slots that workspaces with less use than that of the
-        /// request found by next() are expected to take first.
-        double claimed_slots();
+        /// \returns The part of all slots that other workspaces are expected to
+        /// take before the request found by next().
+        double claimed_share(const capacity& all);
+
+        /// \returns How many grants precede the one that the request found by
+        /// next() gets by a turn of its priority; nothing if there are no
+        /// turns because no priority is more urgent.
+        std::optional<std::size_t> place_by_turn() const;
 
         /// \returns Whether workspaces share the slots.
         bool is_shared() const { return this->shared; }
@@ -180,32 +204,20 @@
         {
             /// The next request of the lane.
             queue::iterator next;
+            int priority = 0;
             double use = 0.0;
+            /// The part of all slots that others take first.
             std::optional<double> claimed = std::nullopt;
         };
 
         queue& requests;
-        const sharing::use_ledger& ledger;
+        const sharing_state& state;
         bool shared;
         std::vector<lane_state> lanes;
         std::optional<sharing::service_order> order;
         std::size_t current = 0;
-    };
-
-    /// What the replicas can do for requests that wait.
-    struct capacity
-    {
-        /// All slots; of a replica that names a limit, the slots that requests
-        /// at this rate use.
-        double slots = 0.0;
-        /// Those of replicas that name no limit.
-        double unlimited_slots = 0.0;
-        /// Slots that batch work can give back for other requests.
-        int reclaimable = 0;
-        /// Whether any replica names a limit.
-        bool is_limited = false;
-        /// \returns What is left of it when other workspaces go first.
-        capacity left_by(double claimed_slots) const;
+        /// Requests that were found to get a slot, by priority.
+        std::map<int, std::size_t> passed;
     };
 
     static rank rank_of(const waiting_request& waiting, bool late);
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -113,15 +113,14 @@
     return present;
 }
 
-slot_broker::capacity slot_broker::capacity::left_by(double claimed_slots) const
+slot_broker::capacity slot_broker::capacity::left_by(double share) const
 {
-    // What a turn of its priority leaves at least.
-    constexpr double least_share = 1.0 / sharing::priority_turns::interval;
+    // What the turns of its priority leave at least.
+    constexpr double least_part = 1.0 / sharing::priority_turns::interval;
+    const double part = std::max(1.0 - share, least_part);
     capacity left = *this;
-    left.slots =
-        std::max(this->slots - claimed_slots, this->slots * least_share);
-    left.unlimited_slots = std::max(this->unlimited_slots - claimed_slots,
-                                    this->unlimited_slots * least_share);
+    left.slots *= part;
+    left.unlimited_slots *= part;
     return left;
 }
 
--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -120,17 +120,19 @@
     {
         waiting_request& waiting = entry->second;
         const auto& version = waiting.request.version;
-        capacity present = version ? this->current_capacity(version) : all;
-        if (pass.is_shared())
-        {
-            present = present.left_by(pass.claimed_slots());
-        }
+        const capacity present =
+            version ? this->current_capacity(version) : all;
+        const bool shared = pass.is_shared();
+        const capacity left = present.left_by(pass.claimed_share(all));
         std::size_t& before = version ? ahead_at_version[*version] : ahead;
         // Without any replica nothing is known of when one will be there.
         const bool keeps_waiting =
             waiting.request.wait_when_late && all.slots <= 0.0;
+        const auto by_turn = pass.place_by_turn();
         if (keeps_waiting ||
-            this->is_meetable(before, waiting, present, pass.is_shared(), now))
+            this->is_meetable(before, waiting, left, shared, now) ||
+            (by_turn &&
+             this->is_meetable(*by_turn, waiting, present, shared, now)))
         {
             waiting.accepted = true;
             ++before;
@@ -138,7 +140,7 @@
             pass.grant(false);
             continue;
         }
-        this->refuse(waiting, before, present, now);
+        this->refuse(waiting, before, left, now);
         pass.skip(true);
     }
 }
--- a/src/slots/slot_broker_sharing.cpp
+++ b/src/slots/slot_broker_sharing.cpp
@@ -15,24 +15,24 @@
 }
 
 slot_broker::service_pass::service_pass(queue& visited,
-                                        const sharing_state& state,
+                                        const sharing_state& sharing,
                                         time_point now)
-    : requests(visited), ledger(state.use), shared(state.use.has_workspaces())
+    : requests(visited), state(sharing), shared(sharing.use.has_workspaces())
 {
     std::vector<sharing::lane> found;
     for (auto entry = visited.begin(); entry != visited.end();)
     {
         rank last = entry->first;
-        const double use = state.use.use_of(last.workspace, now);
-        this->lanes.push_back({entry, use});
+        const double use = this->state.use.use_of(last.workspace, now);
+        this->lanes.push_back({entry, last.priority, use});
         found.push_back({last.late, last.priority, use});
         this->shared = this->shared || !last.workspace.empty();
         last.useful_until = time_point::max();
         last.ticket = slot_ticket(std::numeric_limits<std::int64_t>::max());
         entry = visited.upper_bound(last);
     }
-    this->order.emplace(found, state.use.expected_hold(), state.turns,
-                        this->shared);
+    this->order.emplace(found, this->state.use.expected_hold(),
+                        this->state.turns, this->shared);
 }
 
 slot_broker::queue::iterator slot_broker::service_pass::next()
@@ -48,6 +48,10 @@
 
 void slot_broker::service_pass::grant(bool remove)
 {
+    if (this->shared)
+    {
+        ++this->passed[this->lanes[this->current].priority];
+    }
     this->order->grant(this->advance(remove));
 }
 
@@ -70,16 +74,36 @@
     return has_more;
 }
 
-double slot_broker::service_pass::claimed_slots()
+double slot_broker::service_pass::claimed_share(const capacity& all)
 {
+    if (!this->shared || all.slots <= 0.0)
+    {
+        return 0.0;
+    }
     lane_state& lane = this->lanes[this->current];
     if (!lane.claimed)
     {
-        lane.claimed = this->ledger.claimed_before(lane.use);
+        lane.claimed =
+            this->state.use.claimed_before(lane.priority, lane.use) / all.slots;
     }
     return *lane.claimed;
 }
 
+std::optional<std::size_t> slot_broker::service_pass::place_by_turn() const
+{
+    const int priority = this->lanes[this->current].priority;
+    if (!this->shared || (this->lanes.front().priority >= priority &&
+                          !this->state.use.has_more_urgent(priority)))
+    {
+        return std::nullopt;
+    }
+    const auto before = this->passed.find(priority);
+    const std::size_t turns_before =
+        before == this->passed.end() ? 0 : before->second;
+    return this->state.turns.grants_before_turn(priority) +
+           turns_before * sharing::priority_turns::interval;
+}
+
 bool slot_broker::shares(const sharing_state& state,
                          const waiting_request& waiting)
 {
--- a/tests/sharing/service_order_test.cpp
+++ b/tests/sharing/service_order_test.cpp
@@ -123,6 +123,18 @@
     CHECK(this->turns.is_due(7));
 }
 
+TEST(service_order, the_grants_before_a_turn_are_known)
+{
+    this->turns.record(5, false);
+    CHECK_EQUAL(15, this->turns.grants_before_turn(5));
+    for (int grant = 0; grant < 15; ++grant)
+    {
+        this->turns.record(0, false);
+    }
+    CHECK_EQUAL(0, this->turns.grants_before_turn(5));
+    CHECK(this->turns.is_due(5));
+}
+
 TEST(service_order, without_workspaces_no_priority_gets_a_turn)
 {
     service_order order({{false, 0, 0.0}, {false, 1, 0.0}}, 1.0, this->turns,
--- a/tests/sharing/use_ledger_test.cpp
+++ b/tests/sharing/use_ledger_test.cpp
@@ -20,7 +20,7 @@
     {
         for (int slot = 0; slot < slots; ++slot)
         {
-            this->ledger.take(workspace, this->now);
+            this->ledger.take(workspace, 0, this->now);
         }
         this->now += span;
         for (int slot = 0; slot < slots; ++slot)
@@ -34,7 +34,7 @@
 // them counts.
 TEST(use_ledger, a_slot_counts_as_soon_as_it_is_taken)
 {
-    this->ledger.take(this->large, this->now);
+    this->ledger.take(this->large, 0, this->now);
     DOUBLES_EQUAL(0.5, this->ledger.use_of(this->large, this->now), 1e-9);
     DOUBLES_EQUAL(0.0, this->ledger.use_of(this->small, this->now), 1e-9);
 }
@@ -43,7 +43,7 @@
 // takes as much as many short ones.
 TEST(use_ledger, slot_time_counts_and_not_the_number_of_requests)
 {
-    this->ledger.take(this->large, this->now);
+    this->ledger.take(this->large, 0, this->now);
     for (int count = 0; count < 10; ++count)
     {
         this->use(this->small, 1, std::chrono::milliseconds(100));
@@ -71,9 +71,9 @@
     {
         this->use(workspace_name("w" + std::to_string(number)), 1, this->hold);
     }
-    this->ledger.take(this->large, this->now);
+    this->ledger.take(this->large, 0, this->now);
     this->now += std::chrono::seconds(40);
-    this->ledger.take(this->small, this->now);
+    this->ledger.take(this->small, 0, this->now);
     CHECK_EQUAL(2, this->ledger.size());
 }
 
@@ -84,7 +84,7 @@
     {
         for (int slot = 0; slot < number; ++slot)
         {
-            this->ledger.take(workspace_name("w" + std::to_string(number)),
+            this->ledger.take(workspace_name("w" + std::to_string(number)), 0,
                               this->now);
         }
     }
@@ -98,13 +98,39 @@
 
 TEST(use_ledger, without_names_nothing_is_listed)
 {
-    this->ledger.take(workspace_name(), this->now);
+    this->ledger.take(workspace_name(), 0, this->now);
     CHECK_FALSE(this->ledger.has_workspaces());
     CHECK(this->ledger.largest(10, this->now).empty());
     this->ledger.refuse(this->small, this->now);
     CHECK(this->ledger.has_workspaces());
 }
 
+// Guards against requests of a hot workspace that are accepted because the
+// others' requests, which will go first, have not arrived yet.
+TEST(use_ledger, workspaces_with_less_use_claim_the_slots_that_they_hold)
+{
+    const workspace_name urgent("urgent");
+    for (int slot = 0; slot < 20; ++slot)
+    {
+        this->ledger.take(this->large, 1, this->now);
+    }
+    this->ledger.take(this->small, 1, this->now);
+    this->ledger.take(urgent, 0, this->now);
+    this->ledger.take(urgent, 0, this->now);
+    this->now += std::chrono::seconds(20);
+    this->ledger.refresh_claims(this->now);
+    const double large_use = this->ledger.use_of(this->large, this->now);
+    const double small_use = this->ledger.use_of(this->small, this->now);
+    // The urgent workspace's two slots; of the small one's only what it may
+    // still get before both uses are equal.
+    DOUBLES_EQUAL(2.0 + 1.0 - small_use / large_use,
+                  this->ledger.claimed_before(1, large_use), 0.01);
+    DOUBLES_EQUAL(2.0, this->ledger.claimed_before(1, small_use), 0.01);
+    DOUBLES_EQUAL(0.0, this->ledger.claimed_before(0, 0.0), 0.01);
+    CHECK(this->ledger.has_more_urgent(1));
+    CHECK_FALSE(this->ledger.has_more_urgent(0));
+}
+
 TEST(use_ledger, refused_callers_count_until_they_have_returned)
 {
     for (int count = 0; count < 100; ++count)
--- a/tests/slots/slot_sharing_test.cpp
+++ b/tests/slots/slot_sharing_test.cpp
@@ -132,7 +132,11 @@
         options.seed = seed;
         options.loads = {{"urgent", 200, 1.0, 0}, {"low", 40, 1.0, 5}};
         sharing_world world(options);
-        world.run();
+        const auto result = world.run();
+        // Those that only a turn can serve do not wait for a slot that more
+        // urgent requests will take.
+        CHECK(result.at("low").refused_at_once >=
+              9 * result.at("low").refused_after_wait);
         const double low = world.slot_time("low", std::chrono::seconds(5),
                                            std::chrono::seconds(20));
         // One in sixteen of 64 slots for fifteen seconds.
