Let late requests share with those on time of other workspaces

Retries of callers are late as a rule and were served after all requests on time of the same priority, so that a hot workspace, which always has some, starved the retries of the others. Within a workspace the order is as before. Between priorities lateness still decides first, but a priority whose requests are all late gets turns as well.

Ruled out: priority before lateness throughout, as a hot workspace's late retries would then hold up all requests on time of lower priorities.

test_slots (66 tests) and test_sharing (21) pass.

--- a/src/sharing/service_order.hpp
+++ b/src/sharing/service_order.hpp
@@ -3,6 +3,7 @@
 #include "sharing/priority_turns.hpp"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -18,12 +19,17 @@
     int priority = 0;
     /// Slot time that the workspace uses.
     double use = 0.0;
+    /// Late requests: the lane of the same workspace and priority with those on
+    /// time, which precedes this one.
+    std::optional<std::size_t> after = std::nullopt;
 };
 
 /// Determines the lane whose next request is served: those on time before late
 /// ones, then by priority, then the workspace with the least use. As all
-/// workspaces have equal shares, this approaches max-min fairness. A lower
-/// priority is served first when its turn has come.
+/// workspaces have equal shares, this approaches max-min fairness. Late
+/// requests of a workspace precede requests on time of the same priority and
+/// another workspace with more use. Another priority is served first when its
+/// turn has come.
 class service_order
 {
 public:
@@ -31,9 +37,10 @@
     /// request.
     /// \param expected_use Slot time that a granted request is expected to use.
     /// \param turns The grants so far.
-    /// \param guarantee Whether lower priorities get turns.
+    /// \param is_shared Whether workspaces share the slots. Otherwise no
+    /// priority gets turns and late requests go last.
     service_order(const std::vector<lane>& lanes, double expected_use,
-                  const priority_turns& turns, bool guarantee);
+                  const priority_turns& turns, bool is_shared);
 
     /// \returns The index of the lane that is next; nothing when no requests
     /// are left.
@@ -72,20 +79,30 @@
         bool is_heap = false;
     };
 
-    /// \returns The index of the class whose turn has come; the first one if
-    /// there is none.
-    std::size_t choose_class() const;
+    /// \returns The class whose turn has come, if any.
+    std::optional<std::size_t> class_by_turn() const;
+    /// \returns The first class, or that of late requests of the same priority
+    /// if their workspace has less use.
+    std::size_t class_by_use();
+    /// \returns The entry with the least use.
+    const entry& first_of(lane_class& chosen);
     /// Removes the first entry of the current class.
     entry take_first();
-    void put(const entry& changed);
+    static void put(lane_class& target, const entry& added);
+    /// Goes on to the late requests of a workspace whose requests on time have
+    /// all been visited.
+    void release_late(const entry& visited);
 
     std::vector<lane_class> classes;
     /// The most urgent class with requests, and the one chosen by next().
     std::size_t first = 0;
     std::size_t current = 0;
+    bool is_turn = false;
+    /// Lanes of late requests by the lane that precedes them.
+    std::map<std::size_t, std::size_t> late_lanes;
     double cost;
     priority_turns grant_turns;
-    bool with_turns;
+    bool shared;
 };
 
 } // namespace parsleytrack::sharing
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -197,6 +197,10 @@
         }
 
     private:
+        /// Finds the lanes, in order of rank.
+        std::vector<sharing::lane> find_lanes(time_point now);
+        /// Finds for each lane of late requests the one that precedes it.
+        void link_late_lanes(std::vector<sharing::lane>& found) const;
         /// \returns Whether the lane has another request.
         bool advance(bool remove);
 
--- a/src/slots/slot_broker_sharing.cpp
+++ b/src/slots/slot_broker_sharing.cpp
@@ -4,6 +4,7 @@
 
 #include <iterator>
 #include <limits>
+#include <tuple>
 
 namespace parsleytrack::slots
 {
@@ -18,9 +19,16 @@
                                         const sharing_state& sharing,
                                         time_point now)
     : requests(visited), state(sharing), shared(sharing.use.has_workspaces())
+{
+    const std::vector<sharing::lane> found = this->find_lanes(now);
+    this->order.emplace(found, sharing.use.expected_hold(), sharing.turns,
+                        this->shared);
+}
+
+std::vector<sharing::lane> slot_broker::service_pass::find_lanes(time_point now)
 {
     std::vector<sharing::lane> found;
-    for (auto entry = visited.begin(); entry != visited.end();)
+    for (auto entry = this->requests.begin(); entry != this->requests.end();)
     {
         rank last = entry->first;
         const double use = this->state.use.use_of(last.workspace, now);
@@ -29,10 +37,37 @@
         this->shared = this->shared || !last.workspace.empty();
         last.useful_until = time_point::max();
         last.ticket = slot_ticket(std::numeric_limits<std::int64_t>::max());
-        entry = visited.upper_bound(last);
+        entry = this->requests.upper_bound(last);
+    }
+    this->link_late_lanes(found);
+    return found;
+}
+
+void slot_broker::service_pass::link_late_lanes(
+    std::vector<sharing::lane>& found) const
+{
+    const auto key_of = [this](std::size_t index)
+    {
+        const rank& first = this->lanes[index].next->first;
+        return std::tie(first.priority, first.workspace);
+    };
+    // Lanes on time and late ones are in the same order.
+    std::size_t on_time = 0;
+    for (std::size_t index = 0; index < found.size(); ++index)
+    {
+        if (!found[index].late)
+        {
+            continue;
+        }
+        while (!found[on_time].late && key_of(on_time) < key_of(index))
+        {
+            ++on_time;
+        }
+        if (!found[on_time].late && key_of(on_time) == key_of(index))
+        {
+            found[index].after = on_time;
+        }
     }
-    this->order.emplace(found, this->state.use.expected_hold(),
-                        this->state.turns, this->shared);
 }
 
 slot_broker::queue::iterator slot_broker::service_pass::next()
