--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -104,6 +104,7 @@
             present.reclaimable += version ? state.used_by_batch : 0;
             continue;
         }
+        present.is_limited = true;
         present.slots +=
             std::min(slots, state.pacer->rate().per_second() * hold_s);
         // What is reclaimed there cannot be granted again before its time.
@@ -112,15 +113,14 @@
     return present;
 }
 
-slot_broker::capacity slot_broker::capacity::left_by(double claimed_slots) const
+slot_broker::capacity slot_broker::capacity::left_by(double share) const
 {
-    // What a turn of its priority leaves at least.
-    constexpr double least_share = 1.0 / sharing::priority_turns::interval;
+    // What the turns of its priority leave at least.
+    constexpr double least_part = 1.0 / sharing::priority_turns::interval;
+    const double part = std::max(1.0 - share, least_part);
     capacity left = *this;
-    left.slots =
-        std::max(this->slots - claimed_slots, this->slots * least_share);
-    left.unlimited_slots = std::max(this->unlimited_slots - claimed_slots,
-                                    this->unlimited_slots * least_share);
+    left.slots *= part;
+    left.unlimited_slots *= part;
     return left;
 }
 
@@ -146,10 +146,26 @@
     {
         grants += present.reclaimable;
     }
+    if (present.is_limited)
+    {
+        grants = this->add_limited_grants(grants, wanted.version, until, now);
+    }
+    const double needed = static_cast<double>(ahead) + 1.0;
+    const bool is_new = shared && !waiting.accepted;
+    return needed + (is_new ? accepted_margin * std::sqrt(needed) : 0.0) <=
+           grants;
+}
+
+double
+slot_broker::add_limited_grants(double grants,
+                                const std::optional<software_version>& version,
+                                time_point until, time_point now) const
+{
+    const double spans = static_cast<double>((until - now).count()) /
+                         static_cast<double>(this->mean_hold.count());
     for (const auto& [id, state] : this->replicas)
     {
-        if (!state.pacer ||
-            (wanted.version && *wanted.version != state.replica.version))
+        if (!state.pacer || (version && *version != state.replica.version))
         {
             continue;
         }
@@ -161,10 +177,7 @@
             state.replica.slots * (1.0 + spans) - state.used;
         grants += std::clamp<double>(paced, 0.0, std::max(0.0, by_slots));
     }
-    const double needed = static_cast<double>(ahead) + 1.0;
-    const bool is_new = shared && !waiting.accepted;
-    return needed + (is_new ? accepted_margin * std::sqrt(needed) : 0.0) <=
-           grants;
+    return grants;
 }
 
 duration slot_broker::predicted_wait(std::size_t ahead,
