--- a/src/allotments/lease_book.hpp
+++ b/src/allotments/lease_book.hpp
@@ -29,9 +29,6 @@
     lease_reply handle(const lease_order& order, time_point owned_since,
                        const group_share& share, time_point now);
 
-    /// Drops all buckets, after a pause of this process.
-    void clear() { this->buckets.clear(); }
-
     /// Drops the buckets that have not been used for a minute. One that is
     /// created again is not fuller than the one that was dropped.
     void drop_unused(const group_share& share, time_point now);
--- a/src/allotments/node_allotments.cpp
+++ b/src/allotments/node_allotments.cpp
@@ -51,7 +51,6 @@
     if (now - this->last_time >= pause_threshold)
     {
         // Others may have owned this node's workspaces in the meantime.
-        this->book.clear();
         this->owners.restart_own(now);
         for (auto& [name, known] : this->accounts)
         {
--- a/src/allotments/node_allotments.hpp
+++ b/src/allotments/node_allotments.hpp
@@ -138,6 +138,9 @@
     void refuse(claim_number number, bool over_limit, duration retry_after);
     void refuse_over_limit(account& known, claim_number number, time_point now);
     void claim_alone(account& known, claim_number number, time_point now);
+    /// \returns How long claims are refused without asking an owner whose
+    /// bucket is empty.
+    duration empty_time(const account& known, const lease_reply& reply) const;
     void serve_waiting(account& known, time_point now);
     void renew(account& known, time_point now);
     void call_owner(account& known, int needed, int wanted, time_point now);
--- a/src/allotments/node_allotments_calls.cpp
+++ b/src/allotments/node_allotments_calls.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-/// How long an owner's word that a bucket is empty is taken for later claims.
-constexpr duration max_empty_time = std::chrono::milliseconds(100);
+/// How long an owner's word that a bucket is empty is taken for later claims at
+/// most. In a surge of a large workspace, all nodes ask its owner this often.
+constexpr duration max_empty_time = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -111,12 +112,26 @@
     if (is_empty)
     {
         known->refilled_at = now + reply.refilled_in;
-        known->empty_until =
-            now + std::min<duration>(reply.refilled_in, max_empty_time);
+        known->empty_until = now + this->empty_time(*known, reply);
     }
     this->serve_waiting(*known, now);
 }
 
+duration node_allotments::empty_time(const account& known,
+                                     const lease_reply& reply) const
+{
+    // With a longer time few nodes could not use a small bucket at its rate,
+    // since it would be full before they ask again.
+    const double capacity = known.limit.burst + this->numbers.extra_capacity;
+    const std::chrono::duration<double> quarter(capacity / 4.0 /
+                                                known.limit.rate.per_second());
+    const duration refilled = std::min(reply.refilled_in, max_empty_time);
+    return quarter >= max_empty_time
+               ? max_empty_time
+               : std::max(refilled,
+                          std::chrono::duration_cast<duration>(quarter));
+}
+
 void node_allotments::serve_waiting(account& known, time_point now)
 {
     while (!known.waiting.empty())
