--- a/src/allotments/allotment_client.cpp
+++ b/src/allotments/allotment_client.cpp
@@ -59,7 +59,7 @@
         // One line for all workspaces; there may be thousands.
         log_event(log_level::debug, "allotment_owner_changed",
                   {{"living", group.live_nodes().size()},
-                   {"lost", group.lost_nodes()}});
+                   {"lost", this->lost_nodes}});
     }
     this->run_commands();
 }
@@ -97,7 +97,6 @@
     {
         std::visit([this](const auto& typed) { this->run(typed); }, command);
     }
-    this->export_counts();
 }
 
 void allotment_client::run(const grant_command& command)
@@ -186,8 +185,14 @@
 
 void allotment_client::tick()
 {
+    // A dead node is forgotten after some time, which is no change of the view.
+    if (this->services.group.lost_nodes() != this->lost_nodes)
+    {
+        this->update_view();
+    }
     this->decisions.tick(net::event_loop::now());
     this->run_commands();
+    this->export_counts();
 }
 
 void allotment_client::export_counts()
--- a/src/allotments/allotment_client.hpp
+++ b/src/allotments/allotment_client.hpp
@@ -11,6 +11,7 @@
 #include "wire/peer_exchange.hpp"
 #include "workspaces/workspace.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -100,6 +101,8 @@
     std::map<std::uint64_t, callbacks> waiting;
     std::map<lease_call_number, std::unique_ptr<wire::peer_call>> calls;
     node_allotments::counts exported;
+    /// As last handed to the decisions.
+    std::size_t lost_nodes = 0;
     net::timer tick_timer;
     std::uint64_t next_number = 1;
 };
--- a/tests/allotments/allotment_client_test.cpp
+++ b/tests/allotments/allotment_client_test.cpp
@@ -155,6 +155,13 @@
     CHECK(this->granted > 0);
     CHECK(this->granted <= 4);
     CHECK(this->over_limit > 0);
+    this->run_until(
+        [this]
+        {
+            return this->count("leased") + this->count("over_limit") +
+                       this->count("unknown") ==
+                   std::uint64_t(this->decided());
+        });
     CHECK_EQUAL(this->granted, this->count("leased"));
     CHECK_EQUAL(this->over_limit, this->count("over_limit"));
     CHECK_EQUAL(this->unknown, this->count("unknown"));
