--- a/src/settings/relay_settings.hpp
+++ b/src/settings/relay_settings.hpp
@@ -3,6 +3,7 @@
 #include "logging/log.hpp"
 #include "units/endpoint.hpp"
 #include "units/ids.hpp"
+#include "units/numbers.hpp"
 #include "units/time.hpp"
 
 #include <optional>
@@ -20,6 +21,8 @@
     availability_zone_name availability_zone;
     /// CPU capacity of the node, in thousandths of a core.
     int capacity_millicores = 1000;
+    /// Memory that the instance allows the process.
+    byte_count memory{256 * 1024 * 1024};
     /// Listen address for callers; absent on a node that serves none.
     std::optional<endpoint> front;
     /// Listen address of the readiness check.
--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -15,6 +15,10 @@
 constexpr double min_cores = 0.01;
 constexpr double max_cores = 1024.0;
 constexpr double millicores_per_core = 1000.0;
+constexpr double default_memory_mb = 256.0;
+constexpr double min_memory_mb = 16.0;
+constexpr double max_memory_mb = 1024.0 * 1024.0;
+constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
 
 std::optional<endpoint> read_optional_address(object_reader& reader,
                                               const char* field)
@@ -53,6 +57,10 @@
     settings.capacity_millicores =
         static_cast<int>(reader.number("cores", 1.0, min_cores, max_cores) *
                          millicores_per_core);
+    settings.memory = byte_count(
+        static_cast<std::int64_t>(reader.number("memory_mb", default_memory_mb,
+                                                min_memory_mb, max_memory_mb) *
+                                  bytes_per_megabyte));
 }
 
 void read_listen(object_reader& reader, relay_settings& settings)
--- a/tests/process_support/child_process.cpp
+++ b/tests/process_support/child_process.cpp
@@ -8,9 +8,12 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdint>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 extern char** environ;
@@ -134,6 +137,16 @@
     return kilobytes.empty() ? 0 : std::stoul(kilobytes) * bytes_per_kilobyte;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code failure;
+    const std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(this->pid) + "/fd", failure);
+    return failure ? 0
+                   : static_cast<std::size_t>(
+                         std::distance(begin(entries), end(entries)));
+}
+
 bool child_process::handles(int number) const
 {
     const auto read_mask = [this](const char* field)
--- a/tests/process_support/child_process.hpp
+++ b/tests/process_support/child_process.hpp
@@ -48,6 +48,9 @@
     /// ended.
     std::size_t peak_memory_bytes() const;
 
+    /// \returns Number of descriptors that it has open; zero once it has ended.
+    std::size_t open_descriptors() const;
+
     /// \returns All that it has written so far.
     std::string output() const;
 
--- a/tests/relay_support/relay_fleet.cpp
+++ b/tests/relay_support/relay_fleet.cpp
@@ -108,7 +108,10 @@
 relay_fleet::relay_fleet(const relay_fleet_options& chosen) : options(chosen)
 {
     const int node_count = this->options.node_count;
-    this->store.put("op/config", configuration(3, "/plain/"));
+    json contents = json::parse(configuration(3, "/plain/"));
+    contents["limits"]["maxBodyBytes"] = this->options.max_body_bytes;
+    contents["limits"]["idleTimeoutMs"] = this->options.idle_timeout_ms;
+    this->store.put("op/config", contents.dump());
     const auto add_replica =
         [this](const std::string& name, const std::string& service)
     {
@@ -227,11 +230,15 @@
         listen["ready"] = to_string(entry.ready);
         listen["directory"] = to_string(entry.directory);
     }
+    json own{{"id", "n" + std::to_string(number)},
+             {"region", "r"},
+             {"availability_zone", "z"}};
+    if (this->options.memory_mb > 0)
+    {
+        own["memory_mb"] = this->options.memory_mb;
+    }
     const json document{
-        {"node",
-         {{"id", "n" + std::to_string(number)},
-          {"region", "r"},
-          {"availability_zone", "z"}}},
+        {"node", own},
         {"listen", listen},
         {"seeds", seeds},
         {"store",
--- a/tests/relay_support/relay_fleet_options.hpp
+++ b/tests/relay_support/relay_fleet_options.hpp
@@ -21,6 +21,11 @@
     bool has_proxies = false;
     /// Whether each node reaches the replicas through proxies of its own.
     bool has_node_links = false;
+    /// Memory limit in the settings of each node, in MiB; 0 for none.
+    int memory_mb = 0;
+    /// Limits of the configuration.
+    int max_body_bytes = 100'000;
+    int idle_timeout_ms = 2000;
 };
 
 } // namespace parsleytrack::relay_support
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -31,7 +31,7 @@
     this->server.set_handler(
         [this](const std::shared_ptr<net::http_exchange>& exchange)
         {
-            exchange->on_body(1024 * 1024,
+            exchange->on_body(4 * 1024 * 1024,
                               [this, exchange](const std::string& body)
                               { this->handle_request(exchange, body); });
         });
--- a/tests/settings/relay_settings_test.cpp
+++ b/tests/settings/relay_settings_test.cpp
@@ -18,7 +18,8 @@
 {
     const auto outcome = parse_relay_settings(
         R"({// As the deploy template writes it.
-            "node":{"id":"n","region":"r","availability_zone":"z","cores":0.25},
+            "node":{"id":"n","region":"r","availability_zone":"z","cores":0.25,
+                    "memory_mb":88},
             "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81",
                       "directory":"10.0.0.1:82","peer":"10.0.0.1:7000"},
             "seeds":["10.0.0.2:9999"],"store":{"address":"10.0.0.3:1"},
@@ -26,6 +27,7 @@
         "file");
     const auto& read = std::get<relay_settings>(outcome);
     CHECK_EQUAL(250, read.capacity_millicores);
+    CHECK_EQUAL(88 * 1024 * 1024, read.memory.count());
     CHECK_EQUAL(80, read.front->port);
     // The port of a seed is replaced by the peer port, which is the same on
     // all nodes.
@@ -40,7 +42,23 @@
             "listen":{"front":"","peer":"10.0.0.1:7000"},"seeds":[],
             "store":{"address":"10.0.0.3:1"}})",
         "file");
-    CHECK_FALSE(std::get<relay_settings>(outcome).front.has_value());
+    const auto& read = std::get<relay_settings>(outcome);
+    CHECK_FALSE(read.front.has_value());
+    CHECK_EQUAL(256 * 1024 * 1024, read.memory.count());
+}
+
+TEST(relay_settings, a_memory_limit_must_be_a_number_within_bounds)
+{
+    for (const std::string memory : {"0", "-1", "\"88\"", "1e9"})
+    {
+        CHECK_EQUAL(
+            1, problems_in(
+                   R"({"node":{"id":"n","region":"r","availability_zone":"z",)"
+                   R"("memory_mb":)" +
+                   memory +
+                   R"(},"listen":{"peer":"10.0.0.1:7000"},"seeds":[],)"
+                   R"("store":{"address":"10.0.0.3:1"}})"));
+    }
 }
 
 TEST(relay_settings, reports_all_findings_together)
