Bound what callers can make a node buffer

Bodies that stop short of their end, and bodies far over the limit, were collected without any bound on their sum; a 413 was sent only when the whole body had come, and what had been collected stayed allocated until then.

Adds a budget for bodies, unread input and unsent output, a quarter of node.memory_mb, with a share per client address; net::body_budget closes the connection with the least recent progress first. A declared oversize is refused before the body is read, one in transit as soon as it is reached; the rest is discarded up to twice the limit and 3 s. Bounds unread input, output that the caller does not read, and connections (half of the descriptors). Refusals for the budget are 503 with Retry-After, and refusals log one line a second at most.

Ruled out: the fewest received bytes as the measure of progress, which would close ordinary small requests before bodies that have stalled.

--- a/src/net/connection_limits.hpp
+++ b/src/net/connection_limits.hpp
@@ -3,6 +3,8 @@
 #include "units/numbers.hpp"
 #include "units/time.hpp"
 
+#include <cstddef>
+
 namespace parsleytrack::net
 {
 
@@ -20,6 +22,13 @@
     /// is closed, within a request's body the request is answered with 408.
     /// Zero means "no limit".
     duration idle_timeout = duration::zero();
+    /// Maximum size of a request's body; a larger one is answered with 413 as
+    /// soon as it is declared or received. Zero means "no limit".
+    byte_count max_body{0};
+    /// Maximum number of open connections. Beyond it, the connection that has
+    /// waited longest for a request is closed, else the new one. Zero means
+    /// "no limit".
+    std::size_t max_connections = 0;
 };
 
 } // namespace parsleytrack::net
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -52,7 +52,8 @@
         }
         if (body->size() + piece.size() > limit)
         {
-            body->clear();
+            // Unlike clear(), this frees the memory.
+            *body = std::string();
             this->respond_json(
                 413, R"({"error":{"type":"refused","reason":"too_large",)"
                      R"("message":"the body is larger than the limit of )" +
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include "net/bound_port.hpp"
+#include "net/connection_table.hpp"
 #include "net/server_connection.hpp"
 
 #include <event2/listener.h>
@@ -10,7 +11,6 @@
 #include <cerrno>
 #include <cstring>
 #include <utility>
-#include <vector>
 
 namespace parsleytrack::net
 {
@@ -34,7 +34,7 @@
 
 evhtp_res on_accepted(evhtp_connection_t* connection, void* argument)
 {
-    server_connection::attach(*static_cast<http_server*>(argument), connection);
+    static_cast<http_server*>(argument)->accept(*connection);
     return EVHTP_RES_OK;
 }
 
@@ -52,7 +52,9 @@
 } // namespace detail
 
 http_server::http_server(event_loop& event_loop)
-    : loop(event_loop), server(evhtp_new(event_loop.base(), nullptr))
+    : loop(event_loop),
+      table(std::make_unique<detail::connection_table>(event_loop)),
+      server(evhtp_new(event_loop.base(), nullptr))
 {
     evhtp_set_gencb(this->server.get(), detail::on_request_complete, nullptr);
     evhtp_set_post_accept_cb(this->server.get(), detail::on_accepted, this);
@@ -94,8 +96,11 @@
 void http_server::set_limits(const connection_limits& limits)
 {
     this->current_limits = limits;
-    if (limits.head_timeout <= duration::zero() &&
-        limits.idle_timeout <= duration::zero())
+    for (const connection_number number : this->table->numbers())
+    {
+        this->table->find(number)->limit_input();
+    }
+    if (!this->has_limits())
     {
         this->timeout_check_timer.cancel();
         return;
@@ -104,23 +109,47 @@
         detail::timeout_check_interval, [this] { this->enforce_timeouts(); });
 }
 
+bool http_server::has_limits() const
+{
+    const connection_limits& limits = this->current_limits;
+    return limits.head_timeout > duration::zero() ||
+           limits.idle_timeout > duration::zero() ||
+           limits.max_body > byte_count(0);
+}
+
+void http_server::set_body_budget(const body_budget::limits& limits)
+{
+    this->table->budget.set_limits(limits);
+}
+
+void http_server::on_refusal(std::function<void(caller_refusal)> callback)
+{
+    this->table->on_refusal = std::move(callback);
+}
+
+std::size_t http_server::buffered_bytes() const
+{
+    return this->table->budget.buffered_bytes();
+}
+
 std::size_t http_server::partial_heads() const
 {
+    const auto numbers = this->table->numbers();
     return static_cast<std::size_t>(
-        std::count_if(this->connections.begin(), this->connections.end(),
-                      [](const detail::server_connection* connection)
-                      { return connection->reads_head(); }));
+        std::count_if(numbers.begin(), numbers.end(),
+                      [this](connection_number number)
+                      { return this->table->find(number)->reads_head(); }));
 }
 
 void http_server::enforce_timeouts()
 {
     const time_point now = event_loop::now();
-    // Iterates over a copy, since a closed connection leaves the set.
-    const std::vector<detail::server_connection*> checked(
-        this->connections.begin(), this->connections.end());
-    for (detail::server_connection* connection : checked)
+    for (const connection_number number : this->table->numbers())
     {
-        connection->enforce_timeouts(now);
+        if (auto* const connection = this->table->find(number))
+        {
+            connection->enforce_timeouts(now);
+        }
     }
 }
 
@@ -138,14 +167,15 @@
     }
 }
 
-void http_server::add_connection(detail::server_connection& connection)
+void http_server::accept(evhtp_connection& connection)
 {
-    this->connections.insert(&connection);
-}
-
-void http_server::remove_connection(detail::server_connection& connection)
-{
-    this->connections.erase(&connection);
+    const connection_number added =
+        detail::server_connection::attach(*this, &connection);
+    const std::size_t limit = this->current_limits.max_connections;
+    if (limit > 0 && this->table->size() > limit)
+    {
+        this->table->make_room_for(added);
+    }
 }
 
 } // namespace parsleytrack::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/body_budget.hpp"
+#include "net/caller_refusal.hpp"
 #include "net/connection_limits.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_exchange.hpp"
@@ -9,9 +11,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <set>
 
 struct evhtp;
+struct evhtp_connection;
 
 namespace parsleytrack::net
 {
@@ -22,6 +24,7 @@
 {
     void operator()(evhtp* server) const;
 };
+class connection_table;
 class server_connection;
 } // namespace detail
 
@@ -53,6 +56,16 @@
 
     const connection_limits& limits() const { return this->current_limits; }
 
+    /// Sets the budget for what all connections together buffer.
+    void set_body_budget(const body_budget::limits& limits);
+
+    /// \param callback Called with each request or connection that is refused
+    /// because of the limits or the budget.
+    void on_refusal(std::function<void(caller_refusal)> callback);
+
+    /// \returns Bytes of bodies, unread input and unsent output.
+    std::size_t buffered_bytes() const;
+
     /// Makes every response that starts from now on close its connection, so
     /// that callers send no further request on it.
     void close_after_responses() { *this->closing = true; }
@@ -73,17 +86,19 @@
     void dispatch(const std::shared_ptr<http_exchange>& exchange);
     void request_ended() { --this->open_request_count; }
     std::shared_ptr<const bool> closing_flag() const { return this->closing; }
-    void add_connection(detail::server_connection& connection);
-    void remove_connection(detail::server_connection& connection);
+    void accept(evhtp_connection& connection);
+    detail::connection_table& connections() { return *this->table; }
 
 private:
     void enforce_timeouts();
+    bool has_limits() const;
 
     event_loop& loop;
+    /// Outlives the connections, which libevhtp frees with the server.
+    std::unique_ptr<detail::connection_table> table;
     std::unique_ptr<evhtp, detail::evhtp_deleter> server;
     handler request_handler;
     connection_limits current_limits;
-    std::set<detail::server_connection*> connections;
     timer timeout_check_timer;
     bool accepting = false;
     std::shared_ptr<bool> closing = std::make_shared<bool>(false);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,15 +1,16 @@
 #include "net/server_connection.hpp"
 
-#include "logging/log.hpp"
+#include "net/connection_table.hpp"
 #include "net/http_server.hpp"
+#include "net/server_request_head.hpp"
 
 #include <event2/buffer.h>
-#include <event2/http.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cstdlib>
+#include <array>
 #include <string_view>
 #include <utility>
 
@@ -19,17 +20,6 @@
 namespace
 {
 
-constexpr std::string_view head_end = "\r\n\r\n";
-constexpr std::string_view head_too_large_response =
-    "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    "Content-Length: 0\r\nConnection: close\r\n\r\n";
-constexpr std::string_view request_timeout_response =
-    "HTTP/1.1 408 Request Timeout\r\n"
-    "Content-Length: 0\r\nConnection: close\r\n\r\n";
-/// How long the connection of a refused request stays open, so that the caller
-/// can read the response before a reset. Several round trips.
-constexpr timeval refused_connection_timeout{1, 0};
-
 /// libevhtp declares hooks of all signatures as one type.
 template <class Hook>
 evhtp_hook to_hook(Hook hook)
@@ -37,76 +27,26 @@
     return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
 }
 
-server_connection* to_connection(void* argument)
+/// \returns The address of a socket's peer without the port; empty if it is
+/// not connected any more.
+std::string peer_address(int descriptor)
 {
-    return static_cast<server_connection*>(argument);
-}
-
-int copy_header(evhtp_kv_t* field, void* argument)
-{
-    auto* headers = static_cast<http_header_list*>(argument);
-    headers->emplace_back(std::string(field->key, field->klen),
-                          std::string(field->val, field->vlen));
-    return 0;
-}
-
-int copy_query_field(evhtp_kv_t* field, void* argument)
-{
-    auto* query = static_cast<std::map<std::string, std::string>*>(argument);
-    const char* text = field->val == nullptr ? "" : field->val;
-    std::size_t length = 0;
-    const std::unique_ptr<char, decltype(&std::free)> decoded(
-        evhttp_uridecode(text, 1, &length), &std::free);
-    std::string value(decoded ? decoded.get() : "", decoded ? length : 0);
-    (*query)[std::string(field->key, field->klen)] = std::move(value);
-    return 0;
-}
-
-const char* method_name(htp_method method)
-{
-    switch (method)
+    sockaddr_storage peer{};
+    socklen_t length = sizeof(peer);
+    auto* const address = reinterpret_cast<sockaddr*>(&peer);
+    std::array<char, NI_MAXHOST> text{};
+    if (::getpeername(descriptor, address, &length) != 0 ||
+        ::getnameinfo(address, length, text.data(), text.size(), nullptr, 0,
+                      NI_NUMERICHOST) != 0)
     {
-    case htp_method_GET:
-        return "GET";
-    case htp_method_HEAD:
-        return "HEAD";
-    case htp_method_POST:
-        return "POST";
-    case htp_method_PUT:
-        return "PUT";
-    case htp_method_DELETE:
-        return "DELETE";
-    case htp_method_PATCH:
-        return "PATCH";
-    case htp_method_OPTIONS:
-        return "OPTIONS";
-    default:
-        return "OTHER";
+        return {};
     }
+    return text.data();
 }
 
-/// \param target The target in the request line as received.
-http_request_head read_head(evhtp_request_t* request, std::string_view target)
+server_connection* to_connection(void* argument)
 {
-    http_request_head head;
-    head.method = method_name(request->method);
-    const evhtp_uri_t* uri = request->uri;
-    if (uri != nullptr && uri->path != nullptr && uri->path->full != nullptr)
-    {
-        head.path = uri->path->full;
-    }
-    if (uri != nullptr && uri->query_raw != nullptr)
-    {
-        head.raw_query = reinterpret_cast<const char*>(uri->query_raw);
-    }
-    // libevhtp does not report a query without any character.
-    head.has_query = !head.raw_query.empty() || target == head.path + "?";
-    if (uri != nullptr && uri->query != nullptr)
-    {
-        evhtp_kvs_for_each(uri->query, copy_query_field, &head.query);
-    }
-    evhtp_kvs_for_each(request->headers_in, copy_header, &head.headers);
-    return head;
+    return static_cast<server_connection*>(argument);
 }
 
 evhtp_res on_body(evhtp_request_t*, evbuffer* buffer, void* argument)
@@ -134,8 +74,8 @@
 
 } // namespace
 
-void server_connection::attach(http_server& owner,
-                               evhtp_connection_t* connection)
+connection_number server_connection::attach(http_server& owner,
+                                            evhtp_connection_t* connection)
 {
     // Owned by the libevhtp connection, whose last hook deletes it.
     auto* attached = new server_connection(owner, connection);
@@ -158,19 +98,21 @@
                               to_hook(on_headers), attached);
     evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
                               to_hook(on_connection_fini), attached);
+    return attached->number;
 }
 
 server_connection::server_connection(http_server& server,
                                      evhtp_connection_t* handle)
     : owner(server), connection(handle), link(evhtp_connection_get_bev(handle)),
+      number(server.connections().add(*this, peer_address(handle->sock))),
       waiting_since(event_loop::now())
 {
-    this->owner.add_connection(*this);
+    this->limit_input();
 }
 
 server_connection::~server_connection()
 {
-    this->owner.remove_connection(*this);
+    this->owner.connections().remove(this->number);
 }
 
 void server_connection::handle_readable()
@@ -183,6 +125,7 @@
 
 void server_connection::handle_written()
 {
+    this->report_buffers(0);
     if (this->refused && !this->has_request)
     {
         // libevhtp has no request here and would report the response as an
@@ -212,7 +155,7 @@
     evbuffer* input = bufferevent_get_input(this->link);
     if (this->refused)
     {
-        evbuffer_drain(input, evbuffer_get_length(input));
+        this->discard(input);
         return false;
     }
     if (this->has_request)
@@ -225,22 +168,7 @@
         this->has_partial_head = true;
         this->waiting_since = event_loop::now();
     }
-    const auto limit =
-        static_cast<std::size_t>(this->owner.limits().max_head.count());
-    const evbuffer_ptr end =
-        evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
-    const std::size_t length = end.pos >= 0 ? static_cast<std::size_t>(end.pos)
-                                            : evbuffer_get_length(input);
-    if (length > limit)
-    {
-        this->refuse(head_too_large_response);
-        return false;
-    }
-    if (end.pos >= 0)
-    {
-        this->read_target(input);
-    }
-    return end.pos >= 0;
+    return this->may_read_head(input);
 }
 
 void server_connection::read_target(evbuffer* input)
@@ -262,43 +190,6 @@
     }
 }
 
-void server_connection::refuse(std::string_view response)
-{
-    log_event(log_level::info, "caller_refused",
-              {{"answer", std::string(response.substr(0, response.find('\r')))},
-               {"waited_ms",
-                to_milliseconds(event_loop::now() - this->waiting_since)}});
-    this->refused = true;
-    this->end_exchange();
-    evbuffer* input = bufferevent_get_input(this->link);
-    evbuffer_drain(input, evbuffer_get_length(input));
-    bufferevent_write(this->link, response.data(), response.size());
-    bufferevent_set_timeouts(this->link, &refused_connection_timeout,
-                             &refused_connection_timeout);
-}
-
-void server_connection::enforce_timeouts(time_point now)
-{
-    if (this->refused || (this->has_request && this->body_complete))
-    {
-        return;
-    }
-    const connection_limits& limits = this->owner.limits();
-    const bool reads_head = !this->has_request && this->has_partial_head;
-    const duration limit =
-        reads_head ? limits.head_timeout : limits.idle_timeout;
-    if (limit <= duration::zero() || now - this->waiting_since <= limit)
-    {
-        return;
-    }
-    if (this->has_request || reads_head)
-    {
-        this->refuse(request_timeout_response);
-        return;
-    }
-    this->close();
-}
-
 evhtp_res server_connection::handle_head(evhtp_request_t* request)
 {
     if (this->current)
@@ -315,6 +206,7 @@
     request->cbarg = this;
     this->has_request = true;
     this->body_complete = false;
+    this->body_bytes = 0;
     this->has_partial_head = false;
     this->owner.dispatch(this->current);
     return EVHTP_RES_OK;
@@ -323,18 +215,30 @@
 void server_connection::handle_body(evbuffer* buffer)
 {
     const std::size_t length = evbuffer_get_length(buffer);
-    if (this->current && length > 0)
+    this->body_bytes += length;
+    if (!this->ignores_body && this->is_over_body_limit(this->body_bytes))
+    {
+        this->owner.connections().refuse_later(this->number,
+                                               caller_refusal::body_too_large);
+    }
+    if (this->current && length > 0 && !this->ignores_body)
     {
         const auto* data =
             reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1));
         this->current->receive(std::string_view(data, length));
+        this->report_buffers(length);
     }
     evbuffer_drain(buffer, length);
 }
 
 void server_connection::handle_request_complete()
 {
+    if (this->ignores_body)
+    {
+        return;
+    }
     this->body_complete = true;
+    this->report_buffers(0);
     if (this->current)
     {
         const auto exchange = this->current;
@@ -351,7 +255,9 @@
     if (this->closed)
     {
         delete this;
+        return;
     }
+    this->report_buffers(0);
 }
 
 void server_connection::handle_connection_fini()
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -6,6 +6,7 @@
 #include "net/http_server.hpp"
 #include "peering/first_incarnation.hpp"
 #include "relay/address_service.hpp"
+#include "relay/caller_protection.hpp"
 #include "relay/job_service.hpp"
 #include "relay/online_service.hpp"
 #include "relay/refusal.hpp"
@@ -96,6 +97,11 @@
     configuration_follower configuration;
     replica_follower replicas;
     metrics::registry metrics;
+    caller_protection protection{
+        this->settings.memory,
+        this->front,
+        {&this->ready, &this->directory, &this->metrics_server},
+        this->metrics};
     link_monitor link{this->loop, this->replicas, this->random, this->metrics};
     replica_doubts doubts{this->replica_client, this->replicas};
     storage_directory storage_nodes{
@@ -127,7 +133,6 @@
     bool acceptance_ended = false;
 
     result<bool> listen();
-    void apply_limits();
     void handle_request(const std::shared_ptr<net::http_exchange>& exchange);
     void handle_readiness(const std::shared_ptr<net::http_exchange>& exchange);
     void
@@ -179,14 +184,6 @@
     return true;
 }
 
-void relay_node::state::apply_limits()
-{
-    const routing::caller_limits& limits =
-        this->configuration.current()->contents().limits;
-    this->front.set_limits(net::connection_limits{
-        limits.header, limits.header_timeout, limits.idle_timeout});
-}
-
 void relay_node::state::handle_request(
     const std::shared_ptr<net::http_exchange>& exchange)
 {
@@ -272,6 +269,7 @@
         return;
     }
     this->status.update_gauges(this->online.open_calls());
+    this->protection.update_gauges();
     exchange->respond(status_ok,
                       {{"Content-Type", "text/plain; version=0.0.4"}},
                       this->metrics.prometheus_text());
@@ -360,7 +358,11 @@
     {
         return listening;
     }
-    self.configuration.on_change([&self] { self.apply_limits(); });
+    self.configuration.on_change(
+        [&self] {
+            self.protection.apply(
+                self.configuration.current()->contents().limits);
+        });
     self.configuration.start();
     self.link.on_change(
         [&self](bool reaches_replicas)
