--- a/tests/platform/job_translation_test.cpp
+++ b/tests/platform/job_translation_test.cpp
@@ -57,6 +57,32 @@
     CHECK(decode_submission(many + "}").has_error());
 }
 
+// Guards against a document whose values take many times the memory of its
+// text.
+TEST(job_translation, rejects_a_submission_of_too_many_values)
+{
+    const auto with_extra = [](const std::string& extra)
+    {
+        std::string text = good;
+        return text.insert(1, "\"other\":" + extra + ",");
+    };
+    const auto values = [](const std::string& value, std::size_t count)
+    {
+        std::string list = "[" + value;
+        for (std::size_t number = 1; number < count; ++number)
+        {
+            list += "," + value;
+        }
+        return list + "]";
+    };
+    CHECK(decode_submission(with_extra(values("0", 60'000))).has_value());
+    CHECK(decode_submission(with_extra(values("0", 70'000))).has_error());
+    CHECK(decode_submission(with_extra(values("[]", 35'000))).has_error());
+    // What stands in strings is no value.
+    const std::string text = "\"" + std::string(100'000, ',') + "\\\"[{\"";
+    CHECK(decode_submission(with_extra(text)).has_value());
+}
+
 TEST(job_translation, decodes_job_calls)
 {
     net::http_request_head read = head("GET", "/v1/lots/7c");
--- a/tests/relay_process/caller_crowd_test.cpp
+++ b/tests/relay_process/caller_crowd_test.cpp
@@ -33,17 +33,30 @@
 /// Descriptors of a node without callers are below 60.
 constexpr std::size_t max_descriptors = 60 + 2 * caller_count;
 
-std::string head(const std::string& path, const std::string& framing)
+std::string head(const std::string& path, const std::string& framing,
+                 const std::string& id = "crowd")
 {
     return "POST " + path +
            " HTTP/1.1\r\nHost: h\r\nParsleytrack-Deadline-Ms: 5000\r\n"
-           "Parsleytrack-Request-Id: crowd\r\n" +
-           framing + "\r\n\r\n";
+           "Parsleytrack-Request-Id: " +
+           id + "\r\n" + framing + "\r\n\r\n";
 }
 
-std::string declared(const std::string& path, std::size_t bytes)
+std::string declared(const std::string& path, std::size_t bytes,
+                     const std::string& id = "crowd")
 {
-    return head(path, "Content-Length: " + std::to_string(bytes));
+    return head(path, "Content-Length: " + std::to_string(bytes), id);
+}
+
+/// \returns A job of one item whose document has almost a size.
+std::string submission(std::size_t bytes)
+{
+    const std::string start = R"({"items":[{"id":"i","path":"/batch/x",)"
+                              R"("headers":{},"tokens":1,"body":")";
+    const std::string end = "\"}]}";
+    constexpr std::size_t base64_group = 4;
+    const std::size_t room = bytes - start.size() - end.size();
+    return start + std::string(room / base64_group * base64_group, 'A') + end;
 }
 
 /// \returns A request in chunks, without the last one.
@@ -193,6 +206,44 @@
     check_large_chunks("/batch/a");
 }
 
+// Guards against the copies of complete bodies, which are made on the way to a
+// replica and to the store, and of which the budget counts only one.
+TEST(relay_caller_crowd, complete_bodies_at_once)
+{
+    crowded_node node(whole);
+    const std::size_t bytes = max_body - missing_bytes;
+    node.add(caller_count,
+             declared("/plain/a", bytes) + std::string(bytes, 'x'));
+    node.check();
+}
+
+TEST(relay_caller_crowd, complete_jobs_at_once)
+{
+    crowded_node node(whole);
+    const std::string job = submission(max_body - missing_bytes);
+    for (std::size_t number = 0; number < caller_count; ++number)
+    {
+        node.add(1, declared("/batch/a", job.size(),
+                             "job" + std::to_string(number)) +
+                        job);
+    }
+    node.check();
+}
+
+// Guards against a document whose values take far more memory than their text.
+TEST(relay_caller_crowd, jobs_of_many_tiny_values)
+{
+    crowded_node node(whole);
+    std::string job = R"({"items":[)";
+    while (job.size() < max_body - missing_bytes)
+    {
+        job += "{},";
+    }
+    job += "{}]}";
+    node.add(8, declared("/batch/a", job.size()) + job);
+    node.check();
+}
+
 // Guards against a limit that a single caller within the configured ones meets:
 // the smallest instance of the deployments has 88 MB, their body limit is 4
 // MiB.
@@ -209,13 +260,8 @@
 {
     relay_fleet fleet(
         relay_fleet_options{.memory_mb = 88, .max_body_bytes = 4 * mebibyte});
-    const std::string start = R"({"items":[{"id":"i","path":"/batch/x",)"
-                              R"("headers":{},"tokens":1,"body":")";
-    std::string body(4 * mebibyte - missing_bytes - start.size(), 'A');
-    body.resize(body.size() / 4 * 4);
-    CHECK_EQUAL(202, fleet
-                         .call(0, "POST", "/batch/jobs", "large-job",
-                               start + body + "\"}]}")
-                         .status);
+    const std::string body = submission(4 * mebibyte - missing_bytes);
+    CHECK_EQUAL(202,
+                fleet.call(0, "POST", "/batch/jobs", "large-job", body).status);
     CHECK(fleet.process(0).peak_memory_bytes() < 88 * mebibyte);
 }
