Bound the submissions that wait for the store

Each submission exists about six times while it is written to the store. At most an eighth of the memory may be in progress; a single one is always allowed, and more get 503. The items are moved instead of copied.

--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -35,6 +35,12 @@
 /// Longer than the writes that hand a job over are retried.
 constexpr duration handover_timeout = std::chrono::seconds(30);
 
+/// One part of the memory in this many is for submissions in progress. Those
+/// that arrive within the time until a submission is given up fit in, at five
+/// of 870 kB a second and 120 MB.
+constexpr std::int64_t submission_memory_parts = 8;
+constexpr duration retry_after_submissions = std::chrono::milliseconds(500);
+
 std::string describe(const result<accepted_job>& accepted)
 {
     if (accepted.has_error())
@@ -47,8 +53,11 @@
 } // namespace
 
 job_service::job_service(const relay_context& node, slot_client& slot_source)
-    : context(node), slots(slot_source), acceptor(node, this->usages),
-      reader(node), cancellation(node, this->usages), cleaner(node, this->ages),
+    : context(node), slots(slot_source),
+      submissions(
+          byte_count(node.settings.memory.count() / submission_memory_parts)),
+      acceptor(node, this->usages), reader(node),
+      cancellation(node, this->usages), cleaner(node, this->ages),
       takeover(node, this->ages,
                {[this](const job_id& job) { return this->owned.contains(job); },
                 [this](jobs::owned_job job, jobs::job_progress progress)
@@ -128,6 +137,17 @@
         [this, exchange, table, &route,
          input = std::move(input)](const std::string& body) mutable
         {
+            auto room = this->submissions.claim(body.size());
+            if (!room)
+            {
+                refuse(*exchange,
+                       error{error_code::store_unavailable,
+                             "too many submissions wait for the store",
+                             ran_state::no, retry_after_submissions});
+                this->context.metrics.count("parsleytrack_bodies_refused_total",
+                                            {{"reason", "submissions"}});
+                return;
+            }
             auto items = this->context.adapter.parse_submission(body);
             const std::optional<error> problem =
                 items.has_error()
@@ -144,13 +164,14 @@
             }
             input.items = std::move(items.value());
             input.submitted_at_ms = wall_clock_ms();
-            this->handle_submission(exchange, input, route);
+            this->handle_submission(exchange, std::move(input), route,
+                                    std::move(room));
         });
 }
 
 void job_service::handle_submission(
-    const std::shared_ptr<net::http_exchange>& exchange,
-    const jobs::job_input& input, const routing::route& route)
+    const std::shared_ptr<net::http_exchange>& exchange, jobs::job_input input,
+    const routing::route& route, std::shared_ptr<const void> room)
 {
     if (this->owned.contains(input.id))
     {
@@ -164,12 +185,13 @@
                      ran_state::no, std::chrono::milliseconds(100)});
         return;
     }
-    const auto kept = std::make_shared<const jobs::job_input>(input);
+    const auto kept = std::make_shared<const jobs::job_input>(std::move(input));
     this->acceptor.accept(
-        kept, preferred_owner(this->context.group, input.id),
+        kept, preferred_owner(this->context.group, kept->id),
         route.waiting_tokens_limit, accept_timeout,
-        [this, exchange, kept, received = net::event_loop::now()](
-            const result<accepted_job>& accepted)
+        [this, exchange, kept, room = std::move(room),
+         received =
+             net::event_loop::now()](const result<accepted_job>& accepted)
         { this->handle_acceptance(exchange, kept, received, accepted); });
 }
 
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -12,6 +12,7 @@
 #include "relay/job_takeover.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
+#include "relay/submission_limit.hpp"
 #include "relay/usage_tracker.hpp"
 
 #include <map>
@@ -55,8 +56,8 @@
 
 private:
     void handle_submission(const std::shared_ptr<net::http_exchange>& exchange,
-                           const jobs::job_input& input,
-                           const routing::route& route);
+                           jobs::job_input input, const routing::route& route,
+                           std::shared_ptr<const void> room);
     void handle_acceptance(const std::shared_ptr<net::http_exchange>& exchange,
                            std::shared_ptr<const jobs::job_input> input,
                            time_point received,
@@ -78,6 +79,7 @@
     slot_client& slots;
     usage_tracker usages;
     jobs::job_ages ages;
+    submission_limit submissions;
     job_acceptor acceptor;
     job_reader reader;
     job_cancellation cancellation;
