--- a/tests/relay_process/caller_crowd_test.cpp
+++ b/tests/relay_process/caller_crowd_test.cpp
@@ -79,11 +79,25 @@
 class crowded_node
 {
 public:
-    explicit crowded_node(std::size_t piece_bytes)
-        : crowd(this->fleet.loop, this->fleet.front_address(0), piece_bytes)
+    explicit crowded_node(std::size_t piece_bytes, bool has_proxies = false)
+        : fleet(
+              relay_fleet_options{.has_proxies = has_proxies,
+                                  .memory_mb = memory_mb,
+                                  .max_body_bytes = static_cast<int>(max_body),
+                                  .idle_timeout_ms = 30'000}),
+          crowd(this->fleet.loop, this->fleet.front_address(0), piece_bytes)
     {
     }
 
+    /// Makes the store read nothing and answer nothing.
+    void silence_store()
+    {
+        for (const auto& proxy : this->fleet.store_proxies)
+        {
+            proxy->set_fault(fault_proxy::fault::blocked);
+        }
+    }
+
     void add(std::size_t count, std::string text)
     {
         this->crowd.add(count,
@@ -112,10 +126,7 @@
     }
 
 private:
-    relay_fleet fleet{
-        relay_fleet_options{.memory_mb = memory_mb,
-                            .max_body_bytes = static_cast<int>(max_body),
-                            .idle_timeout_ms = 30'000}};
+    relay_fleet fleet;
     caller_crowd crowd;
 };
 
@@ -130,6 +141,17 @@
     node.check();
 }
 
+void add_jobs(crowded_node& node)
+{
+    const std::string job = submission(max_body - missing_bytes);
+    for (std::size_t number = 0; number < caller_count; ++number)
+    {
+        node.add(1, declared("/batch/a", job.size(),
+                             "job" + std::to_string(number)) +
+                        job);
+    }
+}
+
 void check_large_chunks(const std::string& path)
 {
     constexpr std::size_t chunk_bytes = 64 * 1024;
@@ -220,13 +242,16 @@
 TEST(relay_caller_crowd, complete_jobs_at_once)
 {
     crowded_node node(whole);
-    const std::string job = submission(max_body - missing_bytes);
-    for (std::size_t number = 0; number < caller_count; ++number)
-    {
-        node.add(1, declared("/batch/a", job.size(),
-                             "job" + std::to_string(number)) +
-                        job);
-    }
+    add_jobs(node);
+    node.check();
+}
+
+// The same while the store answers nothing, so that all jobs wait for it.
+TEST(relay_caller_crowd, complete_jobs_with_a_silent_store)
+{
+    crowded_node node(whole, true);
+    node.silence_store();
+    add_jobs(node);
     node.check();
 }
 
