--- a/tests/net/server_limits_test.cpp
+++ b/tests/net/server_limits_test.cpp
@@ -234,6 +234,40 @@
     CHECK(this->refusals.empty());
 }
 
+// Guards against callers that request large responses and do not read them.
+TEST(server_limits, output_that_is_not_read_stays_within_the_budget)
+{
+    constexpr std::size_t total = 8 * 1024 * 1024;
+    constexpr std::size_t response_bytes = 8 * 1024 * 1024;
+    constexpr std::size_t caller_count = 8;
+    this->server.set_body_budget({byte_count(total), byte_count(total)});
+    this->server.set_handler(
+        [](const std::shared_ptr<http_exchange>& exchange)
+        { exchange->respond(200, {}, std::string(response_bytes, 'x')); });
+    std::vector<int> silent;
+    for (std::size_t number = 0; number < caller_count; ++number)
+    {
+        silent.push_back(connect_to(this->address));
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        ::send(silent.back(), request.data(), request.size(), 0);
+    }
+    const time_point limit = event_loop::now() + max_wait;
+    while (this->refusals.empty() && event_loop::now() < limit)
+    {
+        this->loop.run_for(tick);
+    }
+    CHECK_FALSE(this->refusals.empty());
+    CHECK(this->server.buffered_bytes() <= total);
+    for (const std::string& reason : this->refusals)
+    {
+        STRCMP_EQUAL("over_budget", reason.c_str());
+    }
+    for (const int descriptor : silent)
+    {
+        ::close(descriptor);
+    }
+}
+
 // Guards against running out of descriptors: the process could then not accept
 // ordinary callers, nor connect to replicas.
 TEST(server_limits, the_connection_that_waited_longest_makes_room)
