--- a/src/net/connection_table.cpp
+++ b/src/net/connection_table.cpp
@@ -111,7 +111,8 @@
     this->refuse_later(chosen, caller_refusal::too_many_connections);
 }
 
-void connection_table::count_refusal(caller_refusal reason, duration waited)
+void connection_table::count_refusal(caller_refusal reason,
+                                     std::string_view response, duration waited)
 {
     if (this->on_refusal)
     {
@@ -124,7 +125,8 @@
         return;
     }
     log_event(log_level::info, "caller_refused",
-              {{"reason", std::string(to_string(reason))},
+              {{"answer", std::string(response.substr(0, response.find('\r')))},
+               {"reason", std::string(to_string(reason))},
                {"waited_ms", to_milliseconds(waited)},
                {"unlogged", this->unlogged},
                {"buffered_bytes", this->budget.buffered_bytes()}});
--- a/src/net/connection_table.hpp
+++ b/src/net/connection_table.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleytrack::net::detail
@@ -47,7 +48,10 @@
     void make_room_for(connection_number newest);
 
     /// Counts a refusal, and logs at most one line a second.
-    void count_refusal(caller_refusal reason, duration waited);
+    ///
+    /// \param response The response to it; empty if there is none.
+    void count_refusal(caller_refusal reason, std::string_view response,
+                       duration waited);
 
     body_budget budget;
     /// Called with each refusal. Optional.
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -105,12 +105,16 @@
         return;
     }
     const time_point now = event_loop::now();
-    this->owner.connections().count_refusal(reason, now - this->waiting_since);
-    const std::string response = refusal_response(
-        reason, static_cast<std::size_t>(this->number.count()));
     // While the request may run, the end of the connection is the only answer
     // that promises nothing.
-    if (response.empty() || this->is_idle() || this->may_run())
+    const bool has_answer = !this->is_idle() && !this->may_run();
+    const std::string response =
+        has_answer ? refusal_response(
+                         reason, static_cast<std::size_t>(this->number.count()))
+                   : std::string();
+    this->owner.connections().count_refusal(reason, response,
+                                            now - this->waiting_since);
+    if (response.empty())
     {
         this->close();
         return;
