--- a/tests/net/body_budget_test.cpp
+++ b/tests/net/body_budget_test.cpp
@@ -53,6 +53,27 @@
     CHECK_EQUAL(16 * mebibyte, this->budget.buffered_bytes());
 }
 
+// Guards against a budget that ordinary callers meet: the largest bodies of the
+// deployments at the smallest node, all from one address and all waiting for
+// their responses, and a hundred typical ones beside them.
+TEST(body_budget, ordinary_callers_do_not_meet_it)
+{
+    constexpr std::size_t largest = 870'000;
+    this->budget.set_limits(body_budget::limits_for(byte_count(88 * mebibyte),
+                                                    byte_count(4 * mebibyte)));
+    for (int caller = 0; caller < 17; ++caller)
+    {
+        CHECK(this->receive(caller, largest, "a").empty());
+        CHECK(
+            this->budget.update(number(caller), {largest, false}, 0, this->now)
+                .empty());
+    }
+    for (int caller = 100; caller < 200; ++caller)
+    {
+        CHECK(this->receive(caller, 16 * 1024, "a").empty());
+    }
+}
+
 // Guards against a stalled crowd that keeps the budget from those that send.
 TEST(body_budget, the_body_with_the_least_progress_is_closed_first)
 {
