--- a/src/settings/relay_settings_loader.cpp
+++ b/src/settings/relay_settings_loader.cpp
@@ -23,6 +23,10 @@
 /// A bucket starts with a fifth of the slack.
 constexpr double min_slack = 5.0;
 constexpr double max_slack = 10'000.0;
+constexpr double default_memory_mb = 256.0;
+constexpr double min_memory_mb = 16.0;
+constexpr double max_memory_mb = 1024.0 * 1024.0;
+constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
 
 std::optional<endpoint> read_optional_address(object_reader& reader,
                                               const char* field)
@@ -61,6 +65,10 @@
     settings.capacity_millicores =
         static_cast<int>(reader.number("cores", 1.0, min_cores, max_cores) *
                          millicores_per_core);
+    settings.memory = byte_count(
+        static_cast<std::int64_t>(reader.number("memory_mb", default_memory_mb,
+                                                min_memory_mb, max_memory_mb) *
+                                  bytes_per_megabyte));
 }
 
 void read_listen(object_reader& reader, relay_settings& settings)
