Exclude no replica of a pool whose replicas all fail

relay_process_late_copies failed now and then: 503 ("no replica will have a free slot in time") while both replicas were sound.

Change: where each replica of a pool with two or more is excluded or on trial, online requests are granted at excluded replicas as well; a replica that is on trial keeps its one request at a time. Batch items still wait, since failures use up their attempts. A pool of one replica is treated as before: its fault cannot be told from one of the pool (a_failing_replica_is_excluded_and_retried).

Ruled out: ending the exclusion on a success, which would let replicas that fail half of their requests back in; full slots for all replicas, which would send many requests to replicas that have all stopped responding.

--- a/src/decisions/replica_health.cpp
+++ b/src/decisions/replica_health.cpp
@@ -13,7 +13,12 @@
 
 int replica_health::allowed_slots(int slots, time_point now) const
 {
-    if (!this->usable(now))
+    return this->usable(now) ? this->allowed_slots_if_included(slots) : 0;
+}
+
+int replica_health::allowed_slots_if_included(int slots) const
+{
+    if (this->unresponsive)
     {
         return 0;
     }
--- a/src/decisions/replica_health.hpp
+++ b/src/decisions/replica_health.hpp
@@ -22,6 +22,9 @@
     /// \returns How many requests may run on the replica at the same time.
     int allowed_slots(int slots, time_point now) const;
 
+    /// \returns The same, also while the replica is excluded for its failures.
+    int allowed_slots_if_included(int slots) const;
+
     /// \returns Whether no request has succeeded yet since the failures; until
     /// one does, the replica gets one request at a time.
     bool on_trial() const
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -316,6 +316,7 @@
                     const std::set<software_version>& avoided, time_point now)
 {
     replica_state* best = nullptr;
+    const bool ignores_exclusion = this->ignores_exclusion(wanted.kind, now);
     // Same zone first, then the most free slots. Only the response to a request
     // shows that a limit has ended.
     std::tuple<bool, bool, bool, bool, int> best_score{};
@@ -323,12 +324,13 @@
     {
         const software_version& version = state.replica.version;
         const bool fits = !wanted.version || *wanted.version == version;
-        if (!state.health.usable(now) || wanted.excluded.contains(id) ||
+        if (wanted.excluded.contains(id) ||
             (!fits && wanted.depends_on_version(now)))
         {
             continue;
         }
-        const int free = state.free(now);
+        const int free =
+            ignores_exclusion ? state.free_if_included(now) : state.free(now);
         const std::tuple<bool, bool, bool, bool, int> score{
             fits, !avoided.contains(version),
             state.pacer && now - state.pacer->last_taken() >=
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -84,6 +84,10 @@
 
         /// \returns Slots that can be granted now.
         int free(time_point now) const;
+        /// \returns The same, also while the replica is excluded.
+        int free_if_included(time_point now) const;
+        /// \param allowed How many requests the replica may have.
+        int free_of(int allowed, time_point now) const;
         /// \returns Whether a slot that is returned can be granted at once.
         bool takes_requests(time_point now) const;
     };
@@ -149,6 +153,10 @@
     void grant(const waiting_request& waiting, replica_state& chosen,
                time_point now);
     void refuse(const waiting_request& waiting, duration wait);
+    /// \returns Whether excluded replicas get work as well, one request at a
+    /// time until one succeeds: where all replicas fail, the cause may be
+    /// elsewhere. Batch work waits, since failures use up an item's attempts.
+    bool ignores_exclusion(work_class kind, time_point now) const;
     replica_state* choose(const slot_request& wanted,
                           const std::set<software_version>& avoided,
                           time_point now);
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -46,11 +46,34 @@
 
 int slot_broker::replica_state::free(time_point now) const
 {
-    const int slots =
-        this->health.allowed_slots(this->replica.slots, now) - this->used;
+    return this->free_of(this->health.allowed_slots(this->replica.slots, now),
+                         now);
+}
+
+int slot_broker::replica_state::free_if_included(time_point now) const
+{
+    return this->free_of(
+        this->health.allowed_slots_if_included(this->replica.slots), now);
+}
+
+int slot_broker::replica_state::free_of(int allowed, time_point now) const
+{
+    const int slots = allowed - this->used;
     return this->pacer ? std::min(slots, this->pacer->available(now)) : slots;
 }
 
+bool slot_broker::ignores_exclusion(work_class kind, time_point now) const
+{
+    // With one replica, its own fault cannot be told from one of the pool.
+    return kind == work_class::online && this->replicas.size() > 1 &&
+           std::all_of(this->replicas.begin(), this->replicas.end(),
+                       [now](const auto& entry)
+                       {
+                           const replica_health& health = entry.second.health;
+                           return health.on_trial() || !health.usable(now);
+                       });
+}
+
 bool slot_broker::replica_state::takes_requests(time_point now) const
 {
     return !this->pacer || this->pacer->available(now) > 0;
