Take no part of a response for the whole before the upload has arrived

A replica that responded to a long upload with a 200 without a length, sent a part and ended its side of the connection gave callers the part as a complete response; statuses 600 and 1000 were passed on (docs/design/demanding_load.md, part 5).

Cause: libevent takes the end of the connection for the end of such a response once the kernel has taken the request, which it does for megabytes that nobody reads; and a reset that follows the end of the server's side is not reported by reading.

Change: at the end of a response without a length, the server's side must have acknowledged the whole request (SIOCOUTQ) and the connection must have no error (SO_ERROR); otherwise the request ends as after a lost connection, ran unknown. A status outside 100 to 599 ends it as error_code::backend_failed, ran unknown, which does not count as a crash of the replica. A connection whose response began before the request was acknowledged is not used again.

Ruled out: asking only whether libevent has written the request (true for 300 kB of which the server reads 4 kB); checking in the callback at the end (libevent has closed the connection by then if the response says Connection: close), so the close callback does.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,6 +6,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <functional>
@@ -73,6 +76,28 @@
     return this->carried.size() >= max_identities;
 }
 
+bool http_connection::is_delivered() const
+{
+    bufferevent* link = evhttp_connection_get_bufferevent(this->connection);
+    // The kernel takes megabytes of which the server may never read any.
+    int undelivered = 0;
+    return evbuffer_get_length(bufferevent_get_output(link)) == 0 &&
+           ::ioctl(bufferevent_getfd(link), SIOCOUTQ, &undelivered) == 0 &&
+           undelivered == 0;
+}
+
+bool http_connection::has_failed() const
+{
+    // After the end of the server's side, reading reports no reset any more.
+    int failure = 0;
+    socklen_t length = sizeof(failure);
+    const int descriptor =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection));
+    return ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) !=
+               0 ||
+           failure != 0;
+}
+
 bool http_connection::is_open() const
 {
     return bufferevent_getfd(
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -46,6 +46,14 @@
     /// be read as the response to the next request.
     bool has_unread_bytes() const;
 
+    /// \returns Whether the server's side has received all that was written.
+    /// It had done so before it responded if it has read the whole request.
+    bool is_delivered() const;
+
+    /// \returns Whether the connection has failed, such as by a reset that
+    /// came after the end of the server's side.
+    bool has_failed() const;
+
     /// \returns Whether the server has not closed it.
     bool is_open() const;
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -1,6 +1,5 @@
 #include "net/http_transfer.hpp"
 
-#include "net/connection_reuse.hpp"
 #include "net/http_syntax.hpp"
 
 #include <event2/buffer.h>
@@ -18,6 +17,10 @@
 namespace
 {
 
+constexpr int first_status = 100;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+
 evhttp_cmd_type to_command(const std::string& method)
 {
     if (method == "GET")
@@ -97,6 +100,7 @@
     this->tcp_keepalive = request.tcp_keepalive;
     this->watch_output();
     this->watch_input();
+    this->watch_close();
     if (request.total_timeout > duration::zero())
     {
         this->total_timer = loop.call_after(request.total_timeout,
@@ -185,7 +189,16 @@
 void http_transfer::read_head(evhttp_request* request)
 {
     const int status = evhttp_request_get_response_code(request);
-    constexpr int first_final_status = 200;
+    if (status < first_status || status > last_status)
+    {
+        this->end(error{error_code::backend_failed,
+                        "status " + std::to_string(status) + " of " +
+                            to_string(this->target) + " is no status of HTTP",
+                        ran_state::unknown,
+                        {}},
+                  false);
+        return;
+    }
     if (status < first_final_status)
     {
         return;
@@ -240,140 +253,4 @@
     }
 }
 
-void http_transfer::on_error(evhttp_request_error, void* argument)
-{
-    // The connection was open, so the server may have read the request.
-    const auto transfer = static_cast<http_transfer*>(argument)->self;
-    if (transfer)
-    {
-        transfer->failed = true;
-    }
-}
-
-void http_transfer::on_complete(evhttp_request* request, void* argument)
-{
-    const auto transfer = static_cast<http_transfer*>(argument)->self;
-    if (!transfer || transfer->ended)
-    {
-        return;
-    }
-    transfer->active = nullptr;
-    if (transfer->too_late)
-    {
-        transfer->give_up_sending();
-        return;
-    }
-    if (request == nullptr || transfer->failed)
-    {
-        transfer->fail(error_code::connection_lost,
-                       transfer->current_ran_state(),
-                       "the connection to " + to_string(transfer->target) +
-                           " was lost before the end of the response");
-        return;
-    }
-    if (evhttp_request_get_response_code(request) == 0)
-    {
-        transfer->fail(error_code::peer_unreachable,
-                       transfer->current_ran_state(),
-                       "cannot connect to " + to_string(transfer->target));
-        return;
-    }
-    if (!transfer->head_received)
-    {
-        transfer->read_head(request);
-    }
-    if (!transfer->head_received)
-    {
-        // Closes the connection, on which the response is still to come.
-        transfer->end(
-            error{error_code::connection_lost,
-                  to_string(transfer->target) + " has sent an interim response",
-                  ran_state::unknown,
-                  {}},
-            false);
-        return;
-    }
-    transfer->read_body(request);
-    if (transfer->ended)
-    {
-        return;
-    }
-    const bool reusable = allows_reuse(request->major, request->minor,
-                                       transfer->response.headers);
-    transfer->end(std::move(transfer->response), reusable);
-}
-
-void http_transfer::fail(error_code code, ran_state ran,
-                         const std::string& message)
-{
-    if (this->ended)
-    {
-        return;
-    }
-    if (this->sent && !this->head_received)
-    {
-        this->client.close_idle_connections(this->target);
-    }
-    this->end(error{code, message, ran, {}}, false);
-}
-
-void http_transfer::end(result<http_response> outcome, bool reusable)
-{
-    if (this->ended)
-    {
-        return;
-    }
-    this->ended = true;
-    const auto callback = std::move(this->hooks.on_end);
-    this->release_connection(reusable);
-    if (callback)
-    {
-        callback(std::move(outcome));
-    }
-}
-
-void http_transfer::release_connection(bool reusable)
-{
-    if (!this->sent)
-    {
-        // The request may be about to be written in this turn of the loop.
-        this->shut_down();
-    }
-    this->unwatch_buffers();
-    this->total_timer.cancel();
-    this->send_timer.cancel();
-    this->head_timer.cancel();
-    this->idle_timer.cancel();
-    // libevent may be inside a callback of this connection, so it is freed or
-    // reused only afterwards.
-    this->client.loop().post(
-        [transfer = this->self, reusable]
-        {
-            if (reusable)
-            {
-                transfer->client.return_connection(
-                    transfer->target, std::move(transfer->connection));
-            }
-            transfer->connection.reset();
-            transfer->hooks = {};
-            transfer->self.reset();
-        });
-}
-
-void http_transfer::restart_idle_timer()
-{
-    if (this->idle_timeout <= duration::zero())
-    {
-        return;
-    }
-    this->idle_timer = this->client.loop().call_after(
-        this->idle_timeout,
-        [this]
-        {
-            this->fail(error_code::deadline_exceeded, ran_state::unknown,
-                       "the response of " + to_string(this->target) +
-                           " stalled");
-        });
-}
-
 } // namespace parsleytrack::net::detail
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -34,15 +34,21 @@
 
     void read_head(evhttp_request* request);
     void read_body(evhttp_request* request);
+    /// Ends the transfer with the response that libevent has read to its end.
+    void finish_response(evhttp_request* request);
     void fail(error_code code, ran_state ran, const std::string& message);
     void end(result<http_response> outcome, bool reusable);
-    void unwatch_buffers();
+    void unwatch_connection();
     void release_connection(bool reusable);
     void restart_idle_timer();
     void watch_output();
     /// Fails the request when libevent buffers more than a response needs, such
     /// as a chunk or a line without end.
     void watch_input();
+    /// Calls check_end() before libevent closes the connection.
+    void watch_close();
+    /// Notes whether the connection ends in a way that may end a response.
+    void check_end();
     void handle_first_byte();
     /// Writes the request, unless it is too late for that.
     void write_request();
@@ -76,7 +82,15 @@
     /// Whether any byte of the request was written to the socket.
     bool sent = false;
     bool tcp_keepalive = false;
+    /// Whether any byte of the response has arrived.
+    bool response_began = false;
     bool head_received = false;
+    /// Whether a part of the response came before the server had received the
+    /// whole request. It may take the rest for the next request.
+    bool answered_early = false;
+    /// Whether the connection has ended in order after the whole request;
+    /// absent while it is open.
+    std::optional<bool> ended_in_order;
     bool failed = false;
     bool overflowed = false;
     bool ended = false;
--- a/src/net/http_transfer_buffers.cpp
+++ b/src/net/http_transfer_buffers.cpp
@@ -1,4 +1,4 @@
-// Watches the connection's buffers during a transfer.
+// Watches the connection and its buffers during a transfer.
 
 #include "net/http_transfer.hpp"
 #include "net/tcp_keepalive.hpp"
@@ -101,9 +101,15 @@
         evhttp_connection_get_bufferevent(this->connection->handle()));
     this->input_watch = evbuffer_add_cb(
         input,
-        [](evbuffer* buffer, const evbuffer_cb_info*, void* argument)
+        [](evbuffer* buffer, const evbuffer_cb_info* change, void* argument)
         {
             auto* transfer = static_cast<http_transfer*>(argument);
+            if (change->n_added > 0 &&
+                !std::exchange(transfer->response_began, true))
+            {
+                transfer->answered_early =
+                    !transfer->connection->is_delivered();
+            }
             if (evbuffer_get_length(buffer) <= max_unread_bytes ||
                 std::exchange(transfer->overflowed, true))
             {
@@ -121,8 +127,27 @@
         this);
 }
 
-void http_transfer::unwatch_buffers()
+void http_transfer::watch_close()
+{
+    evhttp_connection_set_closecb(
+        this->connection->handle(),
+        [](evhttp_connection*, void* argument)
+        { static_cast<http_transfer*>(argument)->check_end(); },
+        this);
+}
+
+void http_transfer::check_end()
+{
+    if (!this->ended_in_order)
+    {
+        this->ended_in_order =
+            this->connection->is_delivered() && !this->connection->has_failed();
+    }
+}
+
+void http_transfer::unwatch_connection()
 {
+    evhttp_connection_set_closecb(this->connection->handle(), nullptr, nullptr);
     bufferevent* link =
         evhttp_connection_get_bufferevent(this->connection->handle());
     if (this->output_watch != nullptr)
--- a/tests/relay_support/scripted_replica.cpp
+++ b/tests/relay_support/scripted_replica.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 scripted_replica::scripted_replica(net::event_loop& event_loop,
-                                   script_source scripts)
-    : loop(event_loop), make_script(std::move(scripts)),
+                                   script_source scripts, reading chosen)
+    : loop(event_loop), make_script(std::move(scripts)), extent(chosen),
       listener(event_loop, [this](int descriptor) { this->accept(descriptor); })
 {
 }
@@ -68,18 +68,33 @@
     state.received.append(
         reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
     evbuffer_drain(input, length);
-    const auto request =
-        state.is_busy ? std::nullopt : take_request(state.received);
+    const auto request = state.is_busy ? std::nullopt : this->take(state);
     if (!request)
     {
         return;
     }
+    if (this->extent == reading::head)
+    {
+        bufferevent_disable(link, EV_READ);
+    }
+    ++this->scripts_started;
     state.current = this->make_script(*request);
     state.next_step = 0;
     state.is_busy = true;
     this->go_on(link);
 }
 
+std::optional<std::string> scripted_replica::take(connection& state) const
+{
+    if (this->extent == reading::request)
+    {
+        return take_request(state.received);
+    }
+    return state.received.find("\r\n\r\n") == std::string::npos
+               ? std::nullopt
+               : std::optional(state.received);
+}
+
 void scripted_replica::go_on(bufferevent* link)
 {
     connection& state = this->connections.at(link);
@@ -114,6 +129,11 @@
 void scripted_replica::finish(bufferevent* link)
 {
     connection& state = this->connections.at(link);
+    if (state.current.end == ending::half_closed)
+    {
+        ::shutdown(bufferevent_getfd(link), SHUT_WR);
+        return;
+    }
     state.is_busy = false;
     if (state.current.end == ending::open)
     {
