Save progress without a version again within a second

relay_process_restarted_node failed once: after a kill of the only node, fewer items went on from saved progress than had begun.

Cause: an item's progress names its version two seconds after its connection was opened (item_run::confirmation_delay); what was saved before cannot be used. The record is written every 2.5 s. Where the connection opens half a second after the job began, the first record names no version, and the next one comes after five seconds; the test kills the node after four.

Change: a record in which an item has no version is due again after 750 ms, that is with the owner's next check, once a second. Such items are those in their first two seconds on a new connection.

Ruled out: leaving items without a version out of the record (the owner would wait 2.5 s just the same); putting the record off until all versions are known (with new connections all the time, nothing would be saved).

--- a/src/relay/progress_tracker.cpp
+++ b/src/relay/progress_tracker.cpp
@@ -18,6 +18,10 @@
 /// outcomes: an item runs for about five seconds, and work that a failed node
 /// did not save is done again.
 constexpr duration save_interval = std::chrono::milliseconds(2500);
+/// The same while the version of an item is not confirmed: what is saved of it
+/// until then cannot be used, so waiting for the whole interval would cost up
+/// to five seconds of work.
+constexpr duration unconfirmed_save_interval = std::chrono::milliseconds(750);
 /// Progress that cannot be saved within this time is out of date.
 constexpr duration save_timeout = std::chrono::seconds(1);
 /// A quarter of the largest value that the store accepts.
@@ -75,9 +79,14 @@
 {
     jobs::job_progress kept;
     std::size_t bytes = 0;
+    duration interval = save_interval;
     for (const auto& [item, known] : this->items)
     {
         bytes += known.output.size();
+        if (known.last_event > 0 && known.version.empty())
+        {
+            interval = unconfirmed_save_interval;
+        }
         if (known.last_event > 0 && bytes <= max_record_bytes)
         {
             kept.emplace(item, known);
@@ -93,7 +102,7 @@
         transaction.erased.push_back(key);
     }
     this->saved_events = this->total_events();
-    this->next_save = now + save_interval;
+    this->next_save = now + interval;
 }
 
 std::int64_t progress_tracker::total_events() const
--- a/tests/relay/progress_tracker_test.cpp
+++ b/tests/relay/progress_tracker_test.cpp
@@ -39,11 +39,32 @@
 
 TEST(progress_tracker, limits_how_often_it_writes)
 {
-    this->tracker.progress_of(1) = jobs::item_progress{1, "a"};
+    this->tracker.progress_of(1) =
+        jobs::item_progress{1, "a", software_version("v1")};
+    CHECK_FALSE(this->tracker.is_due(this->now));
+    this->now += std::chrono::seconds(3);
+    CHECK(this->tracker.is_due(this->now));
+    this->save();
+    this->now += std::chrono::seconds(2);
     CHECK_FALSE(this->tracker.is_due(this->now));
+}
+
+// Guards against losing all of an item's work in a kill of its node because its
+// progress was saved just before its version was confirmed, two seconds after
+// its connection was opened, and next saved 2.5 s later.
+TEST(progress_tracker, progress_without_a_version_is_soon_saved_again)
+{
+    this->tracker.progress_of(1) =
+        jobs::item_progress{4, "a", software_version("v1")};
+    this->tracker.progress_of(2) = jobs::item_progress{4, "a"};
     this->now += std::chrono::seconds(3);
+    this->save();
+    CHECK_FALSE(this->tracker.is_due(this->now));
+    this->now += std::chrono::seconds(1);
     CHECK(this->tracker.is_due(this->now));
+    this->tracker.progress_of(2).version = software_version("v1");
     this->save();
+    this->now += std::chrono::seconds(2);
     CHECK_FALSE(this->tracker.is_due(this->now));
 }
 
