--- a/src/relay/caller_authorization.cpp
+++ b/src/relay/caller_authorization.cpp
@@ -51,9 +51,9 @@
         return access.owner;
     }
     const bool is_denied = access.result == outcome::denied;
-    context.metrics.count("parsleytrack_requests_total",
-                          {{"outcome", is_denied ? "denied" : "key_unknown"},
-                           {"kind", "none"}});
+    context.metrics.count(
+        "parsleytrack_requests_total",
+        {{"outcome", is_denied ? "denied" : "key_unknown"}, {"kind", "none"}});
     if (is_denied)
     {
         refuse(exchange,
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -60,8 +60,8 @@
                {"previous",
                 this->table ? this->table->contents().version.count() : 0},
                {"routes", read.value().routes.size()},
-              {"workspaces", read.value().workspaces.size()},
-              {"keys", read.value().workspaces.key_count()},
+               {"workspaces", read.value().workspaces.size()},
+               {"keys", read.value().workspaces.key_count()},
                {"revision", record.revision.count()}});
     for (const std::string& problem : read.value().workspaces.problems())
     {
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -67,8 +67,8 @@
                    end_callback on_end)
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), workspace(std::move(run_workspace)),
-      progress(known_progress),
-      may_send(std::move(check)), ended_callback(std::move(on_end)),
+      progress(known_progress), may_send(std::move(check)),
+      ended_callback(std::move(on_end)),
       traits(node.adapter.parse_prompt_parts(run_item.headers)),
       sequence(event_numbering::consecutive, known_progress.last_event),
       limit(node.adapter.parse_output_tokens(run_item.headers))
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -72,9 +72,8 @@
     /// object.
     item_run(const relay_context& node, slot_client& slot_source,
              const jobs::job_item& run_item, std::string host,
-             workspace_name workspace,
-             jobs::item_progress& progress, send_check may_send,
-             end_callback on_end);
+             workspace_name workspace, jobs::item_progress& progress,
+             send_check may_send, end_callback on_end);
 
     /// \param service Service whose replicas may run the item.
     /// \param priority Priority among all work of the service.
--- a/src/relay/job_acceptor.cpp
+++ b/src/relay/job_acceptor.cpp
@@ -73,7 +73,8 @@
 void job_acceptor::write(const std::shared_ptr<submission>& entry)
 {
     const jobs::job_state& state = entry->state;
-    const usage_tracker::usage usage = this->usages.get(jobs::account_of(state));
+    const usage_tracker::usage usage =
+        this->usages.get(jobs::account_of(state));
     entry->waiting = usage.waiting + state.waiting_tokens;
     if (entry->limit > token_count(0) && entry->waiting > entry->limit)
     {
@@ -164,8 +165,7 @@
                 entry->callback(reason);
                 return;
             }
-            this->usages.update(jobs::account_of(entry->state),
-                                record.value());
+            this->usages.update(jobs::account_of(entry->state), record.value());
             entry->usage_is_fresh = true;
             this->write(entry);
         });
--- a/src/relay/job_cancellation.cpp
+++ b/src/relay/job_cancellation.cpp
@@ -68,7 +68,8 @@
 void job_cancellation::write(jobs::job_state state, store_revision revision,
                              int attempt, end_callback callback)
 {
-    const usage_tracker::usage usage = this->usages.get(jobs::account_of(state));
+    const usage_tracker::usage usage =
+        this->usages.get(jobs::account_of(state));
     const token_count remaining =
         std::max(token_count(0), usage.waiting - state.waiting_tokens);
     state.cancelled = true;
--- a/src/relay/job_keys.cpp
+++ b/src/relay/job_keys.cpp
@@ -52,10 +52,9 @@
 
 job_id stored_job_id(const workspace_name& workspace, const job_id& id)
 {
-    return workspace.empty()
-               ? id
-               : job_id(workspaces::name_digest(workspace.str()) + "." +
-                        id.str());
+    return workspace.empty() ? id
+                             : job_id(workspaces::name_digest(workspace.str()) +
+                                      "." + id.str());
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -132,8 +132,7 @@
     const std::set<replica_id> usable = this->usable_replicas(item, service);
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
-        input.workspace,
-        this->progress.progress_of(item),
+        input.workspace, this->progress.progress_of(item),
         [this, item] { return this->may_send(item); },
         [this, item, max_failures = route.max_attempts](
             item_run_result end, const std::string& reason)
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -126,8 +126,7 @@
         return;
     }
     jobs::job_input input;
-    input.workspace =
-        workspace == nullptr ? workspace_name() : workspace->name;
+    input.workspace = workspace == nullptr ? workspace_name() : workspace->name;
     input.id = stored_job_id(input.workspace, job_id(*id));
     input.route_name = route.name;
     input.host = *host;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -120,12 +120,10 @@
         this->settings.allotments, this->loop, this->peers, this->group,
         this->metrics, this->random}};
     relay_context context{
-        this->settings,       this->adapter,  this->loop,
-        this->replica_client, this->peers,    this->group,
-        this->store,          this->configuration,
-        this->replicas,       this->link,     this->crashes,
-        this->allotments,     this->doubts,   this->origins,
-        this->metrics,        this->random};
+        this->settings, this->adapter, this->loop,    this->replica_client,
+        this->peers,    this->group,   this->store,   this->configuration,
+        this->replicas, this->link,    this->crashes, this->allotments,
+        this->doubts,   this->origins, this->metrics, this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
--- a/src/relay/usage_tracker.cpp
+++ b/src/relay/usage_tracker.cpp
@@ -9,7 +9,8 @@
 namespace parsleytrack::relay
 {
 
-usage_tracker::usage usage_tracker::get(const jobs::usage_account& account) const
+usage_tracker::usage
+usage_tracker::get(const jobs::usage_account& account) const
 {
     const auto found = this->values.find(account);
     return found == this->values.end() ? usage{} : found->second;
--- a/src/units/error_code.cpp
+++ b/src/units/error_code.cpp
@@ -10,16 +10,19 @@
 {
 
 constexpr std::array<std::string_view, 26> names = {
-    "bad_request",       "unauthorized",      "bad_settings",
-    "too_large",
-    "not_found",         "unknown_service",   "unknown_model",
-    "conflict",          "overloaded",        "workspace_limit",
-    "deadline_exceeded", "shutting_down",     "no_replica",
-    "passed_back",       "store_unavailable", "store_outcome_unknown",
-    "too_few_keepers",   "peer_unreachable",  "connection_lost",
-    "backend_failed",    "cancelled",         "may_have_run",
-    "corrupt_data",      "storage_failed",    "lease_lost",
-    "internal"};
+    "bad_request",       "unauthorized",
+    "bad_settings",      "too_large",
+    "not_found",         "unknown_service",
+    "unknown_model",     "conflict",
+    "overloaded",        "workspace_limit",
+    "deadline_exceeded", "shutting_down",
+    "no_replica",        "passed_back",
+    "store_unavailable", "store_outcome_unknown",
+    "too_few_keepers",   "peer_unreachable",
+    "connection_lost",   "backend_failed",
+    "cancelled",         "may_have_run",
+    "corrupt_data",      "storage_failed",
+    "lease_lost",        "internal"};
 
 static_assert(names.size() ==
               static_cast<std::size_t>(error_code::internal) + 1);
--- a/tests/relay_process/workspace_test.cpp
+++ b/tests/relay_process/workspace_test.cpp
@@ -128,8 +128,8 @@
     for (int node : {0, 1})
     {
         CHECK_EQUAL(404, this->fleet.call(node, "GET", "/v1/lots/job").status);
-        CHECK_EQUAL(
-            404, this->fleet.call(node, "DELETE", "/v1/lots/job").status);
+        CHECK_EQUAL(404,
+                    this->fleet.call(node, "DELETE", "/v1/lots/job").status);
     }
     this->fleet.caller_headers.clear();
     CHECK_EQUAL(401, this->fleet.call(0, "GET", "/v1/lots/job").status);
--- a/tests/workspaces/caller_access_test.cpp
+++ b/tests/workspaces/caller_access_test.cpp
@@ -53,8 +53,8 @@
 
 TEST(caller_access, public_routes_need_no_key)
 {
-    const auto access = check_access(this->directory, "k2", true,
-                                     configuration_state::expired);
+    const auto access =
+        check_access(this->directory, "k2", true, configuration_state::expired);
     CHECK(access.result == outcome::granted);
     CHECK(access.owner == nullptr);
 }
@@ -75,7 +75,7 @@
 // learn of it, where operators ask for that.
 TEST(caller_access, an_expired_configuration_lets_no_key_in)
 {
-    CHECK(check_access(this->directory, "k1", false,
-                       configuration_state::expired)
-              .result == outcome::unknown);
+    CHECK(
+        check_access(this->directory, "k1", false, configuration_state::expired)
+            .result == outcome::unknown);
 }
