--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -4,12 +4,12 @@
 #include "logging/log_findings.hpp"
 #include "metrics/registry.hpp"
 #include "net/http_server.hpp"
-#include "peering/first_incarnation.hpp"
 #include "relay/address_service.hpp"
 #include "relay/caller_authorization.hpp"
 #include "relay/caller_protection.hpp"
 #include "relay/job_service.hpp"
 #include "relay/online_service.hpp"
+#include "relay/own_node_info.hpp"
 #include "relay/refusal.hpp"
 #include "relay/relay_context.hpp"
 #include "relay/slot_client.hpp"
@@ -39,22 +39,6 @@
 constexpr duration store_calls_interval = std::chrono::seconds(10);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
 
-node_info own_info(const settings::relay_settings& settings,
-                   random_source& random)
-{
-    node_info own;
-    own.id = settings.id;
-    own.peer = settings.peer;
-    own.http = settings.front.value_or(settings.peer);
-    own.region = settings.region;
-    own.availability_zone = settings.availability_zone;
-    own.entry = settings.front.has_value();
-    own.capacity = settings.capacity_millicores;
-    own.incarnation = peering::first_incarnation();
-    own.process = peering::draw_process_number(random);
-    return own;
-}
-
 } // namespace
 
 struct relay_node::state
@@ -69,7 +53,8 @@
           store(this->loop, this->store_client, this->settings.store,
                 protocol_adapter.records(), this->random),
           group(this->loop, this->peers, this->random,
-                own_info(this->settings, this->random), this->settings.seeds),
+                own_node_info(this->settings, this->random),
+                this->settings.seeds),
           configuration(
               this->loop, this->store, this->peers, this->group, this->random,
               protocol_adapter,
