--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -28,7 +28,11 @@
                               Condition may_grant, time_point now)
 {
     queue& waiting = this->queue_of(kind);
-    if (waiting.empty() || this->free_slots(now) <= 0 || !may_grant())
+    if (waiting.empty() || !may_grant())
+    {
+        return;
+    }
+    if (this->free_slots(now) <= 0 && !this->ignores_exclusion(kind, now))
     {
         return;
     }
