Grant the initial requests of a bucket once to ownerships that restart

Found in review: each restart of an ownership, as by a node that stalls again and again, began with four requests anew. Where the node still knows the bucket, it starts with no more than that held. Ruled out: no initial requests at all, with which each change of the owner refuses small workspaces.

--- a/src/allotments/lease_book.cpp
+++ b/src/allotments/lease_book.cpp
@@ -79,7 +79,13 @@
         found->second.used = now;
         return found->second;
     }
-    const double initial = this->numbers.initial_requests * share.current();
+    double initial = this->numbers.initial_requests * share.current();
+    if (found != this->buckets.end())
+    {
+        // Ownerships that restart again and again must not add up.
+        initial =
+            std::min(initial, std::max(0.0, found->second.bucket.level()));
+    }
     entry created{token_bucket(initial, owned_since),
                   order.limit,
                   order.version,
--- a/src/allotments/node_allotments.cpp
+++ b/src/allotments/node_allotments.cpp
@@ -50,7 +50,8 @@
 {
     if (now - this->last_time >= pause_threshold)
     {
-        // Others may have owned this node's workspaces in the meantime.
+        // Others may have owned this node's workspaces in the meantime. The
+        // buckets start anew, with no more than they held.
         this->owners.restart_own(now);
         for (auto& [name, known] : this->accounts)
         {
--- a/tests/allotments/lease_book_test.cpp
+++ b/tests/allotments/lease_book_test.cpp
@@ -50,6 +50,22 @@
     CHECK_EQUAL(10, this->ask(100).granted);
 }
 
+// Guards against a node that stalls again and again and grants the initial
+// requests each time.
+TEST(lease_book, ownerships_that_restart_do_not_add_up)
+{
+    CHECK_EQUAL(4, this->ask(100).granted);
+    for (int restart = 1; restart <= 5; ++restart)
+    {
+        this->now += milliseconds(10);
+        this->order.needed = 100;
+        this->order.wanted = 100;
+        CHECK_EQUAL(
+            0, this->book.handle(this->order, this->now, this->share, this->now)
+                   .granted);
+    }
+}
+
 // An idle workspace would otherwise get 429 at its first burst after a start of
 // all nodes, however long ago that was.
 TEST(lease_book, a_bucket_has_filled_since_the_ownership_began)
