Ignore late replies of other owners in the count of requests sent alone

Found in review: the reply of an earlier owner could make the count negative; the next owner refused to read such orders, and the node took it for silent for up to a minute.

--- a/src/allotments/alone_limit.cpp
+++ b/src/allotments/alone_limit.cpp
@@ -55,6 +55,15 @@
     return true;
 }
 
+void alone_limit::report(const node_id& owner, process_number process,
+                         int count)
+{
+    if (owner == this->owner_id && process == this->owner_process)
+    {
+        this->unreported_count = std::max(0, this->unreported_count - count);
+    }
+}
+
 int alone_limit::unreported(const node_id& owner, process_number process) const
 {
     return owner == this->owner_id && process == this->owner_process
--- a/src/allotments/alone_limit.hpp
+++ b/src/allotments/alone_limit.hpp
@@ -32,8 +32,9 @@
     /// does not know of.
     int unreported(const node_id& owner, process_number process) const;
 
-    /// Counts requests as reported to the owner.
-    void report(int count) { this->unreported_count -= count; }
+    /// Counts requests as reported to the owner's process. Does nothing if the
+    /// last outage was of another one: its requests are not known any more.
+    void report(const node_id& owner, process_number process, int count);
 
 private:
     node_id owner_id;
--- a/src/allotments/node_allotments_calls.cpp
+++ b/src/allotments/node_allotments_calls.cpp
@@ -101,7 +101,8 @@
         return;
     }
     this->outages.clear(ended.owner.id, known->name);
-    known->alone.report(ended.order.sent_alone);
+    known->alone.report(ended.owner.id, ended.owner.process,
+                        ended.order.sent_alone);
     if (ended.order.wanted > 0)
     {
         ++this->counters.leases;
--- a/tests/allotments/alone_limit_test.cpp
+++ b/tests/allotments/alone_limit_test.cpp
@@ -74,6 +74,20 @@
     CHECK_EQUAL(1, limit.unreported(this->owner, process_number(1)));
     CHECK_EQUAL(0, limit.unreported(this->owner, process_number(2)));
     CHECK_EQUAL(0, limit.unreported(node_id("other"), process_number(1)));
-    limit.report(1);
+    limit.report(this->owner, process_number(1), 1);
+    CHECK_EQUAL(0, limit.unreported(this->owner, process_number(1)));
+}
+
+// Guards against a negative count, which the owner refuses to read: the reply
+// of an owner came after an outage of the next one had begun.
+TEST(alone_limit, a_late_reply_of_another_owner_changes_nothing)
+{
+    alone_limit limit;
+    limit.start(this->owner, process_number(1), this->start, this->random);
+    CHECK(limit.take(100.0, 1, this->start + seconds(1)));
+    limit.report(node_id("other"), process_number(1), 3);
+    limit.report(this->owner, process_number(2), 3);
+    CHECK_EQUAL(1, limit.unreported(this->owner, process_number(1)));
+    limit.report(this->owner, process_number(1), 3);
     CHECK_EQUAL(0, limit.unreported(this->owner, process_number(1)));
 }
