--- a/src/workspaces/workspace_directory.cpp
+++ b/src/workspaces/workspace_directory.cpp
@@ -25,8 +25,9 @@
         const std::size_t index = this->entries.size();
         if (!this->by_name.emplace(entry.name, index).second)
         {
-            this->found.push_back("workspace " + entry.name.str() +
-                                  " stands there twice; the first counts");
+            this->found.push_back(
+                "workspace " + entry.name.str() +
+                " is defined twice; the first definition counts");
             continue;
         }
         if (entry.keys.empty())
@@ -39,7 +40,7 @@
         {
             this->add_key(key, index);
         }
-        // The keys stand in the index.
+        // The keys are kept in the index.
         this->entries.back().keys = {};
     }
 }
--- a/tests/platform/workspace_decoder_test.cpp
+++ b/tests/platform/workspace_decoder_test.cpp
@@ -71,12 +71,22 @@
     }
 }
 
+// Guards against a mistake of the operators that lets everybody in.
+TEST(workspace_decoder, workspaces_that_are_no_list_let_nobody_in)
+{
+    for (const char* tenants : {"{}", "7", R"("a")", "true"})
+    {
+        CHECK_FALSE(decode(tenants).workspaces.empty());
+        CHECK_EQUAL(1, decode(tenants).workspaces.problems().size());
+    }
+}
+
 TEST(workspace_decoder, odd_limits_are_reported)
 {
     const auto contents = decode(R"([{"name":"a","apiKeys":["k"],
         "ratePerS":-1,"burst":-5},{"name":"b","apiKeys":["l"],
         "ratePerS":1e300,"burst":"x"}])");
-    CHECK_EQUAL(2, contents.workspaces.problems().size());
+    CHECK_EQUAL(3, contents.workspaces.problems().size());
     CHECK_FALSE(contents.workspaces.find_by_key("k")->limit.is_limited());
     CHECK(contents.workspaces.find_by_key("l")->limit.rate <=
           request_rate(1e9));
