Require a key for jobs on public routes

Found in review: a job without a workspace kept the id and the header fields that its caller chose, so that it could take the place of another workspace's job and name any workspace to replicas.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -219,8 +219,10 @@
                                 {}});
         return;
     }
-    const auto workspace =
-        authorize_caller(this->context, *exchange, *table, route->is_public);
+    // Jobs belong to a workspace, so that a public route needs a key for them.
+    const auto workspace = authorize_caller(
+        this->context, *exchange, *table,
+        route->is_public && route->kind != routing::request_kind::batch);
     if (!workspace)
     {
         return;
--- a/tests/relay_process/workspace_test.cpp
+++ b/tests/relay_process/workspace_test.cpp
@@ -119,6 +119,27 @@
     CHECK_EQUAL(6, seen);
 }
 
+// Guards against jobs without a workspace, whose ids callers could choose so
+// that they are those of another workspace's jobs.
+TEST(relay_workspaces, a_public_route_needs_a_key_for_jobs_alone)
+{
+    json document =
+        json::parse(configuration(5, {first_workspace, second_workspace}));
+    for (json& route : document["routes"])
+    {
+        route["public"] = true;
+    }
+    this->fleet.store.put("op/config", document.dump());
+    CHECK(this->fleet.wait([this] { return this->status_with({}) == 200; }));
+    CHECK_EQUAL(200, this->status_with({{"Authorization", "Token other"}},
+                                       "request-2"));
+    const auto& headers = this->fleet.web->received_headers.at("request-2");
+    CHECK(values_of(headers, "Authorization").empty());
+    CHECK(values_of(headers, "Parsleytrack-Tenant").empty());
+    this->fleet.caller_headers.clear();
+    CHECK_EQUAL(401, this->fleet.submit(0, "job", 2).status);
+}
+
 // Guards against callers who learn of jobs of other workspaces.
 TEST(relay_workspaces, jobs_exist_for_their_workspace_alone)
 {
