--- a/src/relay/caller_authorization.cpp
+++ b/src/relay/caller_authorization.cpp
@@ -63,7 +63,7 @@
                      {}});
         return std::nullopt;
     }
-    refuse(exchange, error{error_code::shutting_down,
+    refuse(exchange, error{error_code::store_unavailable,
                            "this node does not know which keys are valid now",
                            ran_state::no, retry_after_unknown});
     return std::nullopt;
--- a/src/relay/online_call_allotment.cpp
+++ b/src/relay/online_call_allotment.cpp
@@ -37,7 +37,7 @@
                            ? error{error_code::workspace_limit,
                                    "the workspace has used up its allotment",
                                    ran_state::no, refusal.retry_after}
-                           : error{error_code::shutting_down,
+                           : error{error_code::peer_unreachable,
                                    "this node does not know what is left of "
                                    "the workspace's allotment",
                                    ran_state::no, refusal.retry_after});
