Let the fault soak use workspaces, changing keys and a limit

Cause: no process test held keys, their removal and the limit of a workspace under the faults of the soak.

Ruled out: the status page as proof of a configuration in force, since frozen and killed nodes give none; a response to the added key proves it for that process, and a process never goes back to an older version.

--- a/tests/process_support/child_process.hpp
+++ b/tests/process_support/child_process.hpp
@@ -23,6 +23,9 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    /// \returns The process id, also after the process has ended.
+    pid_t id() const { return this->pid; }
+
     /// Sends a signal, unless the process has ended.
     void signal(int number);
 
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -95,6 +95,10 @@
     }
     this->arrivals.push_back(net::event_loop::now());
     const auto& headers = exchange->head().headers;
+    if (this->on_arrival)
+    {
+        this->on_arrival(headers);
+    }
     const std::string* request =
         net::find_header(headers, "Parsleytrack-Request-Id");
     const std::string* expected =
@@ -115,6 +119,10 @@
     ++this->runs[*request];
     ++this->run_count;
     this->received_headers[*request] = headers;
+    if (this->on_run)
+    {
+        this->on_run(*request, headers);
+    }
     const std::string* remaining_ms =
         net::find_header(headers, "Parsleytrack-Deadline-Ms");
     if (remaining_ms != nullptr)
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -109,6 +109,12 @@
     int run_count = 0;
     /// When each request arrived, including those that were not run.
     std::vector<time_point> arrivals;
+    /// Called with the header fields of each request that arrives, before
+    /// anything is decided. Optional.
+    std::function<void(const net::http_header_list&)> on_arrival;
+    /// Called with the id and the header fields of each run. Optional.
+    std::function<void(const std::string&, const net::http_header_list&)>
+        on_run;
     /// A part of a prompt under which the replica crashes as it begins to
     /// answer: it closes all connections. Empty for none.
     std::string crashing_part;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -27,9 +27,10 @@
 
 callers::callers(relay_support::relay_fleet& test_fleet, int node_count,
                  const fault_plan& planned, random_source& random_numbers,
-                 violations& found)
+                 violations& found, workspace_checks* checks)
     : fleet(test_fleet), nodes(node_count), plan(planned),
-      random(random_numbers), problems(found), client(test_fleet.loop)
+      random(random_numbers), problems(found), workspaces(checks),
+      client(test_fleet.loop)
 {
 }
 
@@ -62,6 +63,13 @@
     request.headers = {{"Host", "h"},
                        {"Parsleytrack-Request-Id", entry.id},
                        {"Parsleytrack-Deadline-Ms", "5000"}};
+    if (this->workspaces != nullptr)
+    {
+        const auto fields =
+            this->workspaces->begin_request(entry.id, entry.node);
+        request.headers.insert(request.headers.end(), fields.begin(),
+                               fields.end());
+    }
     net::http_client::callbacks hooks;
     hooks.on_head = [this, number](const net::http_response& head)
     {
@@ -84,6 +92,10 @@
     const auto found = this->calls.find(number);
     const call ended = std::move(found->second);
     this->calls.erase(found);
+    if (this->workspaces != nullptr)
+    {
+        this->workspaces->end_request(ended.id, whole ? ended.status : 0);
+    }
     if (whole)
     {
         this->check_answer(ended);
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -4,6 +4,7 @@
 #include "relay_support/relay_fleet.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/violations.hpp"
+#include "soak/workspace_checks.hpp"
 #include "units/random_source.hpp"
 
 #include <cstdint>
@@ -21,9 +22,10 @@
 {
 public:
     /// \param test_fleet Outlives this object, as do the others.
+    /// \param checks Gives the callers keys; null if there are no workspaces.
     callers(relay_support::relay_fleet& test_fleet, int node_count,
             const fault_plan& planned, random_source& random_numbers,
-            violations& found);
+            violations& found, workspace_checks* checks);
 
     void start();
     void stop() { this->pace.cancel(); }
@@ -63,6 +65,7 @@
     const fault_plan& plan;
     random_source& random;
     violations& problems;
+    workspace_checks* workspaces;
     net::http_client client;
     net::timer pace;
     std::uint64_t next_id = 0;
--- a/tests/soak/fault_kinds.hpp
+++ b/tests/soak/fault_kinds.hpp
@@ -18,7 +18,10 @@
     with_stranded_nodes,
     /// As with_repeated_responses, and replicas crash and come back under their
     /// ids with another software version; their records change later.
-    with_returning_replicas
+    with_returning_replicas,
+    /// As with_repeated_responses, and callers use the keys of workspaces,
+    /// which operators change.
+    with_workspaces
 };
 
 } // namespace parsleytrack::soak
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -309,9 +309,7 @@
 {
     this->version += static_cast<int>(1 + this->draw(3));
     this->note("configuration " + std::to_string(this->version), true);
-    this->fleet.store.put(
-        "op/config",
-        relay_support::relay_fleet::configuration(this->version, "/plain/"));
+    this->fleet.store.put("op/config", this->make_configuration(this->version));
 }
 
 void fault_plan::after(duration span, std::function<void()> action)
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -11,6 +11,7 @@
 #include <iosfwd>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace parsleytrack::soak
@@ -27,6 +28,16 @@
                fault_kinds chosen_kinds, random_source& random_numbers,
                violations& found, std::ostream& log);
 
+    /// Makes change_configuration() write what a function returns for a
+    /// version.
+    void set_configuration_source(std::function<std::string(int)> source)
+    {
+        this->make_configuration = std::move(source);
+    }
+
+    /// Writes a newer configuration to the store.
+    void change_configuration();
+
     /// Begins to apply faults.
     void start();
 
@@ -62,7 +73,6 @@
     /// Ends a replica's process, whose next one has the same id and another
     /// version.
     void crash_replica(std::size_t chosen);
-    void change_configuration();
     void kill(int node);
     void freeze(int node);
     void stop(int node);
@@ -104,6 +114,10 @@
     time_point began;
     time_point impaired_at;
     int version = 3;
+    std::function<std::string(int)> make_configuration = [](int number)
+    {
+        return relay_support::relay_fleet::configuration(number, "/plain/");
+    };
     bool active = false;
 };
 
--- a/tests/soak/job_callers.cpp
+++ b/tests/soak/job_callers.cpp
@@ -21,9 +21,10 @@
 } // namespace
 
 job_callers::job_callers(relay_support::relay_fleet& test_fleet, int node_count,
-                         random_source& random_numbers, violations& found)
+                         random_source& random_numbers, violations& found,
+                         workspace_checks* checks)
     : fleet(test_fleet), nodes(node_count), random(random_numbers),
-      problems(found), client(test_fleet.loop)
+      problems(found), workspaces(checks), client(test_fleet.loop)
 {
 }
 
@@ -55,6 +56,11 @@
         this->end(id);
         return;
     }
+    if (choice == 4 && this->workspaces != nullptr)
+    {
+        this->call_foreign(id);
+        return;
+    }
     const std::size_t after = this->random() % (known.results.size() + 1);
     this->read(id, after);
 }
@@ -65,17 +71,27 @@
     if (entry.items == 0)
     {
         entry.items = static_cast<int>(1 + this->random() % most_items);
+        if (this->workspaces != nullptr)
+        {
+            entry.owner = this->workspaces->begin_job(id);
+        }
+    }
+    json item_headers{{"A", "b"}};
+    if (this->workspaces != nullptr)
+    {
+        item_headers["authorization"] = "Token key-other";
+        item_headers["parsleytrack-tenant"] = "other";
     }
     json body{{"items", json::array()}};
     for (int item = 0; item < entry.items; ++item)
     {
         body["items"].push_back({{"id", id + "-" + std::to_string(item)},
                                  {"path", "/batch/x"},
-                                 {"headers", {{"A", "b"}}},
+                                 {"headers", item_headers},
                                  {"body", "q83vEjRWeJA="},
                                  {"tokens", 100}});
     }
-    this->send("POST", "/batch/" + id, id, body.dump(),
+    this->send("POST", "/batch/" + id, entry.owner.headers, id, body.dump(),
                [this, id](int status, const std::string&)
                {
                    job& known = this->jobs.at(id);
@@ -95,8 +111,8 @@
 
 void job_callers::read(const std::string& id, std::size_t after)
 {
-    this->send("GET", "/v1/lots/" + id + "?after=" + std::to_string(after), "",
-               "",
+    this->send("GET", "/v1/lots/" + id + "?after=" + std::to_string(after),
+               this->jobs.at(id).owner.headers, "", "",
                [this, id, after, was_accepted = this->jobs.at(id).accepted](
                    int status, const std::string& body)
                {
@@ -111,8 +127,18 @@
 void job_callers::end(const std::string& id)
 {
     this->jobs.at(id).ended = true;
-    this->send("DELETE", "/v1/lots/" + id, "", "",
-               [](int, const std::string&) {});
+    this->send("DELETE", "/v1/lots/" + id, this->jobs.at(id).owner.headers, "",
+               "", [](int, const std::string&) {});
+}
+
+void job_callers::call_foreign(const std::string& id)
+{
+    this->send(
+        this->random() % 2 == 0 ? "GET" : "DELETE", "/v1/lots/" + id,
+        this->workspaces->foreign_headers(this->jobs.at(id).owner.workspace),
+        "", "",
+        [this, id](int status, const std::string&)
+        { this->workspaces->end_foreign_call(id, status); });
 }
 
 void job_callers::take_page(const std::string& id, std::size_t after,
@@ -181,6 +207,7 @@
 }
 
 void job_callers::send(const std::string& method, const std::string& target,
+                       const net::http_header_list& fields,
                        const std::string& id, const std::string& body,
                        answer_callback callback)
 {
@@ -191,6 +218,7 @@
     request.total_timeout = patience;
     request.allow_connection_reuse = false;
     request.headers = {{"Host", "h"}, {"Parsleytrack-Wait-Ms", "300"}};
+    request.headers.insert(request.headers.end(), fields.begin(), fields.end());
     if (!id.empty())
     {
         request.headers.emplace_back("Parsleytrack-Request-Id", id);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,9 @@
 DEFINE_bool(returning_replicas, false,
             "whether replicas also crash and come back under their ids with "
             "another version, in addition to --repeated_responses");
+DEFINE_bool(workspaces, false,
+            "whether callers use the keys of workspaces, which operators "
+            "change, in addition to --repeated_responses");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -49,6 +52,10 @@
     {
         kinds = fault_kinds::with_returning_replicas;
     }
+    if (FLAGS_workspaces)
+    {
+        kinds = fault_kinds::with_workspaces;
+    }
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,8 +4,10 @@
 #include "soak/callers.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/job_callers.hpp"
+#include "soak/workspace_checks.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -23,10 +25,15 @@
 constexpr duration job_limit = std::chrono::seconds(18);
 /// So that several streams are under way at any time.
 constexpr duration event_interval = std::chrono::milliseconds(15);
+/// For the last requests with a key that was taken away, and for what is then
+/// sent with it.
+constexpr duration key_margin = std::chrono::seconds(2);
 constexpr duration poll_interval = std::chrono::milliseconds(300);
 
 /// Checks that every node serves again.
-void check_service(relay_support::relay_fleet& fleet, int node_count,
+///
+/// \returns Whether all do.
+bool check_service(relay_support::relay_fleet& fleet, int node_count,
                    violations& found)
 {
     const time_point limit = net::event_loop::now() + recovery_limit;
@@ -43,11 +50,12 @@
             {
                 found.add("service is back after the faults",
                           "node " + std::to_string(node) + " does not serve");
-                return;
+                return false;
             }
             fleet.run_for(poll_interval);
         }
     }
+    return true;
 }
 
 void check_jobs(relay_support::relay_fleet& fleet, job_callers& jobs,
@@ -117,18 +125,50 @@
         engine->event_interval = event_interval;
     }
     fault_plan plan(fleet, node_count, kinds, random, found, log);
-    callers online(fleet, node_count, plan, random, found);
-    job_callers jobs(fleet, node_count, random, found);
+    std::optional<workspace_checks> workspaces;
+    if (kinds == fault_kinds::with_workspaces)
+    {
+        workspaces.emplace(fleet, node_count, random, found);
+        plan.set_configuration_source(
+            [&workspaces](int version)
+            { return workspaces->configuration(version); });
+        plan.change_configuration();
+        workspaces->start();
+    }
+    workspace_checks* checks = workspaces ? &*workspaces : nullptr;
+    callers online(fleet, node_count, plan, random, found, checks);
+    job_callers jobs(fleet, node_count, random, found, checks);
     online.start();
     jobs.start();
     plan.start();
-    fleet.run_for(span);
+    if (workspaces)
+    {
+        fleet.run_for(span / 2);
+        workspaces->change_keys();
+        plan.change_configuration();
+        fleet.run_for(span / 2);
+        workspaces->use_added_key("end");
+    }
+    else
+    {
+        fleet.run_for(span);
+    }
     plan.heal();
-    check_service(fleet, node_count, found);
+    if (check_service(fleet, node_count, found) && workspaces)
+    {
+        // All nodes have accepted the added key.
+        fleet.run_for(key_margin);
+        workspaces->set_in_force();
+        fleet.run_for(key_margin);
+    }
     online.stop();
     jobs.stop();
     check_jobs(fleet, jobs, found);
     online.check_runs();
+    if (workspaces)
+    {
+        workspaces->check_runs();
+    }
     check_versions(fleet, kinds == fault_kinds::with_returning_replicas ? 2 : 0,
                    found);
     return soak_outcome{found.all(), online.asked(), online.served(),
