Print what the soak's checks of workspaces have counted

Cause: a seed without a violation did not show whether the limit and the change of the keys had mattered in it.

Ruled out: an idle check.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -67,8 +67,10 @@
             faults);
         std::cout << "seed " << seed << ": " << outcome.requests
                   << " requests, " << outcome.served << " served, "
-                  << outcome.jobs << " jobs, " << outcome.violations.size()
-                  << " violations" << std::endl;
+                  << outcome.jobs << " jobs, "
+                  << (outcome.workspaces.empty() ? ""
+                                                 : outcome.workspaces + ", ")
+                  << outcome.violations.size() << " violations" << std::endl;
         if (outcome.violations.empty())
         {
             continue;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -172,7 +172,8 @@
     check_versions(fleet, kinds == fault_kinds::with_returning_replicas ? 2 : 0,
                    found);
     return soak_outcome{found.all(), online.asked(), online.served(),
-                        jobs.accepted()};
+                        jobs.accepted(),
+                        workspaces ? workspaces->summary() : ""};
 }
 
 } // namespace parsleytrack::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -18,6 +18,8 @@
     std::size_t requests = 0;
     std::size_t served = 0;
     std::size_t jobs = 0;
+    /// What the checks of the workspaces have counted; empty without them.
+    std::string workspaces;
 };
 
 /// Runs a fleet under faults, heals it, and checks that it recovers.
--- a/tests/soak/workspace_checks.cpp
+++ b/tests/soak/workspace_checks.cpp
@@ -293,14 +293,17 @@
 
 void workspace_checks::check_runs()
 {
+    int checked = 0;
     for (const auto& [id, entry] : this->requests)
     {
+        checked += entry.is_taken && entry.has_ended ? 1 : 0;
         if (entry.is_taken && entry.has_ended && entry.runs > 0)
         {
             this->problems.add("a key that was taken away runs nothing",
                                id + " at node " + std::to_string(entry.node));
         }
     }
+    this->counted = std::to_string(checked) + " requests with the taken key";
     this->check_windows();
 }
 
@@ -329,6 +332,8 @@
             distinct = ids.size();
         }
     }
+    this->counted += ", at most " + std::to_string(most) + " runs of " +
+                     std::to_string(distinct) + " limited requests in a window";
     if (static_cast<double>(most) > allowed)
     {
         this->problems.add("a workspace keeps to its limit",
--- a/tests/soak/workspace_checks.hpp
+++ b/tests/soak/workspace_checks.hpp
@@ -77,6 +77,10 @@
     /// Checks what can only be told at the end.
     void check_runs();
 
+    /// \returns What check_runs() has counted, so that a run shows whether the
+    /// limit and the change of the keys have mattered.
+    const std::string& summary() const { return this->counted; }
+
 private:
     struct request
     {
@@ -107,6 +111,7 @@
     std::map<int, ::pid_t> changed_processes;
     /// Runs of online requests of the workspace with a limit.
     std::vector<std::pair<time_point, std::string>> limited_runs;
+    std::string counted;
 };
 
 } // namespace parsleytrack::soak
