--- a/src/cli/relay_commands.cpp
+++ b/src/cli/relay_commands.cpp
@@ -2,6 +2,7 @@
 #include "cli/flags.hpp"
 #include "cli/output.hpp"
 #include "cli/table.hpp"
+#include "cli/workspace_summary.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -176,6 +177,44 @@
     rows.print(std::cout);
 }
 
+void print_workspaces(const json& summary)
+{
+    table rows({"WORKSPACE", "RATE", "BURST", "PRIORITY", "KEYS", "GRANTED",
+                "REFUSED", "NODES"});
+    for (const json& entry : summary.at("workspaces"))
+    {
+        rows.add({cell(entry, "name"), cell(entry, "rate"),
+                  cell(entry, "burst"), cell(entry, "priority"),
+                  cell(entry, "keys"), cell(entry, "granted"),
+                  cell(entry, "refused"), cell(entry, "nodes")});
+    }
+    const json& others = summary.at("others");
+    rows.add({"(not listed)", "-", "-", "-", "-", cell(others, "granted"),
+              cell(others, "refused"), "-"});
+    rows.print(std::cout);
+    std::cout << "requests of the last " << cell(summary, "window_ms")
+              << " ms at " << cell(summary, "nodes") << " nodes; "
+              << cell(summary, "nodes_without_report")
+              << " nodes without a report\n";
+}
+
+exit_code show_workspaces(node_client& nodes)
+{
+    const auto all = fetch_all_statuses(nodes);
+    if (all.has_error())
+    {
+        return print_failure(all.error());
+    }
+    const json summary = summarize_workspaces(all.value());
+    if (FLAGS_json)
+    {
+        std::cout << summary.dump() << '\n';
+        return exit_code::done;
+    }
+    print_workspaces(summary);
+    return exit_code::done;
+}
+
 } // namespace
 
 std::vector<command> relay_commands()
@@ -212,6 +251,15 @@
          {
              return print_all_statuses(nodes, print_slots);
          }},
+        {{"workspaces"},
+         {},
+         "Shows the workspaces with the most requests at relay nodes, their "
+         "limits, and the requests granted and refused; --nodes takes metrics "
+         "addresses.",
+         [](node_client& nodes, const std::vector<std::string>&)
+         {
+             return show_workspaces(nodes);
+         }},
     };
 }
 
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -74,6 +74,8 @@
     /// \returns Whether a slot may be requested now; otherwise the call goes on
     /// or ends with the outcome of the claim.
     bool claim_allotment();
+    /// Records that the workspace may send this request, once for a request.
+    void count_granted();
     void request_slot();
     duration useful_time() const;
     /// \returns How much longer a slot is of use to a caller who accepts that
--- a/src/relay/online_call_allotment.cpp
+++ b/src/relay/online_call_allotment.cpp
@@ -8,11 +8,15 @@
 bool online_call::claim_allotment()
 {
     const workspaces::workspace* workspace = this->request.workspace;
-    if (this->is_claimed || workspace == nullptr ||
-        !workspace->limit.is_limited())
+    if (this->is_claimed || workspace == nullptr)
     {
         return true;
     }
+    if (!workspace->limit.is_limited())
+    {
+        this->count_granted();
+        return true;
+    }
     if (this->claim)
     {
         // Still waits for its outcome.
@@ -25,7 +29,7 @@
         this->request.table->contents().version,
         [this, in_call]
         {
-            this->is_claimed = true;
+            this->count_granted();
             if (!*in_call)
             {
                 this->request_slot();
@@ -33,6 +37,8 @@
         },
         [this](const allotments::allotment_refusal& refusal)
         {
+            this->context.workspace_requests.count_refused(
+                this->request.workspace->name, net::event_loop::now());
             this->fail(refusal.over_limit
                            ? error{error_code::workspace_limit,
                                    "the workspace has used up its allotment",
@@ -46,4 +52,11 @@
     return this->is_claimed;
 }
 
+void online_call::count_granted()
+{
+    this->is_claimed = true;
+    this->context.workspace_requests.count_granted(
+        this->request.workspace->name, net::event_loop::now());
+}
+
 } // namespace parsleytrack::relay
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -16,6 +16,7 @@
 #include "settings/relay_settings.hpp"
 #include "units/random_source.hpp"
 #include "wire/peer_network.hpp"
+#include "workspaces/request_counts.hpp"
 
 namespace parsleytrack::relay
 {
@@ -36,6 +37,7 @@
     link_monitor& link;
     crash_guard& crashes;
     allotments::allotment_client& allotments;
+    workspaces::request_counts& workspace_requests;
     replica_doubts& doubts;
     stream_origins& origins;
     metrics::registry& metrics;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -113,13 +113,24 @@
     allotments::allotment_client allotments{allotments::allotment_services{
         this->settings.allotments, this->loop, this->peers, this->group,
         this->metrics, this->random}};
-    relay_context context{
-        this->settings,       this->adapter,  this->loop,
-        this->replica_client, this->peers,    this->group,
-        this->store,          this->configuration,
-        this->replicas,       this->link,     this->crashes,
-        this->allotments,     this->doubts,   this->origins,
-        this->metrics,        this->random};
+    workspaces::request_counts workspace_requests;
+    relay_context context{this->settings,
+                          this->adapter,
+                          this->loop,
+                          this->replica_client,
+                          this->peers,
+                          this->group,
+                          this->store,
+                          this->configuration,
+                          this->replicas,
+                          this->link,
+                          this->crashes,
+                          this->allotments,
+                          this->workspace_requests,
+                          this->doubts,
+                          this->origins,
+                          this->metrics,
+                          this->random};
     slot_server slots_server{this->context};
     slot_client slots{this->context, this->slots_server};
     online_service online{this->context, this->slots};
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -167,6 +167,79 @@
     return list;
 }
 
+/// Most workspaces that the status document lists.
+constexpr std::size_t max_listed_workspaces = 20;
+
+/// \returns The workspaces with the most requests in the last window, then
+/// those without any while there is room.
+std::vector<workspaces::request_counts::workspace_totals>
+select_workspaces(const workspaces::workspace_directory& directory,
+                  const workspaces::request_counts& requests, time_point now)
+{
+    auto chosen = requests.busiest(max_listed_workspaces, now);
+    // A workspace that the configuration names no longer may have requests.
+    std::erase_if(chosen, [&directory](const auto& entry)
+                  { return directory.find(entry.workspace) == nullptr; });
+    for (const workspaces::workspace& entry : directory.all())
+    {
+        if (chosen.size() >= max_listed_workspaces)
+        {
+            break;
+        }
+        const bool is_listed =
+            std::any_of(chosen.begin(), chosen.end(),
+                        [&entry](const auto& other)
+                        { return other.workspace == entry.name; });
+        if (!is_listed)
+        {
+            chosen.push_back({entry.name, requests.of(entry.name, now)});
+        }
+    }
+    return chosen;
+}
+
+json describe_workspaces(const configuration_follower& configuration,
+                         const workspaces::request_counts& requests)
+{
+    json list = json::array();
+    const auto table = configuration.current();
+    if (!table)
+    {
+        return list;
+    }
+    const workspaces::workspace_directory& directory =
+        table->contents().workspaces;
+    for (const auto& entry :
+         select_workspaces(directory, requests, net::event_loop::now()))
+    {
+        const workspaces::workspace* workspace =
+            directory.find(entry.workspace);
+        json& described = list.emplace_back(
+            json{{"name", workspace->name.str()},
+                 {"rate", workspace->limit.rate.per_second()},
+                 {"burst", workspace->limit.burst},
+                 {"keys", directory.key_count_of(workspace->name)},
+                 {"granted", entry.requests.granted},
+                 {"refused", entry.requests.refused}});
+        described["priority"] =
+            workspace->priority ? json(*workspace->priority) : json();
+    }
+    return list;
+}
+
+/// Describes the requests of all workspaces together, those that are not listed
+/// included.
+json describe_workspace_totals(const configuration_follower& configuration,
+                               const workspaces::request_counts& requests)
+{
+    const auto table = configuration.current();
+    const auto total = requests.total(net::event_loop::now());
+    return {{"configured", table ? table->contents().workspaces.size() : 0},
+            {"window_ms", to_milliseconds(workspaces::request_counts::window)},
+            {"granted", total.granted},
+            {"refused", total.refused}};
+}
+
 } // namespace
 
 status_report::status_report(const relay_context& node,
@@ -194,6 +267,11 @@
          describe_verdicts(this->context.crashes, "content", true)},
         {"nodes", describe_nodes(this->context.group)},
         {"jobs", describe_jobs(this->jobs)},
+        {"workspaces", describe_workspaces(this->context.configuration,
+                                           this->context.workspace_requests)},
+        {"workspace_totals",
+         describe_workspace_totals(this->context.configuration,
+                                   this->context.workspace_requests)},
         {"pools", describe_pools(this->server)}};
     // Callers choose ids and parts of prompts, which need not be UTF-8. The
     // library throws at such bytes otherwise, which would end the process.
--- a/src/workspaces/workspace_directory.cpp
+++ b/src/workspaces/workspace_directory.cpp
@@ -35,6 +35,7 @@
                                   " has no key");
         }
         this->entries.push_back(std::move(entry));
+        this->key_counts.push_back(0);
         for (const std::string& key : this->entries.back().keys)
         {
             this->add_key(key, index);
@@ -53,12 +54,18 @@
         return;
     }
     const auto [known, added] = this->by_key.emplace(key, index);
-    if (added || known->second == index)
+    if (added)
+    {
+        this->key_counts[index] += 1;
+        return;
+    }
+    if (known->second == index)
     {
         return;
     }
     if (known->second != ambiguous)
     {
+        this->key_counts[known->second] -= 1;
         this->found.push_back(
             "key " + key_digest(key) + " is held by the workspaces " +
             this->entries[known->second].name.str() + " and " +
@@ -67,6 +74,12 @@
     known->second = ambiguous;
 }
 
+std::size_t workspace_directory::key_count_of(const workspace_name& name) const
+{
+    const auto known = this->by_name.find(name);
+    return known == this->by_name.end() ? 0 : this->key_counts[known->second];
+}
+
 const workspace* workspace_directory::find_by_key(std::string_view key) const
 {
     const auto known = this->by_key.find(key);
--- a/src/workspaces/workspace_directory.hpp
+++ b/src/workspaces/workspace_directory.hpp
@@ -53,6 +53,9 @@
 
     std::size_t key_count() const { return this->by_key.size(); }
 
+    /// \returns The number of keys that are accepted for a workspace.
+    std::size_t key_count_of(const workspace_name& name) const;
+
     /// \returns The workspace that holds the key, or nullptr.
     const workspace* find_by_key(std::string_view key) const;
 
@@ -69,6 +72,8 @@
     void add_key(const std::string& key, std::size_t index);
 
     std::vector<workspace> entries;
+    /// Number of accepted keys of each entry.
+    std::vector<std::size_t> key_counts;
     std::unordered_map<std::string, std::size_t, detail::text_hash,
                        std::equal_to<>>
         by_key;
--- a/tests/relay_process/status_test.cpp
+++ b/tests/relay_process/status_test.cpp
@@ -5,25 +5,49 @@
 
 #include <nlohmann/json.hpp>
 
+#include <string>
+#include <vector>
+
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
 
 namespace
 {
 
-/// \returns The output of a subcommand of `relay` with --json.
-nlohmann::json run_command(relay_fleet& fleet, const std::string& subcommand)
+/// \param words The words of a command.
+/// \returns Its output with --json.
+nlohmann::json run_words(relay_fleet& fleet, std::vector<std::string> words)
 {
     process_support::temporary_folder folder;
-    process_support::child_process command(
-        {CLI_PROGRAM, "relay", subcommand, "--json",
-         "--nodes=" + to_string(fleet.metrics_address(0))},
-        folder.path("output"));
+    words.insert(words.begin(), CLI_PROGRAM);
+    words.emplace_back("--json");
+    words.push_back("--nodes=" + to_string(fleet.metrics_address(0)));
+    process_support::child_process command(words, folder.path("output"));
     CHECK(fleet.wait([&command] { return command.has_ended(); }));
     CHECK_EQUAL(0, command.exit_code());
     return nlohmann::json::parse(command.output());
 }
 
+/// \returns The output of a subcommand of `relay` with --json.
+nlohmann::json run_command(relay_fleet& fleet, const std::string& subcommand)
+{
+    return run_words(fleet, {"relay", subcommand});
+}
+
+/// \returns The entry of a workspace in a list; null if it has none.
+nlohmann::json find_workspace(const nlohmann::json& list,
+                              const std::string& name)
+{
+    for (const auto& entry : list)
+    {
+        if (entry["name"] == name)
+        {
+            return entry;
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 TEST_GROUP(relay_status){};
@@ -122,3 +146,58 @@
     STRCMP_CONTAINS(("event=started node=n0 build=" + build).c_str(),
                     fleet.process(0).output().c_str());
 }
+
+// Guards against a page that grows with the number of workspaces, leaves out a
+// busy one, or shows a key.
+TEST(relay_status, the_busiest_workspaces_are_listed_and_summed)
+{
+    relay_fleet fleet(2);
+    nlohmann::json document =
+        nlohmann::json::parse(relay_fleet::configuration(4, "/plain/"));
+    for (int number = 10; number < 40; ++number)
+    {
+        const std::string text = std::to_string(number);
+        document["tenants"].push_back(
+            {{"name", "w" + text}, {"apiKeys", {"secret-" + text}}});
+    }
+    // The last by name and by place, so that only its requests list it.
+    document["tenants"].push_back({{"name", "x"},
+                                   {"apiKeys", {"secret-x", "secret-y"}},
+                                   {"ratePerS", 0.2},
+                                   {"burst", 2},
+                                   {"priority", 1}});
+    fleet.store.put("op/config", document.dump());
+    fleet.wait_ready(0);
+    fleet.wait_ready(1);
+    fleet.caller_headers = {{"Authorization", "Token secret-x"}};
+    // The counts leave the page after 5 s, which may pass on a slow machine.
+    CHECK(fleet.wait(
+        [&fleet]
+        {
+            for (int node : {0, 1})
+            {
+                for (int number = 0; number < 10; ++number)
+                {
+                    fleet.call(node, "POST", "/plain/x", "r", "b");
+                }
+            }
+            const nlohmann::json summary = run_words(fleet, {"workspaces"});
+            const nlohmann::json found =
+                find_workspace(summary["workspaces"], "x");
+            return found.is_object() && found["nodes"] == 2 &&
+                   found["refused"] > 0;
+        }));
+    const nlohmann::json status = fleet.status(0);
+    CHECK_EQUAL(20, status["workspaces"].size());
+    CHECK_EQUAL(31, status["workspace_totals"]["configured"].get<int>());
+    CHECK(status.dump().find("secret") == std::string::npos);
+    const nlohmann::json summary = run_words(fleet, {"workspaces"});
+    CHECK_EQUAL(2, summary["nodes"].get<int>());
+    CHECK(summary.dump().find("secret") == std::string::npos);
+    const nlohmann::json limited = find_workspace(status["workspaces"], "x");
+    CHECK(limited.is_object());
+    DOUBLES_EQUAL(0.2, limited["rate"].get<double>(), 1e-9);
+    DOUBLES_EQUAL(2.0, limited["burst"].get<double>(), 1e-9);
+    CHECK_EQUAL(1, limited["priority"].get<int>());
+    CHECK_EQUAL(2, limited["keys"].get<int>());
+}
--- a/tests/workspaces/workspace_directory_test.cpp
+++ b/tests/workspaces/workspace_directory_test.cpp
@@ -35,6 +35,8 @@
     CHECK(directory.find_by_key("k4") == nullptr);
     CHECK(directory.find(workspace_name("b")) != nullptr);
     CHECK(directory.find(workspace_name("c")) == nullptr);
+    CHECK_EQUAL(2, directory.key_count_of(workspace_name("a")));
+    CHECK_EQUAL(0, directory.key_count_of(workspace_name("c")));
 }
 
 // Guards against requests that run for the wrong workspace.
@@ -46,6 +48,9 @@
     CHECK(directory.find_by_key("secret") == nullptr);
     CHECK(directory.find_by_key("k1") != nullptr);
     CHECK_EQUAL(1, directory.problems().size());
+    CHECK_EQUAL(1, directory.key_count_of(workspace_name("a")));
+    CHECK_EQUAL(0, directory.key_count_of(workspace_name("b")));
+    CHECK_EQUAL(0, directory.key_count_of(workspace_name("c")));
 }
 
 // Guards against keys in logs.
