--- a/tests/examples/examples_test.cpp
+++ b/tests/examples/examples_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/configuration_decoder.hpp"
 #include "settings/settings_loader.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -5,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <set>
 #include <string>
 
@@ -76,3 +78,32 @@
     };
     LONGS_EQUAL(2, check_files("batch", ".jsonl", check));
 }
+
+// Guards against an example whose workspaces nodes would leave out, and against
+// one that no longer shows the kinds of limits.
+TEST(examples, configurations_with_workspaces_are_accepted_as_a_whole)
+{
+    const auto check = [](const fs::path& path)
+    {
+        std::ifstream input(path);
+        const std::string text{std::istreambuf_iterator<char>(input), {}};
+        const auto read = platform::decode_configuration(text);
+        CHECK(read.has_value());
+        const auto& directory = read.value().workspaces;
+        CHECK(directory.problems().empty());
+        const auto document = nlohmann::json::parse(text);
+        LONGS_EQUAL(document.at("routes").size(), read.value().routes.size());
+        LONGS_EQUAL(document.at("tenants").size(), directory.size());
+        int limited = 0;
+        int prioritised = 0;
+        for (const auto& workspace : directory.all())
+        {
+            CHECK(directory.key_count_of(workspace.name) > 0);
+            limited += workspace.limit.is_limited() ? 1 : 0;
+            prioritised += workspace.priority ? 1 : 0;
+        }
+        LONGS_EQUAL(3, limited);
+        LONGS_EQUAL(2, prioritised);
+    };
+    LONGS_EQUAL(1, check_files("workspaces", ".json", check));
+}
