Let a bucket refill until the ownership that follows begins

The level that bounds the initial requests of the next ownership was that of the last request. requests_of_an_earlier_bucket_are_not_taken_back of test_allotments failed with it (0 in place of 4) and passes now.

--- a/src/allotments/lease_book.cpp
+++ b/src/allotments/lease_book.cpp
@@ -83,6 +83,7 @@
     if (found != this->buckets.end())
     {
         // Ownerships that restart again and again must not add up.
+        this->fill(found->second, share, owned_since);
         initial =
             std::min(initial, std::max(0.0, found->second.bucket.level()));
     }
