--- a/src/allotments/node_allotments.cpp
+++ b/src/allotments/node_allotments.cpp
@@ -15,7 +15,7 @@
 /// come every 100 ms.
 constexpr duration pause_threshold = std::chrono::milliseconds(700);
 /// How long a process that has just started and has not seen all of its seeds
-/// takes no node's word for being the owner, its own included.
+/// takes no node for an owner, not even itself.
 constexpr duration join_time = std::chrono::seconds(1);
 /// Retry time where this node does not know; nodes agree on an owner or notice
 /// its loss within about a second.
