--- a/review/support-2/world.py
+++ b/review/support-2/world.py
@@ -404,11 +404,13 @@
                 self.load_fields()))
             return True
         self.busy += 1
+        boot = self.born
         try:
             await self.run(method, target, headers, body, request_id, fields,
                            writer)
         finally:
-            self.busy = max(0, self.busy - 1)
+            if self.born == boot:
+                self.busy = max(0, self.busy - 1)
         return True
 
     async def run(self, method, target, headers, body, request_id, fields,
