Measure how long requests wait beside free slots, and show doubted replicas

The broker wrote free slots and waiting requests, but not whether the same requests wait all the time, nor which replicas it doubts, so that three hypotheses could not be told apart: a doubt that does not end, an item that waits for replicas of its version, and a request that keeps a doubt which has ended.

The broker now measures the longest time for which a request has waited although slots for its kind of work were free all the time (parsleytrack_slot_idle_wait_seconds, and batch_idle_wait_ms and online_idle_wait_ms in the log and in /status), and counts the replicas that may run another version than is listed (doubtful_replicas). Whether any loss is recent enough to matter is asked first, which costs no look at each replica.

No decision changes.

--- a/src/relay/pool_state.hpp
+++ b/src/relay/pool_state.hpp
@@ -21,9 +21,16 @@
     int batch = 0;
     /// Replicas that name a limit.
     int limited_replicas = 0;
+    /// Replicas that may run another version than is listed; requests that
+    /// depend on a version do not get their slots.
+    int doubtful_replicas = 0;
     /// Requests that wait for a slot.
     int waiting_online = 0;
     int waiting_batch = 0;
+    /// The longest time for which such a request has waited although slots were
+    /// free all the time.
+    duration online_idle_wait = duration::zero();
+    duration batch_idle_wait = duration::zero();
     /// How long online requests hold a slot on average.
     duration mean_hold = duration::zero();
     /// The workspaces that use the most slots, for online requests and for
--- a/src/relay/replica_doubts.cpp
+++ b/src/relay/replica_doubts.cpp
@@ -27,10 +27,30 @@
            !this->http.has_idle_connection(replica.address, *lost_at);
 }
 
+std::set<replica_id>
+replica_doubts::doubtful(const std::vector<replica_id>& listed_ids) const
+{
+    std::set<replica_id> found;
+    if (!this->lost.has_recent(net::event_loop::now()))
+    {
+        return found;
+    }
+    for (const replica_id& id : listed_ids)
+    {
+        const routing::replica_entry* replica =
+            this->replicas.registry().find_usable(id);
+        if (replica != nullptr && this->may_be_replaced(*replica))
+        {
+            found.insert(id);
+        }
+    }
+    return found;
+}
+
 std::set<replica_id> replica_doubts::doubtful(const service_name& service) const
 {
     std::set<replica_id> found;
-    if (this->lost.size() == 0)
+    if (!this->lost.has_recent(net::event_loop::now()))
     {
         return found;
     }
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -7,6 +7,7 @@
 #include "units/time.hpp"
 
 #include <set>
+#include <vector>
 
 namespace parsleytrack::relay
 {
@@ -31,6 +32,10 @@
     /// \returns Whether the replica may be another process than is listed.
     bool may_be_replaced(const routing::replica_entry& replica) const;
 
+    /// \returns Those of the replicas that are usable and may be.
+    std::set<replica_id>
+    doubtful(const std::vector<replica_id>& listed_ids) const;
+
     /// \returns The listed replicas of a service that may be.
     std::set<replica_id> doubtful(const service_name& service) const;
 
--- a/src/relay/slot_server_metrics.cpp
+++ b/src/relay/slot_server_metrics.cpp
@@ -29,8 +29,14 @@
         state.online = broker.used_slots() - broker.used_by_batch();
         state.batch = broker.used_by_batch();
         state.limited_replicas = broker.limited_replicas();
+        state.doubtful_replicas = static_cast<int>(
+            this->context.doubts.doubtful(broker.replica_ids()).size());
         state.waiting_online = static_cast<int>(broker.waiting_online());
         state.waiting_batch = static_cast<int>(broker.waiting_batch());
+        state.online_idle_wait =
+            broker.longest_idle_wait(work_class::online, now);
+        state.batch_idle_wait =
+            broker.longest_idle_wait(work_class::batch, now);
         state.mean_hold = broker.mean_online_hold();
         state.online_users =
             broker.largest_users(work_class::online, reported_workspaces, now);
@@ -62,8 +68,18 @@
     gauge("online", pool.online);
     gauge("batch", pool.batch);
     gauge("limited_replicas", pool.limited_replicas);
+    gauge("doubtful_replicas", pool.doubtful_replicas);
     gauge("waiting_online", pool.waiting_online);
     gauge("waiting_batch", pool.waiting_batch);
+    const auto idle_wait = [this, &pool](const char* kind, duration wait)
+    {
+        this->context.metrics.set_gauge(
+            "parsleytrack_slot_idle_wait_seconds",
+            {{"pool", pool.name}, {"kind", kind}},
+            std::chrono::duration<double>(wait).count());
+    };
+    idle_wait("online", pool.online_idle_wait);
+    idle_wait("batch", pool.batch_idle_wait);
     this->export_users(pool.name, "online", pool.online_users);
     this->export_users(pool.name, "batch", pool.batch_users);
     if (!pool.is_busy())
@@ -78,8 +94,11 @@
          {"online", pool.online},
          {"batch", pool.batch},
          {"limited_replicas", pool.limited_replicas},
+         {"doubtful_replicas", pool.doubtful_replicas},
          {"waiting_online", pool.waiting_online},
          {"waiting_batch", pool.waiting_batch},
+         {"online_idle_wait_ms", to_milliseconds(pool.online_idle_wait)},
+         {"batch_idle_wait_ms", to_milliseconds(pool.batch_idle_wait)},
          {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
          {"replicas_age_ms", to_milliseconds(this->context.replicas.age())}});
 }
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -152,17 +152,21 @@
     json list = json::array();
     for (const pool_state& pool : server.pools())
     {
-        list.push_back({{"pool", pool.name},
-                        {"slots", pool.slots},
-                        {"free", pool.free},
-                        {"online", pool.online},
-                        {"batch", pool.batch},
-                        {"limited_replicas", pool.limited_replicas},
-                        {"waiting_online", pool.waiting_online},
-                        {"waiting_batch", pool.waiting_batch},
-                        {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
-                        {"online_users", describe_users(pool.online_users)},
-                        {"batch_users", describe_users(pool.batch_users)}});
+        list.push_back(
+            {{"pool", pool.name},
+             {"slots", pool.slots},
+             {"free", pool.free},
+             {"online", pool.online},
+             {"batch", pool.batch},
+             {"limited_replicas", pool.limited_replicas},
+             {"waiting_online", pool.waiting_online},
+             {"waiting_batch", pool.waiting_batch},
+             {"doubtful_replicas", pool.doubtful_replicas},
+             {"online_idle_wait_ms", to_milliseconds(pool.online_idle_wait)},
+             {"batch_idle_wait_ms", to_milliseconds(pool.batch_idle_wait)},
+             {"mean_hold_ms", to_milliseconds(pool.mean_hold)},
+             {"online_users", describe_users(pool.online_users)},
+             {"batch_users", describe_users(pool.batch_users)}});
     }
     return list;
 }
--- a/src/routing/lost_processes.cpp
+++ b/src/routing/lost_processes.cpp
@@ -18,6 +18,11 @@
     }
 }
 
+bool lost_processes::has_recent(time_point now) const
+{
+    return !this->entries.empty() && now - this->entries.back().at < list_delay;
+}
+
 std::optional<time_point>
 lost_processes::lost_at(const replica_process_id& process, time_point now) const
 {
--- a/src/routing/lost_processes.hpp
+++ b/src/routing/lost_processes.hpp
@@ -29,6 +29,9 @@
     /// \returns The number of processes that are remembered.
     std::size_t size() const { return this->entries.size(); }
 
+    /// \returns Whether any process was lost so lately that it may count.
+    bool has_recent(time_point now) const;
+
     /// Records that a connection to a process has ended.
     void record(const replica_process_id& process, time_point now);
 
--- a/src/slots/slot_broker.cpp
+++ b/src/slots/slot_broker.cpp
@@ -53,7 +53,7 @@
 void slot_broker::request(slot_ticket ticket, const slot_request& wanted,
                           time_point now)
 {
-    const waiting_request waiting{ticket, wanted, false};
+    const waiting_request waiting{ticket, wanted, now, false};
     this->queue_of(wanted.kind)
         .emplace(rank_of(waiting, now >= wanted.useful_until), waiting);
     this->serve(now);
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -57,6 +57,9 @@
     /// of the tickets.
     std::vector<slot_command> take_commands();
 
+    /// \returns The replicas whose slots are granted.
+    std::vector<replica_id> replica_ids() const;
+
     int total_slots() const;
     int used_slots() const { return static_cast<int>(this->held.size()); }
     int used_by_batch() const { return this->batch_held; }
@@ -79,6 +82,10 @@
     std::size_t waiting_online() const { return this->online.size(); }
     std::size_t waiting_batch() const { return this->batch.size(); }
 
+    /// \returns The longest time for which a request has waited although slots
+    /// for its kind of work were free all the time; zero if none has.
+    duration longest_idle_wait(work_class kind, time_point now) const;
+
     /// \returns Free slots minus the requests that wait; negative when there
     /// are too few slots.
     int spare(time_point now) const;
@@ -113,6 +120,7 @@
     {
         slot_ticket ticket;
         slot_request request;
+        time_point since;
         /// Whether it was found to be on time once.
         bool accepted = false;
     };
@@ -232,6 +240,10 @@
     void serve(time_point now);
     void serve_online(time_point now);
     void serve_batch(time_point now);
+    /// \returns The free slots that are kept for online requests.
+    int batch_reserve() const;
+    /// Records which kinds of work have no free slot.
+    void record_full(time_point now);
     /// Grants slots to waiting requests, in the order of service.
     ///
     /// \param avoided Versions that are granted last.
@@ -296,6 +308,9 @@
     int pending_reclaims = 0;
     queue online;
     queue batch;
+    /// When each kind of work last had no free slot while requests waited.
+    time_point online_full_at;
+    time_point batch_full_at;
     sharing_state online_sharing;
     sharing_state batch_sharing;
     duration mean_hold;
--- a/src/slots/slot_broker_capacity.cpp
+++ b/src/slots/slot_broker_capacity.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+std::vector<replica_id> slot_broker::replica_ids() const
+{
+    std::vector<replica_id> ids;
+    for (const auto& [id, state] : this->replicas)
+    {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 int slot_broker::total_slots() const
 {
     int total = 0;
@@ -48,6 +58,19 @@
            static_cast<int>(this->online.size() + this->batch.size());
 }
 
+duration slot_broker::longest_idle_wait(work_class kind, time_point now) const
+{
+    const bool is_online = kind == work_class::online;
+    const time_point full_at =
+        is_online ? this->online_full_at : this->batch_full_at;
+    duration longest = duration::zero();
+    for (const auto& [order, waiting] : is_online ? this->online : this->batch)
+    {
+        longest = std::max(longest, now - std::max(waiting.since, full_at));
+    }
+    return longest;
+}
+
 int slot_broker::limited_replicas() const
 {
     return static_cast<int>(std::count_if(
--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -20,6 +20,7 @@
     this->refuse_unmeetable_deadlines(now);
     this->serve_batch(now);
     this->reclaim_for_waiting(now);
+    this->record_full(now);
 }
 
 template <std::predicate Condition>
@@ -87,13 +88,35 @@
     {
         return;
     }
-    const int reserve = static_cast<int>(this->current_capacity().slots *
-                                         this->options.online_reserve);
+    const int reserve = this->batch_reserve();
     this->serve_queue(
         work_class::batch, {},
         [this, reserve, now] { return this->free_slots(now) > reserve; }, now);
 }
 
+int slot_broker::batch_reserve() const
+{
+    return static_cast<int>(this->current_capacity().slots *
+                            this->options.online_reserve);
+}
+
+void slot_broker::record_full(time_point now)
+{
+    if (this->online.empty() && this->batch.empty())
+    {
+        return;
+    }
+    const int free = this->free_slots(now);
+    if (free <= 0)
+    {
+        this->online_full_at = now;
+    }
+    if (!this->online.empty() || free <= this->batch_reserve())
+    {
+        this->batch_full_at = now;
+    }
+}
+
 std::set<software_version> slot_broker::versions_waited_for() const
 {
     std::set<software_version> versions;
--- a/tests/routing/lost_processes_test.cpp
+++ b/tests/routing/lost_processes_test.cpp
@@ -68,3 +68,11 @@
                       this->now + lost_processes::list_delay);
     LONGS_EQUAL(1, this->lost.size());
 }
+
+TEST(lost_processes, only_the_last_losses_are_recent)
+{
+    CHECK_FALSE(this->lost.has_recent(this->now));
+    this->lost.record(this->process, this->now);
+    CHECK(this->lost.has_recent(this->now));
+    CHECK_FALSE(this->lost.has_recent(this->now + lost_processes::list_delay));
+}
--- a/tests/slots/slot_broker_version_test.cpp
+++ b/tests/slots/slot_broker_version_test.cpp
@@ -229,3 +229,26 @@
     this->collect();
     STRCMP_EQUAL("new1", this->replica_of(waiting).c_str());
 }
+
+// Guards against an alert for work that waits because all slots are in use, and
+// against a silent wait beside free ones.
+TEST(slot_broker_version, waits_beside_free_slots_are_measured)
+{
+    this->set_replicas(1, 1);
+    this->online();
+    this->online();
+    this->online();
+    this->online();
+    this->batch("old");
+    this->now += std::chrono::seconds(1);
+    this->broker.tick(this->now);
+    CHECK(this->broker.longest_idle_wait(work_class::batch, this->now) ==
+          duration::zero());
+    this->set_replicas(1, 2);
+    this->now += std::chrono::seconds(3);
+    this->broker.tick(this->now);
+    CHECK(this->broker.longest_idle_wait(work_class::batch, this->now) ==
+          std::chrono::seconds(3));
+    CHECK(this->broker.longest_idle_wait(work_class::online, this->now) ==
+          duration::zero());
+}
