Let slot requests follow the doubts of their broker while they wait

Streams that another node took up in the same way waited up to their deadline and got 503, though the replicas of their version were back.

Cause: slot_server::open() copied the replicas that the broker doubted at that moment into the set that a request with a version leaves out, and nothing looked at it again. item_run gives such a wait up after a second only if its own set holds something; an owner that has just taken the job over doubts none.

The broker now has the doubtful replicas itself and gets them anew before each decision, every 20 ms while requests wait. Requests with a version still get no slot at a doubtful replica, also once they may start anew, so versions are not joined. The wait ends when the list names the next process; six seconds after the last loss; when an idle connection from before shows that the process lives; for an item after 20 ms for each of its events, at another version; and at once where no replica has the version any more. Batch work no longer gives back slots at doubtful replicas for streams that would not get them. No message changes.

--- a/src/relay/replica_doubts.cpp
+++ b/src/relay/replica_doubts.cpp
@@ -27,11 +27,16 @@
            !this->http.has_idle_connection(replica.address, *lost_at);
 }
 
+bool replica_doubts::has_any() const
+{
+    return this->lost.has_recent(net::event_loop::now());
+}
+
 std::set<replica_id>
 replica_doubts::doubtful(const std::vector<replica_id>& listed_ids) const
 {
     std::set<replica_id> found;
-    if (!this->lost.has_recent(net::event_loop::now()))
+    if (!this->has_any())
     {
         return found;
     }
@@ -50,7 +55,7 @@
 std::set<replica_id> replica_doubts::doubtful(const service_name& service) const
 {
     std::set<replica_id> found;
-    if (!this->lost.has_recent(net::event_loop::now()))
+    if (!this->has_any())
     {
         return found;
     }
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -32,6 +32,9 @@
     /// \returns Whether the replica may be another process than is listed.
     bool may_be_replaced(const routing::replica_entry& replica) const;
 
+    /// \returns Whether any replica may be.
+    bool has_any() const;
+
     /// \returns Those of the replicas that are usable and may be.
     std::set<replica_id>
     doubtful(const std::vector<replica_id>& listed_ids) const;
--- a/src/relay/slot_server.cpp
+++ b/src/relay/slot_server.cpp
@@ -47,17 +47,13 @@
         metrics_interval, [this] { this->export_metrics(); });
 }
 
-slots::slot_ticket slot_server::open(slot_request request,
+slots::slot_ticket slot_server::open(const slot_request& request,
                                      response_callback callback)
 {
     const time_point now = net::event_loop::now();
-    if (request.version)
-    {
-        request.excluded.merge(
-            this->context.doubts.doubtful(request.pool.service));
-    }
     const slots::slot_ticket ticket(this->next_ticket++);
     slots::slot_broker& broker = this->broker_of(request.pool);
+    this->update_doubts(broker);
     const slots::slot_request wanted = to_broker_request(request, now);
     open_request& state = this->requests[ticket];
     state = open_request{request, std::move(callback), false, false, {}};
@@ -143,8 +139,9 @@
     const slot_pool pool{
         report.service,
         slots::pool_of(report.replica, slots::pool_count(replicas))};
-    this->broker_of(pool).report_failure(report.replica,
-                                         net::event_loop::now());
+    slots::slot_broker& broker = this->broker_of(pool);
+    this->update_doubts(broker);
+    broker.report_failure(report.replica, net::event_loop::now());
 }
 
 slots::slot_broker& slot_server::broker_of(const slot_pool& pool)
@@ -187,6 +184,13 @@
     this->execute_commands(broker);
 }
 
+void slot_server::update_doubts(slots::slot_broker& broker)
+{
+    const replica_doubts& doubts = this->context.doubts;
+    broker.set_doubtful(doubts.has_any() ? doubts.doubtful(broker.replica_ids())
+                                         : std::set<replica_id>());
+}
+
 std::optional<request_rate>
 slot_server::limit_of(const slot_pool& pool,
                       const routing::replica_entry& replica)
@@ -286,6 +290,9 @@
     {
         if (broker.waiting_online() > 0 || broker.waiting_batch() > 0)
         {
+            // A doubt ends by itself or by a new list; requests that wait must
+            // not keep to what it was when they came.
+            this->update_doubts(broker);
             broker.tick(now);
             this->execute_commands(broker);
         }
--- a/src/relay/slot_server.hpp
+++ b/src/relay/slot_server.hpp
@@ -33,7 +33,8 @@
     /// \param callback Receives the responses; never called before open() has
     /// returned.
     /// \returns The request's ticket, for close().
-    slots::slot_ticket open(slot_request request, response_callback callback);
+    slots::slot_ticket open(const slot_request& request,
+                            response_callback callback);
 
     /// Returns a granted slot, or withdraws a request that waits.
     void close(slots::slot_ticket ticket);
@@ -64,6 +65,8 @@
     void drop_requests_of_dead_nodes();
     void update_replicas();
     void update_replicas(const slot_pool& pool, slots::slot_broker& broker);
+    /// Tells the broker which replicas may run another version than is listed.
+    void update_doubts(slots::slot_broker& broker);
     /// \returns What this node may grant of a replica's limit; absent when the
     /// replica names none.
     std::optional<request_rate> limit_of(const slot_pool& pool,
--- a/src/slots/slot_broker.hpp
+++ b/src/slots/slot_broker.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace parsleytrack::slots
@@ -35,6 +36,14 @@
     /// Replaces the replicas whose slots are granted.
     void set_replicas(const std::vector<slot_replica>& usable, time_point now);
 
+    /// Replaces the replicas that may run another version than is listed.
+    /// Requests that name a version get none of their slots from the next
+    /// decision on, until the replicas are no longer among these.
+    void set_doubtful(std::set<replica_id> doubtful)
+    {
+        this->doubtful_replicas = std::move(doubtful);
+    }
+
     /// Requests a slot; take_commands() returns the decisions on it.
     void request(slot_ticket ticket, const slot_request& wanted,
                  time_point now);
@@ -277,6 +286,8 @@
     /// time until one succeeds: where all replicas fail, the cause may be
     /// elsewhere. Batch work waits, since failures use up an item's attempts.
     bool ignores_exclusion(work_class kind, time_point now) const;
+    /// \returns Whether some replicas cannot be chosen for the request.
+    bool is_restricted(const slot_request& wanted, time_point now) const;
     replica_state* choose(const slot_request& wanted,
                           const std::set<software_version>& avoided,
                           time_point now);
@@ -301,6 +312,7 @@
 
     slot_broker_options options;
     std::map<replica_id, replica_state> replicas;
+    std::set<replica_id> doubtful_replicas;
     std::map<slot_ticket, held_slot> held;
     /// Slots held by batch work.
     int batch_held = 0;
--- a/src/slots/slot_broker_choice.cpp
+++ b/src/slots/slot_broker_choice.cpp
@@ -7,6 +7,13 @@
 namespace parsleytrack::slots
 {
 
+bool slot_broker::is_restricted(const slot_request& wanted,
+                                time_point now) const
+{
+    return wanted.depends_on_version(now) || !wanted.excluded.empty() ||
+           (wanted.version && !this->doubtful_replicas.empty());
+}
+
 slot_broker::replica_state*
 slot_broker::choose(const slot_request& wanted,
                     const std::set<software_version>& avoided, time_point now)
@@ -21,6 +28,7 @@
         const software_version& version = state.replica.version;
         const bool fits = !wanted.version || *wanted.version == version;
         if (wanted.excluded.contains(id) ||
+            (wanted.version && this->doubtful_replicas.contains(id)) ||
             (!fits && wanted.depends_on_version(now)))
         {
             continue;
--- a/src/slots/slot_broker_order.cpp
+++ b/src/slots/slot_broker_order.cpp
@@ -57,7 +57,7 @@
             pass.grant(true);
             continue;
         }
-        if (!wanted.is_restricted(now))
+        if (!this->is_restricted(wanted, now))
         {
             break;
         }
--- a/src/slots/slot_broker_reclaim.cpp
+++ b/src/slots/slot_broker_reclaim.cpp
@@ -98,9 +98,10 @@
             candidates.begin(), candidates.end(),
             [this, &version](const auto& candidate)
             {
+                const held_slot& slot = this->held.at(candidate.second);
                 return !version ||
-                       this->version_of(this->held.at(candidate.second)) ==
-                           version;
+                       (this->version_of(slot) == version &&
+                        !this->doubtful_replicas.contains(slot.replica));
             });
         if (chosen == candidates.end())
         {
--- a/src/slots/slot_request.hpp
+++ b/src/slots/slot_request.hpp
@@ -41,12 +41,6 @@
     {
         return this->version && now < this->any_version_from;
     }
-
-    /// \returns Whether some replicas cannot be chosen.
-    bool is_restricted(time_point now) const
-    {
-        return this->depends_on_version(now) || !this->excluded.empty();
-    }
 };
 
 } // namespace parsleytrack::slots
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -1,13 +1,17 @@
+#include "decisions/rendezvous.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -81,6 +85,58 @@
     return fleet;
 }
 
+/// \returns The nodes by their rank for a job or a pool, the preferred first.
+std::vector<int> nodes_by_rank(int node_count, const std::string& key)
+{
+    std::vector<int> nodes(static_cast<std::size_t>(node_count));
+    std::iota(nodes.begin(), nodes.end(), 0);
+    std::sort(nodes.begin(), nodes.end(),
+              [&key](int left, int right)
+              {
+                  return rendezvous_score("n" + std::to_string(left), key) >
+                         rendezvous_score("n" + std::to_string(right), key);
+              });
+    return nodes;
+}
+
+/// \returns An id of a job that neither the first nor the next owner of which
+/// is the broker.
+std::string job_away_from(int broker, int node_count)
+{
+    for (int number = 0;; ++number)
+    {
+        std::string job = "job" + std::to_string(number);
+        const std::vector<int> nodes = nodes_by_rank(node_count, job);
+        if (nodes[0] != broker && nodes[1] != broker)
+        {
+            return job;
+        }
+    }
+}
+
+/// Ends all streams that replicas have begun, as replicas do that crash.
+///
+/// \returns Whether they have ended.
+bool lose_streams(relay_fleet& fleet)
+{
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::truncating;
+    }
+    const bool ended = fleet.wait(
+        [&fleet]
+        {
+            return std::all_of(fleet.engines.begin(), fleet.engines.end(),
+                               [](const auto& engine)
+                               { return engine->open_streams() == 0; });
+        });
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    return ended;
+}
+
 } // namespace
 
 TEST_GROUP(relay_replaced_processes){};
@@ -204,3 +260,97 @@
     CHECK(fleet->wait([&fleet] { return ended_items(*fleet) == 2; }));
     CHECK_EQUAL(0, joined_runs(*fleet));
 }
+
+// Guards against items that wait beside free replicas for good: their broker
+// doubts all replicas when they ask, and their owner, which has just taken the
+// job over, doubts none.
+TEST(relay_replaced_processes, items_wait_no_longer_than_their_broker_doubts)
+{
+    constexpr int node_count = 4;
+    constexpr int item_count = 2;
+    constexpr int begun_events = 24;
+    relay_fleet_options options;
+    options.node_count = node_count;
+    options.engine_count = 2;
+    relay_fleet fleet(options);
+    const int broker = nodes_by_rank(node_count, "llm/0").front();
+    const std::string job = job_away_from(broker, node_count);
+    const int owner = nodes_by_rank(node_count, job).front();
+    for (const auto& engine : fleet.engines)
+    {
+        // So that the list of replicas confirms the version in time.
+        engine->event_interval = std::chrono::milliseconds(100);
+        engine->event_count = begun_events + 2;
+    }
+    CHECK_EQUAL(202, fleet.submit(broker, job, item_count).status);
+    CHECK(fleet.wait(
+        [&fleet]
+        {
+            return fleet.engines[0]->sent_events.size() +
+                       fleet.engines[1]->sent_events.size() >=
+                   item_count * begun_events;
+        }));
+    CHECK(lose_streams(fleet));
+    fleet.process(owner).signal(SIGTERM);
+    CHECK(fleet.wait([&fleet, owner]
+                     { return fleet.process(owner).has_ended(); }));
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+        engine->event_interval = std::chrono::milliseconds(5);
+    }
+    const auto results = fleet.results(broker, job);
+    CHECK_EQUAL(item_count, results.size());
+    CHECK_EQUAL(0, joined_runs(fleet));
+}
+
+// Guards against the same for a stream: its broker knows that the replica of
+// its version has crashed, and does not notice that it is back.
+TEST(relay_replaced_processes, streams_go_on_when_the_list_names_their_version)
+{
+    constexpr int node_count = 3;
+    relay_fleet_options options;
+    options.node_count = node_count;
+    options.engine_count = 2;
+    relay_fleet fleet(options);
+    const std::vector<int> nodes = nodes_by_rank(node_count, "llm/0");
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(50);
+    }
+    // The node that is asked later knows the version, and of no loss.
+    CHECK_EQUAL(200, fleet.call(nodes[2], "POST", "/stream/a", "one").status);
+    std::vector<std::shared_ptr<relay_fleet::response>> lost;
+    for (int number = 0; number < 4; ++number)
+    {
+        lost.push_back(std::make_shared<relay_fleet::response>());
+        fleet.start_call(nodes[1], "POST", "/stream/a",
+                         "lost" + std::to_string(number), "", lost.back());
+    }
+    CHECK(fleet.wait(
+        [&fleet]
+        {
+            return std::all_of(fleet.engines.begin(), fleet.engines.end(),
+                               [](const auto& engine)
+                               { return engine->open_streams() >= 2; });
+        }));
+    CHECK(lose_streams(fleet));
+    fleet.caller_headers = {{"Last-Event-Id", "3"}, {"Resumes", "one"}};
+    const auto resumed = std::make_shared<relay_fleet::response>();
+    fleet.start_call(nodes[2], "POST", "/stream/a", "again", "", resumed);
+    fleet.run_for(std::chrono::milliseconds(300));
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::none;
+        engine->restart();
+        fleet.store.put("servers/" + engine->name(), engine->record("llm"));
+    }
+    CHECK(fleet.wait([&resumed] { return resumed->status >= 0; }));
+    CHECK_EQUAL(200, resumed->status);
+    std::size_t runs = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        runs += engine->resumed_after["again"].size();
+    }
+    CHECK_EQUAL(1, runs);
+}
--- a/tests/slots/slot_broker_version_test.cpp
+++ b/tests/slots/slot_broker_version_test.cpp
@@ -252,3 +252,73 @@
     CHECK(this->broker.longest_idle_wait(work_class::online, this->now) ==
           duration::zero());
 }
+
+// Guards against work that goes on at another version, and against work that
+// waits for good after the doubt has ended.
+TEST(slot_broker_version, doubtful_replicas_are_kept_from_it_while_doubted)
+{
+    this->set_replicas(2, 0);
+    this->broker.set_doubtful({replica_id("old0"), replica_id("old1")});
+    const slot_ticket stream = this->online("old");
+    const slot_ticket item = this->batch("old");
+    CHECK_FALSE(this->was(stream, slot_decision::granted));
+    CHECK_FALSE(this->was(item, slot_decision::granted));
+    this->broker.set_doubtful({replica_id("old0")});
+    this->broker.tick(this->now);
+    this->collect();
+    STRCMP_EQUAL("old1", this->replica_of(stream).c_str());
+    STRCMP_EQUAL("old1", this->replica_of(item).c_str());
+}
+
+// Guards against an item that gets a doubtful replica of its listed version
+// once it may start anew, and so goes on there.
+TEST(slot_broker_version, nor_do_they_get_it_when_others_may)
+{
+    this->set_replicas(1, 0);
+    this->broker.set_doubtful({replica_id("old0")});
+    slot_request wanted;
+    wanted.kind = work_class::batch;
+    wanted.useful_until = this->now + std::chrono::seconds(18);
+    wanted.version = software_version("old");
+    wanted.any_version_from = this->now + std::chrono::seconds(2);
+    const slot_ticket waiting(this->next_ticket++);
+    this->broker.request(waiting, wanted, this->now);
+    const slot_ticket anew = this->batch();
+    this->now += std::chrono::seconds(3);
+    this->broker.tick(this->now);
+    this->collect();
+    STRCMP_EQUAL("", this->replica_of(waiting).c_str());
+    STRCMP_EQUAL("old0", this->replica_of(anew).c_str());
+    this->set_replicas(1, 1);
+    this->collect();
+    STRCMP_EQUAL("new1", this->replica_of(waiting).c_str());
+}
+
+// Guards against work of no version that waits behind such work.
+TEST(slot_broker_version, work_that_waits_for_a_doubt_does_not_hold_up_the_rest)
+{
+    this->set_replicas(1, 0);
+    this->broker.set_doubtful({replica_id("old0")});
+    slot_request wanted;
+    wanted.kind = work_class::batch;
+    wanted.useful_until = this->now + std::chrono::seconds(1);
+    wanted.version = software_version("old");
+    wanted.any_version_from = this->now;
+    const slot_ticket waiting(this->next_ticket++);
+    this->broker.request(waiting, wanted, this->now);
+    CHECK(this->was(this->batch(), slot_decision::granted));
+    CHECK_EQUAL(1, this->broker.waiting_batch());
+}
+
+// Guards against taking slots back from batch work at replicas whose slots the
+// waiting stream does not get.
+TEST(slot_broker_version, no_slots_are_reclaimed_at_doubtful_replicas)
+{
+    this->set_replicas(1, 0);
+    const slot_ticket item = this->batch();
+    const slot_ticket other = this->batch();
+    this->broker.set_doubtful({replica_id("old0")});
+    this->online("old");
+    CHECK_FALSE(this->was(item, slot_decision::reclaimed));
+    CHECK_FALSE(this->was(other, slot_decision::reclaimed));
+}
