State the length of every request body, not only with POST and PUT

Cause: the Content-Length of the caller belongs to the caller's connection and is left out (hop_headers); nothing put one in its place, for libevent adds it to POST and PUT only, and writes any body. Evidence: the bytes that a socket reads from the client ("PATCH / HTTP/1.1 ... the body" without a length), and those of a stand-in that reads requests by their length. Ruled out: the parser of callers' requests, which hands on bodies of all methods whole, with a length, in chunks and after a go-ahead.

http_transfer writes all requests to replicas, other nodes and the store. It now states the length of each body itself, and Content-Length: 0 for POST, PUT and PATCH without one, as servers expect. A request whose own fields state a length or a transfer coding is not sent, since they could only contradict the body; no code of ours makes such a request.

--- a/src/net/http_request.hpp
+++ b/src/net/http_request.hpp
@@ -17,6 +17,8 @@
     std::string method = "GET";
     /// Path and query, percent-encoded.
     std::string target = "/";
+    /// Fields other than Content-Length and Transfer-Encoding: the client
+    /// states the length of the body.
     http_header_list headers;
     std::string body;
     /// Maximum time until the response is complete; zero means "no limit".
--- a/src/net/http_syntax.cpp
+++ b/src/net/http_syntax.cpp
@@ -2,6 +2,8 @@
 
 #include "net/http_request.hpp"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <array>
 
@@ -58,6 +60,12 @@
                        });
 }
 
+bool is_framing_field(const std::string& name)
+{
+    return strcasecmp(name.c_str(), "Content-Length") == 0 ||
+           strcasecmp(name.c_str(), "Transfer-Encoding") == 0;
+}
+
 bool is_supported_method(std::string_view method)
 {
     constexpr std::array<std::string_view, 7> methods = {
@@ -81,6 +89,11 @@
         {
             return "a header field contains characters that it cannot have";
         }
+        if (is_framing_field(name))
+        {
+            return "a header field states the length of the body, which the "
+                   "client does";
+        }
     }
     return nullptr;
 }
--- a/src/net/http_syntax.hpp
+++ b/src/net/http_syntax.hpp
@@ -2,6 +2,7 @@
 
 #include "net/http_header_list.hpp"
 
+#include <string>
 #include <string_view>
 
 namespace parsleytrack::net
@@ -21,11 +22,14 @@
 /// control characters but tabs.
 bool is_field_value(std::string_view text);
 
+/// \returns Whether the field says where the body of a message ends.
+bool is_framing_field(const std::string& name);
+
 /// \returns Whether the client sends requests of this method.
 bool is_supported_method(std::string_view method);
 
-/// \returns What makes a request impossible to write as it is; nullptr if
-/// nothing does.
+/// \returns What makes a request impossible to write as it is, or its end
+/// ambiguous; nullptr if nothing does.
 const char* find_syntax_error(const http_request& request);
 
 } // namespace parsleytrack::net
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -50,6 +50,24 @@
     return EVHTTP_REQ_POST;
 }
 
+/// \returns Whether servers expect a body with this method, so that its absence
+/// must be stated.
+bool expects_body(const std::string& method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+/// Adds the fields that end the request. libevent adds a length only for POST
+/// and PUT, but writes any body.
+void add_framing(evkeyvalq* fields, const http_request& request)
+{
+    if (!request.body.empty() || expects_body(request.method))
+    {
+        evhttp_add_header(fields, "Content-Length",
+                          std::to_string(request.body.size()).c_str());
+    }
+}
+
 } // namespace
 
 http_transfer::http_transfer(http_client& owner, const endpoint& destination,
@@ -85,6 +103,7 @@
     {
         evhttp_add_header(fields, "Host", to_string(this->target).c_str());
     }
+    add_framing(fields, request);
     evbuffer_add(evhttp_request_get_output_buffer(this->active),
                  request.body.data(), request.body.size());
     const auto timeout_handler = [this](const char* what)
--- a/tests/relay_process/smuggled_request_test.cpp
+++ b/tests/relay_process/smuggled_request_test.cpp
@@ -5,6 +5,8 @@
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <utility>
@@ -67,11 +69,13 @@
         const std::size_t id_begin = begin + 25;
         const std::string id =
             request.substr(id_begin, request.find('\r', begin) - id_begin);
-        return {{{{},
-                  "HTTP/1.1 200 OK\r\nParsleytrack-Request-Id: " + id +
-                      "\r\nParsleytrack-Response-Seal: seal-" + id +
-                      "\r\nContent-Type: text/event-stream\r\n"
-                      "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"}}};
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nParsleytrack-Request-Id: " + id +
+            "\r\nParsleytrack-Response-Seal: seal-" + id +
+            "\r\nContent-Type: text/event-stream\r\n"
+            "Content-Length: 15\r\n\r\n";
+        const bool has_body = !request.starts_with("HEAD ");
+        return {{{{}, head + (has_body ? "id: 1\ndata: a\n\n" : "")}}};
     }
 
     scripted_replica replica{this->fleet.loop,
@@ -102,6 +106,48 @@
            field + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// \param fields Further lines of the head, each with its end.
+/// \returns A request on a connection that stays open, up to its body.
+std::string head_of(const std::string& method, const std::string& fields)
+{
+    return method +
+           " /plain/a HTTP/1.1\r\nHost: h\r\nParsleytrack-Request-Id: id1\r\n"
+           "Parsleytrack-Deadline-Ms: 2000\r\nConnection: close\r\n" +
+           fields + "\r\n";
+}
+
+std::string with_length(const std::string& method, const std::string& body)
+{
+    return head_of(method,
+                   "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           body;
+}
+
+std::string in_chunks(const std::string& method, const std::string& body)
+{
+    constexpr std::size_t first_bytes = 5;
+    std::string chunks = "5\r\n" + body.substr(0, first_bytes) + "\r\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", body.size() - first_bytes);
+    chunks.append(size.data()).append("\r\n");
+    chunks += body.substr(first_bytes) + "\r\n0\r\n\r\n";
+    return head_of(method, "Transfer-Encoding: chunked\r\n") + chunks;
+}
+
+int count_of(const std::string& text, const std::string& wanted)
+{
+    int count = 0;
+    for (std::size_t at = text.find(wanted); at != std::string::npos;
+         at = text.find(wanted, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+const std::vector<std::string> methods = {"POST",    "PUT", "PATCH", "DELETE",
+                                          "OPTIONS", "GET", "HEAD"};
+
 } // namespace
 
 TEST_GROUP(relay_smuggled_requests){};
@@ -171,3 +217,73 @@
         }
     }
 }
+
+// Guards against a body that reaches a replica without its length: the replica
+// loses it, or runs its bytes as a request that no caller has sent.
+TEST(relay_smuggled_requests, bodies_reach_replicas_with_their_length)
+{
+    recording_fleet test;
+    const std::string ordinary = R"({"title": "lemon", "tubs": 3})";
+    const std::string inner = "POST /plain/b" + smuggled + smuggled;
+    for (const std::string& method : methods)
+    {
+        for (const std::string& body : {ordinary, inner})
+        {
+            for (const std::string& sent :
+                 {with_length(method, body), in_chunks(method, body)})
+            {
+                test.received.clear();
+                STRCMP_CONTAINS("HTTP/1.1 200", test.send(sent).c_str());
+                test.fleet.run_for(std::chrono::milliseconds(30));
+                CHECK_EQUAL_TEXT(1, test.received.size(), sent.c_str());
+                const std::string& seen = test.received.front();
+                CHECK_TEXT(seen.starts_with(method + " /plain/a HTTP/1.1"),
+                           seen.c_str());
+                CHECK_TEXT(seen.ends_with("\r\n\r\n" + body), seen.c_str());
+                const std::string head =
+                    seen.substr(0, seen.size() - body.size());
+                CHECK_EQUAL_TEXT(1, count_of(head, "Content-Length:"),
+                                 seen.c_str());
+                CHECK_EQUAL(0, count_of(head, "Transfer-Encoding:"));
+            }
+        }
+    }
+}
+
+// Guards against a request without a body that makes the replica wait for one.
+TEST(relay_smuggled_requests, requests_without_a_body_end_with_their_head)
+{
+    recording_fleet test;
+    for (const std::string& method : methods)
+    {
+        for (const char* fields : {"", "Content-Length: 0\r\n"})
+        {
+            test.received.clear();
+            STRCMP_CONTAINS("HTTP/1.1 200",
+                            test.send(head_of(method, fields)).c_str());
+            CHECK_EQUAL(1, test.received.size());
+            const std::string& seen = test.received.front();
+            CHECK_TEXT(seen.ends_with("\r\n\r\n"), seen.c_str());
+            CHECK_EQUAL(0, count_of(seen, "Transfer-Encoding:"));
+        }
+    }
+}
+
+// Guards against a caller that waits for a go-ahead before it sends the body.
+TEST(relay_smuggled_requests, bodies_that_wait_for_a_go_ahead_arrive)
+{
+    recording_fleet test;
+    const std::string body = R"({"title": "lemon"})";
+    for (const std::string& method : methods)
+    {
+        test.received.clear();
+        raw_caller caller(test.fleet.loop, test.fleet.front_address(0));
+        caller.send(head_of(method, "Expect: 100-continue\r\nContent-Length: " +
+                                        std::to_string(body.size()) + "\r\n"));
+        CHECK_TEXT(caller.read_until("HTTP/1.1 100"), method.c_str());
+        caller.send(body);
+        CHECK_TEXT(caller.read_until("HTTP/1.1 200"), method.c_str());
+        CHECK_EQUAL(1, test.received.size());
+        CHECK(test.received.front().ends_with("\r\n\r\n" + body));
+    }
+}
