Refuse requests whose length can be read in several ways

A caller's request with two lengths, with a length beside a transfer coding, or with a coding that is not known was served, with a body that ends where the parser takes it to end; the rest was the next request of that connection. For whoever forwards requests of others on one connection, that is a request which no caller has sent. Lists, signs and blanks in a length ended the connection without an answer.

Cause: libevhtp's parser takes the last length, prefers a coding to a length, and takes an unknown coding for no body. Evidence, from a stand-in that prints what it reads: of "Content-Length: 0" and "Content-Length: 102" the replica got the 102 bytes as the body, in the other order none; "xchunked", "chunked, identity" and "gzip, chunked" were served with an empty body.

The head is read whole before the parser gets it. A length over the limit is still answered with 413 first. Ruled out: to repair such heads, as a proxy before the node may have read them in the other way.

--- a/src/net/caller_refusal.cpp
+++ b/src/net/caller_refusal.cpp
@@ -54,6 +54,8 @@
         return "too_slow";
     case caller_refusal::body_too_large:
         return "body_too_large";
+    case caller_refusal::ambiguous_length:
+        return "ambiguous_length";
     case caller_refusal::over_budget:
         return "over_budget";
     case caller_refusal::reads_nothing:
@@ -77,6 +79,11 @@
         return response(
             "413 Payload Too Large", json,
             error_json("too_large", "the body is larger than the limit"));
+    case caller_refusal::ambiguous_length:
+        return response("400 Bad Request", json,
+                        error_json("bad_request",
+                                   "Content-Length must be one number, or "
+                                   "Transfer-Encoding chunked, and not both"));
     case caller_refusal::over_budget:
         return response(
             "503 Service Unavailable",
--- a/src/net/caller_refusal.hpp
+++ b/src/net/caller_refusal.hpp
@@ -12,6 +12,8 @@
     head_too_large,
     too_slow,
     body_too_large,
+    /// The end of the body can be read in several ways.
+    ambiguous_length,
     /// The body budget is used up.
     over_budget,
     /// The caller does not read its response.
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -78,7 +78,6 @@
     /// Keeps the target of the request whose head begins the input.
     void read_target(evbuffer* input);
     bool may_read_head(evbuffer* input);
-    bool declares_too_much(evbuffer* input, std::size_t head_bytes) const;
     bool is_over_body_limit(std::uint64_t bytes) const;
     bool may_run() const { return this->has_request && this->body_complete; }
     /// Drains the input of a refused request, up to a bound.
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -1,5 +1,6 @@
 // The limits of a connection, and how it ends when one is exceeded.
 
+#include "net/body_framing.hpp"
 #include "net/connection_table.hpp"
 #include "net/http_server.hpp"
 #include "net/server_connection.hpp"
@@ -63,24 +64,23 @@
         this->report_buffers(0);
         return false;
     }
-    if (this->declares_too_much(input, length))
+    const auto* text = reinterpret_cast<const char*>(
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+    const std::string_view head(text, text == nullptr ? 0 : length);
+    if (this->is_over_body_limit(declared_body_bytes(head)))
     {
         this->refuse(caller_refusal::body_too_large);
         return false;
     }
+    if (!is_framing_clear(head))
+    {
+        this->refuse(caller_refusal::ambiguous_length);
+        return false;
+    }
     this->read_target(input);
     return true;
 }
 
-bool server_connection::declares_too_much(evbuffer* input,
-                                          std::size_t head_bytes) const
-{
-    const auto* text = reinterpret_cast<const char*>(
-        evbuffer_pullup(input, static_cast<ev_ssize_t>(head_bytes)));
-    return text != nullptr && this->is_over_body_limit(declared_body_bytes(
-                                  std::string_view(text, head_bytes)));
-}
-
 bool server_connection::is_over_body_limit(std::uint64_t bytes) const
 {
     const std::int64_t limit = this->owner.limits().max_body.count();
--- a/tests/relay_process/smuggled_request_test.cpp
+++ b/tests/relay_process/smuggled_request_test.cpp
@@ -269,6 +269,51 @@
     }
 }
 
+// Guards against a body whose end callers and nodes see at different places, so
+// that a replica runs the rest as a request.
+TEST(relay_smuggled_requests, bodies_of_ambiguous_length_are_refused)
+{
+    recording_fleet test;
+    const std::string rest = "POST /plain/b" + smuggled;
+    const std::string length = std::to_string(rest.size());
+    const std::string chunks = "0\r\n\r\n" + rest;
+    const std::vector<std::pair<std::string, std::string>> ambiguous = {
+        {"Content-Length: 0\r\nContent-Length: " + length + "\r\n", rest},
+        {"Content-Length: " + length + "\r\nContent-Length: 0\r\n", rest},
+        {"Content-Length: 0, " + length + "\r\n", rest},
+        {"Content-Length: +" + length + "\r\n", rest},
+        {"Content-Length: -1\r\n", rest},
+        {"Content-Length: 0 " + length + "\r\n", rest},
+        {"Content-Length: 0x10\r\n", rest},
+        {"Content-Length:\r\n", rest},
+        {"Content-Length: 99999999999999999999\r\n", rest},
+        {"Content-Length : " + length + "\r\n", rest},
+        {"Content-Length: 1\r\n 0\r\n", rest},
+        {"Content-Length: " + length + "\r\nTransfer-Encoding: chunked\r\n",
+         chunks},
+        {"Transfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n",
+         chunks},
+        {"Transfer-Encoding: xchunked\r\n", chunks},
+        {"Transfer-Encoding: chunked, identity\r\n", chunks},
+        {"Transfer-Encoding: gzip, chunked\r\n", chunks},
+        {"Transfer-Encoding : chunked\r\n", chunks},
+        {"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+         chunks}};
+    for (const std::string& method : {std::string("POST"), std::string("GET")})
+    {
+        for (const auto& [fields, body] : ambiguous)
+        {
+            test.received.clear();
+            const std::string sent = head_of(method, fields) + body;
+            raw_caller caller(test.fleet.loop, test.fleet.front_address(0));
+            caller.send(sent);
+            CHECK_TEXT(caller.read_until("HTTP/1.1 4"), sent.c_str());
+            test.fleet.run_for(std::chrono::milliseconds(30));
+            CHECK_EQUAL_TEXT(0, test.received.size(), sent.c_str());
+        }
+    }
+}
+
 // Guards against a caller that waits for a go-ahead before it sends the body.
 TEST(relay_smuggled_requests, bodies_that_wait_for_a_go_ahead_arrive)
 {
