Look again at the replicas that a waiting online request avoids

Streams broke off, or were refused at their deadline, beside the free replica of their version: that one had crashed and was back as another process of the same version, with the list naming it, while the other replicas were full.

Nothing looked again while the request waited. Evidence: the new test, with two replicas of four slots; the lost streams waited until streams of the other replica ended, though the first had four free slots and was listed anew.

A request that avoids replicas looks at them again every 250 ms while it waits, and asks for the slot anew when one of them may be used and has its version. What is left out is the process that has failed the request; a replica that cannot be used is avoided while the list doesn't name another process, and one that is only doubted for as long as it is. Streams still don't go on where the version is in doubt. Ruled out: to let the broker alone keep the doubts, as it may be another one by now that knows of no loss.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -140,6 +140,7 @@
                               ran_state::no, retry_after});
          },
          {}});
+    this->watch_avoided(avoided);
 }
 
 duration online_call::useful_time() const
@@ -173,6 +174,7 @@
 
 void online_call::send(const replica_id& granted)
 {
+    this->avoidance_timer.cancel();
     const time_point send_by =
         net::event_loop::now() + replica_exchange::send_timeout;
     // The part may have been blocked while the request waited for the slot.
@@ -188,11 +190,17 @@
     }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
-    if (entry == nullptr ||
-        (this->version && (*this->version != entry->version ||
-                           this->context.doubts.may_be_replaced(*entry))))
+    const bool fits = entry != nullptr &&
+                      (!this->version || *this->version == entry->version);
+    if (!fits)
+    {
+        this->excluded[granted] = entry == nullptr
+                                      ? replica_process_id()
+                                      : routing::process_of(*entry);
+    }
+    if (!fits ||
+        (this->version && this->context.doubts.may_be_replaced(*entry)))
     {
-        this->excluded.insert(granted);
         this->send_again("the replica can no longer be used");
         return;
     }
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -13,6 +13,7 @@
 #include "routing/replica_entry.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -58,6 +59,11 @@
     bool is_resumable_stream() const;
     /// \returns Replicas that the request must not be sent to.
     std::set<replica_id> replicas_to_avoid() const;
+    /// \returns The excluded replicas that are not another process by now.
+    std::set<replica_id> excluded_replicas() const;
+    /// Requests the slot anew once one of the replicas that were avoided need
+    /// not be any more.
+    void watch_avoided(const std::set<replica_id>& avoided);
     /// Notes the version of the process that responds if the list of replicas
     /// has named the process before it until now.
     ///
@@ -170,7 +176,9 @@
     routing::replica_entry replica;
     exchange_peer peer = exchange_peer::replica;
     std::set<node_id> failed_nodes;
-    std::set<replica_id> excluded;
+    /// Replicas that this request is not sent to again, with the processes that
+    /// they were.
+    std::map<replica_id, replica_process_id> excluded;
     /// The version whose replicas may go on with the stream; absent until it
     /// has begun.
     std::optional<software_version> version;
@@ -181,6 +189,7 @@
     net::timer silence_timer;
     net::timer stall_timer;
     net::timer check_timer;
+    net::timer avoidance_timer;
     time_point sent_at;
     std::optional<time_point> first_output_at;
 
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -135,7 +135,10 @@
 
 void online_call::send_again(const std::string& reason)
 {
-    this->excluded.insert(this->replica.id);
+    if (!this->replica.id.empty())
+    {
+        this->excluded[this->replica.id] = routing::process_of(this->replica);
+    }
     this->release_attempt();
     this->lease.reset();
     if (!this->may_send_again())
@@ -243,6 +246,7 @@
     }
     this->deadline_timer.cancel();
     this->check_timer.cancel();
+    this->avoidance_timer.cancel();
     this->report_end(outcome, status);
     this->release_attempt();
     this->lease.reset();
--- a/src/relay/online_call_origin.cpp
+++ b/src/relay/online_call_origin.cpp
@@ -16,6 +16,9 @@
 constexpr duration keep_margin = std::chrono::seconds(2);
 /// Longest time since the first event where a route names no timeout.
 constexpr duration default_lifetime = std::chrono::seconds(30);
+/// How often a request that waits for a slot looks at the replicas that it
+/// avoids: the list of replicas changes every half second at most.
+constexpr duration avoidance_check_interval = std::chrono::milliseconds(250);
 /// Another node may reach a storage node that this one does not reach.
 constexpr duration retry_after_unknown = std::chrono::milliseconds(300);
 
@@ -106,7 +109,8 @@
 
 std::set<replica_id> online_call::replicas_to_avoid() const
 {
-    std::set<replica_id> avoided = this->excluded;
+    const std::set<replica_id> unusable = this->excluded_replicas();
+    std::set<replica_id> avoided = unusable;
     if (!this->version && !this->is_resumable_stream())
     {
         return avoided;
@@ -122,7 +126,49 @@
         std::any_of(usable.begin(), usable.end(),
                     [&avoided](const routing::replica_entry* entry)
                     { return !avoided.contains(entry->id); });
-    return has_other ? avoided : this->excluded;
+    return has_other ? avoided : unusable;
+}
+
+std::set<replica_id> online_call::excluded_replicas() const
+{
+    const routing::replica_registry& registry =
+        this->context.replicas.registry();
+    std::set<replica_id> found;
+    for (const auto& [id, process] : this->excluded)
+    {
+        const routing::replica_entry* listed = registry.find_usable(id);
+        if (listed == nullptr || routing::process_of(*listed) == process)
+        {
+            found.insert(id);
+        }
+    }
+    return found;
+}
+
+void online_call::watch_avoided(const std::set<replica_id>& avoided)
+{
+    if (avoided.empty() || this->ended)
+    {
+        return;
+    }
+    this->avoidance_timer = this->context.loop.call_after(
+        avoidance_check_interval,
+        [this, avoided]
+        {
+            const std::set<replica_id> current = this->replicas_to_avoid();
+            const bool still_avoids_all = std::includes(
+                current.begin(), current.end(), avoided.begin(), avoided.end());
+            const bool has_usable =
+                !this->version || this->context.replicas.registry().has_usable(
+                                      this->service, *this->version, current);
+            if (still_avoids_all || !has_usable)
+            {
+                this->watch_avoided(avoided);
+                return;
+            }
+            this->lease.reset();
+            this->request_slot();
+        });
 }
 
 bool online_call::follow_replacement()
--- a/src/relay/online_call_silence.cpp
+++ b/src/relay/online_call_silence.cpp
@@ -109,7 +109,7 @@
 
 bool online_call::can_be_taken_over() const
 {
-    std::set<replica_id> others = this->excluded;
+    std::set<replica_id> others = this->excluded_replicas();
     others.insert(this->replica.id);
     const routing::replica_registry& registry =
         this->context.replicas.registry();
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -354,3 +354,60 @@
     }
     CHECK_EQUAL(1, runs);
 }
+
+// Guards against a stream that waits beside the free replica of its version
+// since that one had ended before: another process has its id.
+TEST(relay_replaced_processes, streams_go_on_at_the_next_process_of_a_replica)
+{
+    relay_fleet_options options;
+    options.engine_count = 2;
+    relay_fleet fleet(options);
+    constexpr int slots = 8;
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(50);
+        engine->event_count = 40;
+    }
+    std::vector<std::shared_ptr<relay_fleet::response>> streams;
+    for (int number = 0; number < slots; ++number)
+    {
+        streams.push_back(std::make_shared<relay_fleet::response>());
+        fleet.start_call(0, "POST", "/stream/a",
+                         "stream" + std::to_string(number), "", streams.back());
+    }
+    replica_stand_in& ending = *fleet.engines.front();
+    CHECK(fleet.wait(
+        [&fleet, &ending]
+        {
+            return ending.open_streams() == slots / 2 &&
+                   fleet.engines.back()->open_streams() == slots / 2 &&
+                   ending.sent_events.size() >= 2 * slots;
+        }));
+    ending.behaviour = replica_stand_in::fault::truncating;
+    CHECK(fleet.wait([&ending] { return ending.open_streams() == 0; }));
+    const std::size_t sent_before = ending.sent_events.size();
+    ending.behaviour = replica_stand_in::fault::none;
+    ending.restart();
+    fleet.store.put("servers/" + ending.name(), ending.record("llm"));
+    const time_point limit =
+        net::event_loop::now() + std::chrono::milliseconds(1500);
+    fleet.wait(
+        [&ending, sent_before, limit]
+        {
+            return ending.sent_events.size() > sent_before ||
+                   net::event_loop::now() > limit;
+        });
+    CHECK(ending.sent_events.size() > sent_before);
+    CHECK(fleet.wait(
+        [&streams]
+        {
+            return std::all_of(streams.begin(), streams.end(),
+                               [](const auto& stream)
+                               { return stream->status >= 0; });
+        }));
+    for (const auto& stream : streams)
+    {
+        CHECK_EQUAL(200, stream->status);
+    }
+    CHECK_EQUAL(0, joined_runs(fleet));
+}
