Draw the random arguments of tests one after the other

The test of decisions without workspaces (tests/slots) failed each time on x86-64: random_load::step() draws two arguments of one call, and C++ leaves open which is drawn first. The digests were recorded on arm64. The draws are two statements now; the digests are as recorded. tests/decisions/lot_ledger drew in the same way, without a recorded figure; a search for further calls with two draws found none in tests and src.

--- a/tests/decisions/lot_ledger_test.cpp
+++ b/tests/decisions/lot_ledger_test.cpp
@@ -82,7 +82,9 @@
             this->now += std::chrono::milliseconds(draw(200));
             if (draw(3) == 0)
             {
-                const auto wanted = make_pull(draw(4), draw(4) + 1);
+                // One after the other: the order of arguments is left open.
+                const auto first = draw(4);
+                const auto wanted = make_pull(first, draw(4) + 1);
                 std::vector<int> handed_out;
                 for (const auto& item : ledger.pull(this->now, wanted))
                 {
--- a/tests/slots/unnamed_workspace_test.cpp
+++ b/tests/slots/unnamed_workspace_test.cpp
@@ -171,8 +171,10 @@
         {
             const slot_ticket ticket(this->next_ticket++);
             this->open.push_back(ticket);
-            this->broker.adopt(ticket, this->draw_request(),
-                               name_of(this->draw(5)), this->now);
+            // One after the other: the order of arguments is left open.
+            const slot_request wanted = this->draw_request();
+            const replica_id replica = name_of(this->draw(5));
+            this->broker.adopt(ticket, wanted, replica, this->now);
         }
         else if (action < 99)
         {
