Check in the soak that no work waits beside free slots

The soak now reads both idle waits of each pool once the jobs are done: at most 11 s, six for which a lost replica is doubted and the five calm seconds after which the platform counts work as lost.

--- a/tests/relay_process/stream_version_test.cpp
+++ b/tests/relay_process/stream_version_test.cpp
@@ -200,7 +200,7 @@
     test.fleet.start(1);
     test.restart(0);
     const auto response = test.take_up(0, "one");
-    CHECK_EQUAL(200, response.status);
+    CHECK_EQUAL_TEXT(200, response.status, response.body.c_str());
     STRCMP_EQUAL(stream_after_last_event().c_str(), response.body.c_str());
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,6 +6,9 @@
 #include "soak/job_callers.hpp"
 #include "soak/workspace_checks.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +26,9 @@
 /// platform allows for the recovery of its smaller deployments.
 constexpr duration recovery_limit = std::chrono::seconds(12);
 constexpr duration job_limit = std::chrono::seconds(18);
+/// The platform counts work as lost that replicas do not get in five calm
+/// seconds; a lost replica is doubted for six.
+constexpr duration idle_wait_limit = std::chrono::seconds(6 + 5);
 /// So that several streams are under way at any time.
 constexpr duration event_interval = std::chrono::milliseconds(15);
 /// For the last requests with a key that was taken away, and for what is then
@@ -74,6 +80,29 @@
     }
 }
 
+/// Checks that no broker holds back work that its free slots could take.
+void check_brokers(relay_support::relay_fleet& fleet, int node_count,
+                   violations& found)
+{
+    for (int node = 0; node < node_count; ++node)
+    {
+        const auto status = fleet.status(node);
+        for (const auto& pool : status.at("pools"))
+        {
+            const std::chrono::milliseconds wait(
+                std::max(pool.at("online_idle_wait_ms").get<std::int64_t>(),
+                         pool.at("batch_idle_wait_ms").get<std::int64_t>()));
+            if (wait > idle_wait_limit)
+            {
+                found.add("no work waits beside free slots",
+                          "pool " + pool.at("pool").get<std::string>() +
+                              " at node " + std::to_string(node) + ": " +
+                              std::to_string(wait.count()) + " ms");
+            }
+        }
+    }
+}
+
 /// Checks that runs went on after an event of their own version.
 ///
 /// \param allowed How many may not: two where processes are replaced under
@@ -164,6 +193,7 @@
     online.stop();
     jobs.stop();
     check_jobs(fleet, jobs, found);
+    check_brokers(fleet, node_count, found);
     online.check_runs();
     if (workspaces)
     {
