--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -61,8 +61,7 @@
     std::set<replica_id> replicas_to_avoid() const;
     /// \returns The excluded replicas that are not another process by now.
     std::set<replica_id> excluded_replicas() const;
-    /// Requests the slot anew once one of the replicas that were avoided need
-    /// not be any more.
+    /// Requests the slot anew once one of the avoided replicas may be used.
     void watch_avoided(const std::set<replica_id>& avoided);
     /// Notes the version of the process that responds if the list of replicas
     /// has named the process before it until now.
--- a/tests/slots/slot_broker_version_test.cpp
+++ b/tests/slots/slot_broker_version_test.cpp
@@ -64,6 +64,22 @@
         return this->request(work_class::batch, version);
     }
 
+    /// Requests a slot for an item of version "old".
+    ///
+    /// \param anew_after When other versions may be granted as well.
+    slot_ticket item(duration anew_after)
+    {
+        slot_request wanted;
+        wanted.kind = work_class::batch;
+        wanted.useful_until = this->now + std::chrono::seconds(18);
+        wanted.version = software_version("old");
+        wanted.any_version_from = this->now + anew_after;
+        const slot_ticket ticket(this->next_ticket++);
+        this->broker.request(ticket, wanted, this->now);
+        this->collect();
+        return ticket;
+    }
+
     void release(slot_ticket ticket)
     {
         this->broker.release(ticket, this->now);
@@ -213,13 +229,7 @@
     this->set_replicas(1, 1);
     this->batch("old");
     this->batch("old");
-    slot_request wanted;
-    wanted.kind = work_class::batch;
-    wanted.useful_until = this->now + std::chrono::seconds(18);
-    wanted.version = software_version("old");
-    wanted.any_version_from = this->now + std::chrono::seconds(2);
-    const slot_ticket waiting(this->next_ticket++);
-    this->broker.request(waiting, wanted, this->now);
+    const slot_ticket waiting = this->item(std::chrono::seconds(2));
     this->now += std::chrono::seconds(1);
     this->broker.tick(this->now);
     this->collect();
@@ -255,7 +265,7 @@
 
 // Guards against work that goes on at another version, and against work that
 // waits for good after the doubt has ended.
-TEST(slot_broker_version, doubtful_replicas_are_kept_from_it_while_doubted)
+TEST(slot_broker_version, doubtful_replicas_serve_no_request_of_a_version)
 {
     this->set_replicas(2, 0);
     this->broker.set_doubtful({replica_id("old0"), replica_id("old1")});
@@ -272,17 +282,11 @@
 
 // Guards against an item that gets a doubtful replica of its listed version
 // once it may start anew, and so goes on there.
-TEST(slot_broker_version, nor_do_they_get_it_when_others_may)
+TEST(slot_broker_version, nor_an_item_that_may_start_anew)
 {
     this->set_replicas(1, 0);
     this->broker.set_doubtful({replica_id("old0")});
-    slot_request wanted;
-    wanted.kind = work_class::batch;
-    wanted.useful_until = this->now + std::chrono::seconds(18);
-    wanted.version = software_version("old");
-    wanted.any_version_from = this->now + std::chrono::seconds(2);
-    const slot_ticket waiting(this->next_ticket++);
-    this->broker.request(waiting, wanted, this->now);
+    const slot_ticket waiting = this->item(std::chrono::seconds(2));
     const slot_ticket anew = this->batch();
     this->now += std::chrono::seconds(3);
     this->broker.tick(this->now);
@@ -299,13 +303,7 @@
 {
     this->set_replicas(1, 0);
     this->broker.set_doubtful({replica_id("old0")});
-    slot_request wanted;
-    wanted.kind = work_class::batch;
-    wanted.useful_until = this->now + std::chrono::seconds(1);
-    wanted.version = software_version("old");
-    wanted.any_version_from = this->now;
-    const slot_ticket waiting(this->next_ticket++);
-    this->broker.request(waiting, wanted, this->now);
+    this->item(duration::zero());
     CHECK(this->was(this->batch(), slot_decision::granted));
     CHECK_EQUAL(1, this->broker.waiting_batch());
 }
