Bound the age of the store's confirmation in groups that follow sources

Cause: a call that waits for changes hears nothing in a calm, and nothing when the store no longer answers the node. Sources took the silence for a calm and went on to say "unchanged", and their subscribers dated the records by the arrival of that message. The watches ended after 26.2 s.

Change: a node that reads from the store has its records confirmed by the answer to any other call that was sent while its watch waited, and makes a call that reads nothing when none is due (a stale read, a tenth of the price). After a failed call only the answer to a repeated watch counts. Ages in status, metrics and logs are those of the confirmation.

Ruled out: a full read each half second (ten times the price), watches of a second (two calls at full price), silence of the source alone (it is not silent).

Messages of the build before have no age; their arrival counts, as before.

--- a/src/feeds/feed_codec.cpp
+++ b/src/feeds/feed_codec.cpp
@@ -3,6 +3,9 @@
 #include "wire/codec.hpp"
 #include "wire/generated/feed_types.h"
 
+#include <algorithm>
+#include <cstdint>
+
 namespace parsleytrack::feeds
 {
 
@@ -73,6 +76,10 @@
     wire::feed_part wire_message;
     wire_message.kind = to_wire(message.what);
     wire_message.position = message.position.count();
+    if (message.age)
+    {
+        wire_message.__set_age_ms(to_milliseconds(*message.age));
+    }
     for (const key_value::record_change& change : message.records)
     {
         wire::feed_record record;
@@ -95,6 +102,11 @@
     feed_message message;
     message.what = from_wire(wire_message.value().kind);
     message.position = store_revision(wire_message.value().position);
+    if (wire_message.value().__isset.age_ms)
+    {
+        message.age = std::chrono::milliseconds(
+            std::max<std::int64_t>(wire_message.value().age_ms, 0));
+    }
     for (const wire::feed_record& record : wire_message.value().records)
     {
         message.records.push_back(key_value::record_change{
--- a/src/feeds/feed_message.hpp
+++ b/src/feeds/feed_message.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "key_value/stored_record.hpp"
+#include "units/time.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace parsleytrack::feeds
@@ -16,7 +18,7 @@
         all,
         /// The changes since the last message.
         changes,
-        /// No changes; shows that the source is live and can reach the store.
+        /// No changes; the store has confirmed the records again.
         unchanged,
         /// The source cannot reach the store.
         failing,
@@ -30,6 +32,9 @@
     /// For kind::all and kind::last_known: the store's revision up to which the
     /// records are complete.
     store_revision position;
+    /// How long ago the store had confirmed the records when the message was
+    /// sent; absent in messages of earlier builds, which do not say.
+    std::optional<duration> age;
 };
 
 } // namespace parsleytrack::feeds
--- a/src/feeds/record_feed_questions.cpp
+++ b/src/feeds/record_feed_questions.cpp
@@ -2,6 +2,7 @@
 // does not respond to this one.
 
 #include "feeds/feed_codec.hpp"
+#include "feeds/feed_timing.hpp"
 #include "feeds/record_feed.hpp"
 #include "logging/log.hpp"
 
@@ -24,9 +25,8 @@
 
 bool record_feed::lacks_store_and_sources() const
 {
-    const bool reads_store = this->confirmed_at() != time_point() &&
-                             !this->own_follower.is_failing();
-    return !reads_store && !this->has_healthy_source();
+    return !this->has_healthy_source() && (this->own_follower.is_failing() ||
+                                           this->age() > detail::outage_age);
 }
 
 void record_feed::ask_another_node()
@@ -63,6 +63,7 @@
     {
         return;
     }
+    this->origin = from.str();
     if (message.value().what == feed_message::kind::changes)
     {
         this->apply_changes(message.value().records);
@@ -100,7 +101,7 @@
     const bool can_serve =
         request.has_value() && request.value().prefix == this->options.prefix &&
         this->own_follower.is_running() && !this->own_follower.is_failing() &&
-        this->own_follower.confirmed_at() != time_point();
+        this->is_confirmed();
     if (!can_serve)
     {
         const bool knows_more =
@@ -123,6 +124,7 @@
     {
         first.what = feed_message::kind::changes;
         first.records = std::move(*changes);
+        first.age = this->age();
         this->publisher.add(exchange, first);
         return;
     }
@@ -135,7 +137,9 @@
                   {}});
         return;
     }
-    this->publisher.add(exchange, this->all_records(feed_message::kind::all));
+    first = this->all_records(feed_message::kind::all);
+    first.age = this->age();
+    this->publisher.add(exchange, first);
 }
 
 feed_message record_feed::all_records(feed_message::kind what) const
--- a/src/key_value/call_counts.hpp
+++ b/src/key_value/call_counts.hpp
@@ -12,6 +12,9 @@
     /// Reads whose data may be seconds old; they cost the store a tenth of a
     /// consistent read.
     std::uint64_t stale_reads = 0;
+    /// Reads of nothing that show whether the store responds; they cost it as
+    /// much as stale reads.
+    std::uint64_t confirmations = 0;
     std::uint64_t watches = 0;
     std::uint64_t commits = 0;
     /// Calls of any kind that were rejected or got no response.
--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -17,10 +17,12 @@
 /// Timeout for one page of a listing. When all nodes start together they share
 /// the store's link, so that the transfer of a page may take seconds.
 constexpr duration listing_timeout = std::chrono::seconds(8);
-/// How long the store may hold a watch call open; its own limit is 30 s. TCP
-/// keepalive detects a broken connection during that time.
-constexpr duration watch_wait = std::chrono::seconds(25);
-constexpr duration watch_timeout = watch_wait + call_timeout;
+/// Time after a call in which no confirmation is asked for, since the response
+/// to that call is one. During an outage calls cost as much as before it.
+constexpr duration min_confirmation_delay = std::chrono::milliseconds(300);
+constexpr duration min_confirmation_delay_in_outage = std::chrono::seconds(1);
+/// No key has this prefix.
+constexpr const char* confirmation_prefix = "parsleytrack/confirmation/";
 constexpr duration initial_retry_delay = std::chrono::milliseconds(40);
 constexpr duration max_retry_delay = std::chrono::milliseconds(400);
 /// One retry suffices for most lost reads: they are lost with their connection.
@@ -157,15 +159,15 @@
 }
 
 store_call_number record_client::watch(const std::string& prefix,
-                                       store_revision after,
+                                       store_revision after, duration wait,
                                        watch_callback callback)
 {
     net::http_request request =
-        this->adapter.watch_request(prefix, after, watch_wait);
+        this->adapter.watch_request(prefix, after, wait);
     request.tcp_keepalive = true;
     ++this->counts.watches;
     return this->send(
-        request, watch_timeout,
+        request, wait + call_timeout,
         [this,
          callback = std::move(callback)](result<net::http_response> response)
         {
@@ -178,6 +180,22 @@
         });
 }
 
+void record_client::confirm()
+{
+    const duration delay = this->is_reachable()
+                               ? min_confirmation_delay
+                               : min_confirmation_delay_in_outage;
+    if (this->last_call_sent &&
+        net::event_loop::now() - *this->last_call_sent < delay)
+    {
+        return;
+    }
+    ++this->counts.confirmations;
+    this->send(this->adapter.list_request(confirmation_prefix, "",
+                                          read_freshness::may_be_stale),
+               call_timeout, [](const result<net::http_response>&) {});
+}
+
 void record_client::cancel(store_call_number call)
 {
     this->calls.erase(call);
@@ -253,11 +271,21 @@
     this->recovery_callbacks.push_back(std::move(callback));
 }
 
+void record_client::on_response(std::function<void(time_point)> callback)
+{
+    this->response_callbacks.push_back(std::move(callback));
+}
+
 store_call_number record_client::send(net::http_request request,
                                       duration timeout,
                                       response_callback callback)
 {
     request.total_timeout = timeout;
+    // Only calls that wait for changes have a longer timeout.
+    if (timeout <= listing_timeout)
+    {
+        this->last_call_sent = net::event_loop::now();
+    }
     const store_call_number number(
         static_cast<std::int64_t>(this->next_number++));
     this->calls[number] = this->http.send(
@@ -288,7 +316,7 @@
              }
              this->record_response();
              callback(std::move(outcome));
-             this->notify_recovery();
+             this->notify_response(sent);
          }});
     return number;
 }
@@ -326,16 +354,19 @@
     }
 }
 
-void record_client::notify_recovery()
+void record_client::notify_response(time_point sent)
 {
-    const auto failure = std::exchange(this->last_failure, std::nullopt);
-    if (!failure)
+    if (const auto failure = std::exchange(this->last_failure, std::nullopt))
     {
+        for (const auto& callback : this->recovery_callbacks)
+        {
+            callback(*failure);
+        }
         return;
     }
-    for (const auto& callback : this->recovery_callbacks)
+    for (const auto& callback : this->response_callbacks)
     {
-        callback(*failure);
+        callback(sent);
     }
 }
 
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -54,9 +54,17 @@
 
     /// Makes one call that waits for changes after a revision.
     ///
+    /// \param wait How long the store may hold the call open.
     /// \returns The call's number, for cancel().
     store_call_number watch(const std::string& prefix, store_revision after,
-                            watch_callback callback);
+                            duration wait, watch_callback callback);
+
+    /// Longest time for which the store may hold a call of watch() open.
+    static constexpr duration max_watch_wait = std::chrono::seconds(25);
+
+    /// Makes a call that reads nothing, for the callbacks of on_response(),
+    /// unless the response to another call is due.
+    void confirm();
 
     /// Abandons a call that waits for changes; its callback is not called.
     void cancel(store_call_number call);
@@ -75,6 +83,11 @@
     /// failure. The store may have forgotten the calls that were waiting then.
     void on_recovery(std::function<void(time_point last_failure)> callback);
 
+    /// \param callback Called when the store responds to a call, unless
+    /// on_recovery() reports this response. Gets the time at which the call was
+    /// sent.
+    void on_response(std::function<void(time_point sent)> callback);
+
     bool is_reachable() const { return this->outage.is_reachable(); }
 
     /// \returns During an outage, when the call was sent that failed last;
@@ -102,7 +115,8 @@
     void call_after(duration delay, std::function<void()> callback);
     void count_read(read_freshness freshness);
     void record_response();
-    void notify_recovery();
+    /// Calls the callbacks of on_recovery() or of on_response().
+    void notify_response(time_point sent);
     void record_failure(const error& reason, time_point sent);
 
     net::event_loop& loop;
@@ -113,10 +127,13 @@
     outage_detector outage;
     std::vector<reachability_callback> reachability_callbacks;
     std::vector<std::function<void(time_point)>> recovery_callbacks;
+    std::vector<std::function<void(time_point)>> response_callbacks;
     /// Set while the last call has failed.
     std::optional<time_point> last_failure;
     /// When the call that failed last was sent.
     std::optional<time_point> failed_call_sent;
+    /// When the last call was sent that the store answers at once.
+    std::optional<time_point> last_call_sent;
     std::map<store_call_number, std::unique_ptr<net::http_call>> calls;
     std::map<std::uint64_t, net::timer> timers;
     std::uint64_t next_number = 1;
--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleytrack::key_value
@@ -16,6 +17,10 @@
 /// calls count against the store's rate limits too, and all nodes retry during
 /// an outage.
 constexpr duration max_retry_delay = std::chrono::seconds(1);
+/// How often the age of the last confirmation is checked.
+constexpr duration confirmation_check_interval = std::chrono::milliseconds(200);
+/// Wait of a call that only asks which changes there have been.
+constexpr duration no_wait = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -39,6 +44,7 @@
                     }
                 }
             },
+            {},
             {}};
 }
 
@@ -63,6 +69,8 @@
         });
     this->store.on_recovery([this](time_point last_failure)
                             { this->renew_watch(last_failure); });
+    this->store.on_response([this](time_point sent)
+                            { this->handle_other_response(sent); });
 }
 
 void record_follower::start()
@@ -72,6 +80,8 @@
         return;
     }
     ++this->generation;
+    this->confirmation_timer = this->loop.call_every(
+        confirmation_check_interval, [this] { this->check_confirmation(); });
     this->read_all();
 }
 
@@ -82,6 +92,7 @@
     ++this->generation;
     this->waiting_to_retry = false;
     this->cancel_watch();
+    this->confirmation_timer.cancel();
     this->watch_timer.cancel();
     this->retry_timer.cancel();
 }
@@ -107,27 +118,26 @@
         this->handle_failure(listing.error());
         return;
     }
-    const time_point now = net::event_loop::now();
     if (this->failing)
     {
-        log_event(
-            log_level::info, "store_follower_recovered",
-            {{"prefix", this->prefix},
-             {"unconfirmed_ms", to_milliseconds(now - this->confirmed_time)}});
+        log_event(log_level::info, "store_follower_recovered",
+                  {{"prefix", this->prefix},
+                   {"unconfirmed_ms", to_milliseconds(net::event_loop::now() -
+                                                      this->confirmed_time)}});
     }
     this->position = listing.value().read_revision;
-    this->confirmed_time = now;
+    this->confirmed_time = std::max(this->confirmed_time, this->call_started);
     this->retry_backoff.reset();
     this->handlers.on_listing(listing.value(),
                               std::exchange(this->failing, false));
-    this->wait_for_changes();
+    this->wait_for_changes(record_client::max_watch_wait);
 }
 
-void record_follower::wait_for_changes()
+void record_follower::wait_for_changes(duration wait)
 {
     this->call_started = net::event_loop::now();
     this->watch_call =
-        this->store.watch(this->prefix, this->position,
+        this->store.watch(this->prefix, this->position, wait,
                           [this](const result<record_changes>& response)
                           {
                               this->watch_call.reset();
@@ -146,7 +156,39 @@
                {"waited_ms",
                 to_milliseconds(net::event_loop::now() - this->call_started)}});
     this->cancel_watch();
-    this->wait_for_changes();
+    this->wait_for_changes(no_wait);
+}
+
+void record_follower::check_confirmation()
+{
+    const time_point now = net::event_loop::now();
+    if (this->watch_call &&
+        now - std::max(this->confirmed_time, this->confirmation_asked) >=
+            this->confirmation_interval)
+    {
+        this->confirmation_asked = now;
+        this->store.confirm();
+    }
+}
+
+void record_follower::handle_other_response(time_point sent)
+{
+    // A store that answers this node would have sent a change on the call that
+    // waits for them, unless a call has failed since: it may then have
+    // forgotten that call, and renew_watch() repeats it.
+    if (this->watch_call && this->call_started <= sent)
+    {
+        this->record_confirmation(sent);
+    }
+}
+
+void record_follower::record_confirmation(time_point confirmed)
+{
+    this->confirmed_time = std::max(this->confirmed_time, confirmed);
+    if (this->handlers.on_confirmed)
+    {
+        this->handlers.on_confirmed();
+    }
 }
 
 void record_follower::cancel_watch()
@@ -178,8 +220,10 @@
     {
         this->handlers.on_changes(response.value().changes);
     }
-    this->watch_timer = this->loop.call_after(this->collect_delay, [this]
-                                              { this->wait_for_changes(); });
+    this->record_confirmation(this->confirmed_time);
+    this->watch_timer = this->loop.call_after(
+        this->collect_delay,
+        [this] { this->wait_for_changes(record_client::max_watch_wait); });
 }
 
 void record_follower::handle_failure(const error& reason)
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -14,7 +14,10 @@
 {
 
 /// Follows all keys that begin with a prefix: lists them, then waits for
-/// changes, and lists them again whenever changes may have been missed.
+/// changes, and lists them again whenever changes may have been missed. A wait
+/// without changes looks the same whether there are none or the store has
+/// stopped answering this node, so the store is asked for a sign of life from
+/// time to time.
 class record_follower
 {
 public:
@@ -29,6 +32,9 @@
         std::function<void(const std::vector<record_change>&)> on_changes;
         /// Called once when calls begin to fail. Optional.
         std::function<void(const error&)> on_failure;
+        /// Called when the store has confirmed that there are no other changes.
+        /// Optional.
+        std::function<void()> on_confirmed = {};
     };
 
     /// \param callback Receives each existing record that is listed or changed.
@@ -57,19 +63,32 @@
         this->retry_backoff.set_max_delay(limit);
     }
 
+    /// Changes how old the last confirmation may get before the store is asked
+    /// for another one; a second at first.
+    void set_confirmation_interval(duration interval)
+    {
+        this->confirmation_interval = interval;
+    }
+
     /// \returns Whether the last call has failed.
     bool is_failing() const { return this->failing; }
 
-    /// \returns When the store last confirmed that the records are current.
+    /// \returns The time up to which the store has confirmed that the records
+    /// are complete.
     time_point confirmed_at() const { return this->confirmed_time; }
 
 private:
     void read_all();
     void handle_listing(const result<record_listing>& listing);
-    void wait_for_changes();
+    /// \param wait How long the store may hold the call open.
+    void wait_for_changes(duration wait);
     /// Repeats a call for changes that the store may have forgotten.
     void renew_watch(time_point last_failure);
     void cancel_watch();
+    void check_confirmation();
+    /// Handles the response to a call that reads other records.
+    void handle_other_response(time_point sent);
+    void record_confirmation(time_point confirmed);
     void handle_changes(const result<record_changes>& response);
     void handle_failure(const error& reason);
     void retry();
@@ -83,6 +102,8 @@
     backoff retry_backoff;
     store_revision position;
     time_point confirmed_time;
+    duration confirmation_interval = std::chrono::seconds(1);
+    time_point confirmation_asked;
     time_point call_started;
     /// The pending call for changes.
     std::optional<store_call_number> watch_call;
@@ -93,6 +114,7 @@
     /// Increases with each start() and stop(), so that responses to calls from
     /// before a stop() are ignored.
     std::uint64_t generation = 0;
+    net::timer confirmation_timer;
     net::timer watch_timer;
     net::timer retry_timer;
 };
--- a/src/relay/caller_authorization.cpp
+++ b/src/relay/caller_authorization.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Sources of the configuration confirm it every 600 ms; one that has been
-/// silent for this long is replaced.
+/// The store confirms the configuration about every second, to this node or to
+/// a source; without it, this node soon asks the store itself.
 constexpr duration outdated_after = std::chrono::seconds(3);
 /// Other nodes may have the current configuration.
 constexpr duration retry_after_unknown = std::chrono::milliseconds(100);
--- a/src/relay/configuration_follower.cpp
+++ b/src/relay/configuration_follower.cpp
@@ -62,7 +62,9 @@
                {"routes", read.value().routes.size()},
                {"workspaces", read.value().workspaces.size()},
                {"keys", read.value().workspaces.key_count()},
-               {"revision", record.revision.count()}});
+               {"revision", record.revision.count()},
+               {"learned_from", this->follower.learned_from()},
+               {"age_ms", to_milliseconds(this->age())}});
     for (const std::string& problem : read.value().workspaces.problems())
     {
         log_event(log_level::warning, "workspace_problem",
--- a/src/relay/status_report.cpp
+++ b/src/relay/status_report.cpp
@@ -41,6 +41,8 @@
     call_count{"reads", "read", &key_value::call_counts::reads},
     call_count{"stale_reads", "stale_read",
                &key_value::call_counts::stale_reads},
+    call_count{"confirmations", "confirmation",
+               &key_value::call_counts::confirmations},
     call_count{"watches", "watch", &key_value::call_counts::watches},
     call_count{"commits", "commit", &key_value::call_counts::commits},
     call_count{"failures", "failed", &key_value::call_counts::failures}};
@@ -330,6 +332,7 @@
         log_level::info, "store_calls",
         {{"reads", calls.reads},
          {"stale_reads", calls.stale_reads},
+         {"confirmations", calls.confirmations},
          {"watches", calls.watches},
          {"commits", calls.commits},
          {"failures", calls.failures},
--- a/src/wire/feed.thrift
+++ b/src/wire/feed.thrift
@@ -22,8 +22,7 @@
   all = 1,
   // Records changed since the last part.
   changes = 2,
-  // No change; a heartbeat that shows that the sender is live and reaches the
-  // store.
+  // No change; sent when the store has confirmed the records again.
   unchanged = 3,
   // The sender cannot reach the store.
   failing = 4,
@@ -37,4 +36,8 @@
   2: list<feed_record> records;
   // The store's revision up to which the records are complete.
   3: i64 position;
+  // How long before the sender sent this part the store had confirmed the
+  // records. Without it, the build before sent the part when it believed to
+  // reach the store: the receiver takes the part's arrival for the confirmation.
+  4: optional i64 age_ms;
 }
--- a/tests/wire/examples/write_examples.cpp
+++ b/tests/wire/examples/write_examples.cpp
@@ -243,6 +243,7 @@
     part.kind = feed_part_kind::last_known;
     part.records = {record};
     part.position = 47;
+    part.__set_age_ms(250);
     write("feed_part", part);
 }
 
