--- a/tests/relay_process/caller_crowd_test.cpp
+++ b/tests/relay_process/caller_crowd_test.cpp
@@ -1,13 +1,11 @@
-#include "relay_support/caller_crowd.hpp"
+#include "relay_support/crowded_node.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <array>
 #include <cstdio>
-#include <memory>
 #include <string>
-#include <utility>
 
 using namespace parsleytrack;
 using namespace parsleytrack::relay_support;
@@ -15,49 +13,16 @@
 namespace
 {
 
-constexpr std::size_t mebibyte = 1024 * 1024;
-/// Limits of the node under test: the body limit is a quarter of the
-/// deployments', so that a small crowd is enough.
-constexpr int memory_mb = 64;
-constexpr std::size_t max_body = mebibyte;
-/// The crowd: its bodies together are larger than the node's memory.
-constexpr std::size_t caller_count = 100;
+constexpr std::size_t mebibyte = crowd_limits::mebibyte;
+constexpr std::size_t max_body = crowd_limits::max_body;
+constexpr std::size_t caller_count = crowd_limits::caller_count;
+constexpr std::size_t missing_bytes = crowd_limits::missing_bytes;
+constexpr std::size_t whole = crowd_limits::whole;
 constexpr std::size_t complete_count = 5;
-/// What is missing of the bodies that stop short.
-constexpr std::size_t missing_bytes = 100;
-constexpr std::size_t whole = 64 * mebibyte;
 constexpr std::size_t piece = 4096;
 constexpr std::size_t over_limit = 8 * mebibyte;
 /// A tiny chunk per byte: "1", the byte, and two line ends.
 constexpr std::size_t small_chunk_count = 20'000;
-/// Descriptors of a node without callers are below 60.
-constexpr std::size_t max_descriptors = 60 + 2 * caller_count;
-
-std::string head(const std::string& path, const std::string& framing,
-                 const std::string& id = "crowd")
-{
-    return "POST " + path +
-           " HTTP/1.1\r\nHost: h\r\nParsleytrack-Deadline-Ms: 5000\r\n"
-           "Parsleytrack-Request-Id: " +
-           id + "\r\n" + framing + "\r\n\r\n";
-}
-
-std::string declared(const std::string& path, std::size_t bytes,
-                     const std::string& id = "crowd")
-{
-    return head(path, "Content-Length: " + std::to_string(bytes), id);
-}
-
-/// \returns A job of one item whose document has almost a size.
-std::string submission(std::size_t bytes)
-{
-    const std::string start = R"({"items":[{"id":"i","path":"/batch/x",)"
-                              R"("headers":{},"tokens":1,"body":")";
-    const std::string end = "\"}]}";
-    constexpr std::size_t base64_group = 4;
-    const std::size_t room = bytes - start.size() - end.size();
-    return start + std::string(room / base64_group * base64_group, 'A') + end;
-}
 
 /// \returns A request in chunks, without the last one.
 std::string chunks(const std::string& path, std::size_t chunk_bytes,
@@ -65,7 +30,7 @@
 {
     std::array<char, 32> size{};
     std::snprintf(size.data(), size.size(), "%zx\r\n", chunk_bytes);
-    std::string text = head(path, "Transfer-Encoding: chunked");
+    std::string text = crowd_head(path, "Transfer-Encoding: chunked");
     const std::string chunk =
         size.data() + std::string(chunk_bytes, 'x') + "\r\n";
     for (std::size_t number = 0; number < count; ++number)
@@ -75,83 +40,18 @@
     return text;
 }
 
-/// A node, a crowd that sends to it, and what must hold afterwards.
-class crowded_node
-{
-public:
-    explicit crowded_node(std::size_t piece_bytes, bool has_proxies = false)
-        : fleet(
-              relay_fleet_options{.has_proxies = has_proxies,
-                                  .memory_mb = memory_mb,
-                                  .max_body_bytes = static_cast<int>(max_body),
-                                  .idle_timeout_ms = 30'000}),
-          crowd(this->fleet.loop, this->fleet.front_address(0), piece_bytes)
-    {
-    }
-
-    /// Makes the store read nothing and answer nothing.
-    void silence_store()
-    {
-        for (const auto& proxy : this->fleet.store_proxies)
-        {
-            proxy->set_fault(fault_proxy::fault::blocked);
-        }
-    }
-
-    void add(std::size_t count, std::string text)
-    {
-        this->crowd.add(count,
-                        std::make_shared<const std::string>(std::move(text)));
-    }
-
-    /// Sends everything, and checks that the node survives it within its
-    /// limits and answers another caller while the crowd stays.
-    void check()
-    {
-        this->crowd.send_all();
-        process_support::child_process& node = this->fleet.process(0);
-        const bool answered = this->fleet.wait(
-            [this]
-            {
-                return this->fleet.call(0, "POST", "/plain/a", "after", "body")
-                           .status == 200;
-            });
-        std::printf("[crowd] peak %zu KiB, descriptors %zu, answered %d\n",
-                    node.peak_memory_bytes() / 1024, node.open_descriptors(),
-                    answered ? 1 : 0);
-        CHECK_FALSE(node.has_ended());
-        CHECK(node.peak_memory_bytes() < memory_mb * mebibyte);
-        CHECK(node.open_descriptors() < max_descriptors);
-        CHECK(answered);
-    }
-
-private:
-    relay_fleet fleet;
-    caller_crowd crowd;
-};
-
 void check_short_bodies(const std::string& path, std::size_t piece_bytes)
 {
     crowded_node node(piece_bytes);
     const std::size_t bytes = max_body - missing_bytes;
-    const std::string text = declared(path, bytes) + std::string(bytes, 'x');
+    const std::string text =
+        declared_head(path, bytes) + std::string(bytes, 'x');
     node.add(caller_count - complete_count,
              text.substr(0, text.size() - missing_bytes));
     node.add(complete_count, text);
     node.check();
 }
 
-void add_jobs(crowded_node& node)
-{
-    const std::string job = submission(max_body - missing_bytes);
-    for (std::size_t number = 0; number < caller_count; ++number)
-    {
-        node.add(1, declared("/batch/a", job.size(),
-                             "job" + std::to_string(number)) +
-                        job);
-    }
-}
-
 void check_large_chunks(const std::string& path)
 {
     constexpr std::size_t chunk_bytes = 64 * 1024;
@@ -196,7 +96,7 @@
 TEST(relay_caller_crowd, bodies_declared_over_the_limit)
 {
     crowded_node node(whole);
-    node.add(caller_count, declared("/plain/a", 900 * mebibyte) +
+    node.add(caller_count, declared_head("/plain/a", 900 * mebibyte) +
                                std::string(max_body - missing_bytes, 'x'));
     node.check();
 }
@@ -204,7 +104,7 @@
 TEST(relay_caller_crowd, bodies_sent_over_the_limit)
 {
     crowded_node node(whole);
-    node.add(caller_count, declared("/plain/a", over_limit) +
+    node.add(caller_count, declared_head("/plain/a", over_limit) +
                                std::string(over_limit - missing_bytes, 'x'));
     node.check();
 }
@@ -235,14 +135,14 @@
     crowded_node node(whole);
     const std::size_t bytes = max_body - missing_bytes;
     node.add(caller_count,
-             declared("/plain/a", bytes) + std::string(bytes, 'x'));
+             declared_head("/plain/a", bytes) + std::string(bytes, 'x'));
     node.check();
 }
 
 TEST(relay_caller_crowd, complete_jobs_at_once)
 {
     crowded_node node(whole);
-    add_jobs(node);
+    node.add_jobs(caller_count);
     node.check();
 }
 
@@ -250,8 +150,8 @@
 TEST(relay_caller_crowd, complete_jobs_with_a_silent_store)
 {
     crowded_node node(whole, true);
-    node.silence_store();
-    add_jobs(node);
+    node.set_store_silent(true);
+    node.add_jobs(caller_count);
     node.check();
 }
 
@@ -265,7 +165,7 @@
         job += "{},";
     }
     job += "{}]}";
-    node.add(8, declared("/batch/a", job.size()) + job);
+    node.add(8, declared_head("/batch/a", job.size()) + job);
     node.check();
 }
 
@@ -285,7 +185,7 @@
 {
     relay_fleet fleet(
         relay_fleet_options{.memory_mb = 88, .max_body_bytes = 4 * mebibyte});
-    const std::string body = submission(4 * mebibyte - missing_bytes);
+    const std::string body = large_submission(4 * mebibyte - missing_bytes);
     CHECK_EQUAL(202,
                 fleet.call(0, "POST", "/batch/jobs", "large-job", body).status);
     CHECK(fleet.process(0).peak_memory_bytes() < 88 * mebibyte);
--- a/tests/relay_support/caller_crowd.cpp
+++ b/tests/relay_support/caller_crowd.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -52,6 +53,7 @@
     for (std::size_t number = 0; number < count; ++number)
     {
         caller member{::socket(AF_INET, SOCK_STREAM, 0), text, 0};
+        this->bind_address(member.descriptor);
         this->callers.push_back(member);
         if (::connect(member.descriptor, reinterpret_cast<sockaddr*>(&target),
                       sizeof(target)) != 0)
@@ -63,6 +65,25 @@
     }
 }
 
+void caller_crowd::bind_address(int descriptor) const
+{
+    if (this->address_count == 1)
+    {
+        return;
+    }
+    constexpr std::uint32_t first_address = 0x7f000010;
+    sockaddr_in source{};
+    source.sin_family = AF_INET;
+    source.sin_addr.s_addr =
+        htonl(first_address + static_cast<std::uint32_t>(this->callers.size() %
+                                                         this->address_count));
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&source),
+               sizeof(source)) != 0)
+    {
+        throw std::runtime_error("cannot bind an address of the crowd");
+    }
+}
+
 void caller_crowd::send_all()
 {
     const time_point limit = net::event_loop::now() + send_timeout;
--- a/tests/relay_support/caller_crowd.hpp
+++ b/tests/relay_support/caller_crowd.hpp
@@ -24,6 +24,10 @@
     caller_crowd(const caller_crowd&) = delete;
     caller_crowd& operator=(const caller_crowd&) = delete;
 
+    /// Makes the callers added from now on connect from several client
+    /// addresses by turns; from one if this is not called.
+    void use_addresses(std::size_t count) { this->address_count = count; }
+
     /// Opens connections; throws if one cannot be opened.
     ///
     /// \param text What each of them sends, from the start of the request.
@@ -46,10 +50,12 @@
     /// \returns Bytes that the system holds for the node, sent or not.
     std::size_t unread_bytes() const;
     static bool reads_end(const caller& member);
+    void bind_address(int descriptor) const;
 
     net::event_loop& loop;
     endpoint node;
     std::size_t piece;
+    std::size_t address_count = 1;
     std::vector<caller> callers;
 };
 
--- a/tests/relay_support/relay_fleet.hpp
+++ b/tests/relay_support/relay_fleet.hpp
@@ -101,6 +101,16 @@
         return this->nodes.at(static_cast<std::size_t>(node)).front;
     }
 
+    const endpoint& ready_address(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).ready;
+    }
+
+    const endpoint& peer_address(int node) const
+    {
+        return this->nodes.at(static_cast<std::size_t>(node)).peer;
+    }
+
     const endpoint& metrics_address(int node) const
     {
         return this->nodes.at(static_cast<std::size_t>(node)).metrics;
