Return freed large blocks to the system at once

What callers saw: nothing of it by itself; a node of 64 MiB was over its memory in the third of three crowds that came one after the other, each of which it had borne (43,132, 60,988 and 72,544 KiB peak, bound 65,536).

Cause: the allocator raises the size from which it maps blocks by each mapped block that is freed, up to 32 MiB. The bodies of the next crowd then come from the heap, which cannot shrink below the last block in use. Evidence: with both thresholds fixed by MALLOC_MMAP_THRESHOLD_ and MALLOC_TRIM_THRESHOLD_ alone, the same test stays at 56,912 KiB.

Change: mallopt() fixes both at 128 KiB when the daemon starts. One arena alone (MALLOC_ARENA_MAX=1) added nothing (57,256).

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "net/event_loop.hpp"
 #include "platform/run_on_platform.hpp"
 #include "settings/settings_loader.hpp"
+#include "units/allocator.hpp"
 
 #include <gflags/gflags.h>
 
@@ -38,6 +39,7 @@
         return exit_usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    return_large_blocks_at_once();
     if (FLAGS_relay)
     {
         return platform::run_on_platform(FLAGS_settings);
