Close connections that send requests and do not read the responses

What callers saw: a node ends over its memory when callers send requests one after the other without reading what it answers (100 connections from eight addresses, 2 MiB of small requests each: 113,192 KiB, then 216,616 KiB resident while they stay; the node has 64 MiB).

Cause: all requests that one read brings are handled before any output is written, and each response of some 250 bytes takes a buffer of its own. The budget counts bytes, so 16 MiB of it stand for far more memory. Evidence: backtraces at the growth, all in http_server::dispatch under handle_readable, refusing one request after the other.

Change: a request is not accepted while more than 16 KiB of earlier responses wait; the connection is closed, counted as reads_nothing. A client that waits for a response before it sends the next request never meets this. Ruled out: a smaller share of the budget (it would bind bodies, too), reading less at once (a read brings 80 KiB of input, which heads need).

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -198,6 +198,12 @@
         // mix up responses, so the connection is closed.
         return EVHTP_RES_FATAL;
     }
+    if (this->reads_too_little())
+    {
+        this->owner.connections().count_refusal(caller_refusal::reads_nothing,
+                                                {}, duration::zero());
+        return EVHTP_RES_FATAL;
+    }
     this->current = std::make_shared<http_exchange>(
         request, read_head(request, this->target), this->owner.closing_flag());
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -79,6 +79,10 @@
     void read_target(evbuffer* input);
     bool may_read_head(evbuffer* input);
     bool is_over_body_limit(std::uint64_t bytes) const;
+    /// \returns Whether so much of earlier responses waits that the next
+    /// request is not accepted. Each small response takes far more memory than
+    /// its bytes, so that the budget does not bound them.
+    bool reads_too_little() const;
     bool may_run() const { return this->has_request && this->body_complete; }
     /// Drains the input of a refused request, up to a bound.
     void discard(evbuffer* input);
--- a/src/net/server_connection_limits.cpp
+++ b/src/net/server_connection_limits.cpp
@@ -131,6 +131,12 @@
     this->report_buffers(0);
 }
 
+bool server_connection::reads_too_little() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->link)) >
+           large_output_bytes;
+}
+
 void server_connection::report_buffers(std::size_t received)
 {
     const bool holds_body = this->current && this->current->is_open();
