Bound the unfinished messages at the address for nodes

What callers saw: a node, and a storage node, ends over its memory when strangers open connections to its address for other nodes and send the start of large messages (100 connections, 4 MiB each of an announced 16 MiB: peaks of 428,208 and 427,528 KiB at nodes of 64 MiB).

Cause: a message is buffered until it is complete, up to 32 MiB on each connection, and nothing bounds the sum.

Change: wire::detail::incoming_connections counts the unfinished bytes of all connections that others have opened in a net::body_budget of an eighth of node.memory_mb, as the front does for bodies: the connection with the least progress is closed, small messages have the last eighth. The largest message between nodes hands over a job of the body limit (4 MiB); the smallest instance (88 MB) has 11 MB. Ruled out: a lower limit of one message (the sum counts), accepting known nodes only (a node that starts is not known yet).

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/log.hpp"
 #include "logging/log_findings.hpp"
+#include "relay/peer_protection.hpp"
 #include "relay/relay_node_state.hpp"
 #include "settings/relay_settings_loader.hpp"
 #include "units/build_name.hpp"
@@ -25,6 +26,7 @@
 
 result<bool> relay_node::state::listen()
 {
+    this->peers.set_limits(peer_limits_for(this->settings.memory));
     const auto peer_port = this->peers.listen(this->settings.peer);
     if (peer_port.has_error())
     {
--- a/src/relay/storage_node.cpp
+++ b/src/relay/storage_node.cpp
@@ -1,6 +1,7 @@
 #include "relay/storage_node.hpp"
 
 #include "logging/log.hpp"
+#include "relay/peer_protection.hpp"
 #include "units/build_name.hpp"
 
 #include <csignal>
@@ -55,6 +56,7 @@
 
 result<bool> storage_node::start()
 {
+    this->peers.set_limits(peer_limits_for(this->settings.memory));
     const auto port = this->peers.listen(this->settings.peer);
     if (port.has_error())
     {
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -133,6 +133,8 @@
 {
     const auto self = this->shared_from_this();
     evbuffer* input = bufferevent_get_input(this->link.get());
+    const std::size_t arrived =
+        evbuffer_get_length(input) - this->unfinished_input;
     while (!this->closed && evbuffer_get_length(input) >= length_prefix_bytes)
     {
         std::uint32_t length = 0;
@@ -145,7 +147,7 @@
         }
         if (evbuffer_get_length(input) < length_prefix_bytes + length)
         {
-            return;
+            break;
         }
         evbuffer_drain(input, length_prefix_bytes);
         std::string bytes(length, '\0');
@@ -160,6 +162,12 @@
         }
         this->handle_frame(std::move(message.value()));
     }
+    if (!this->closed)
+    {
+        this->unfinished_input = evbuffer_get_length(input);
+        this->network.incoming_links().record_unfinished(
+            *this, this->unfinished_input, arrived, net::event_loop::now());
+    }
 }
 
 void peer_connection::handle_event(short events)
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -77,6 +77,8 @@
     std::map<std::int64_t, std::shared_ptr<peer_exchange>> exchanges;
     std::int64_t next_call_id = 1;
     std::string peer_address;
+    /// Bytes received of a message that has not arrived as a whole.
+    std::size_t unfinished_input = 0;
     bool connected = false;
     bool closed = false;
 };
--- /dev/null
+++ b/src/wire/peer_limits.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "units/numbers.hpp"
+
+namespace parsleytrack::wire
+{
+
+/// Limits of what others may make a node hold at its address for nodes, which
+/// strangers can reach, too. Zero means "no limit".
+struct peer_limits
+{
+    /// Bytes of messages that have not arrived as a whole, over all
+    /// connections.
+    byte_count unfinished_input;
+};
+
+} // namespace parsleytrack::wire
--- a/src/wire/peer_network.cpp
+++ b/src/wire/peer_network.cpp
@@ -103,9 +103,13 @@
     sockaddr_in bound = to_address(endpoint{address.host, port.value()});
     this->listener.reset(evconnlistener_new_bind(
         this->loop_handle.base(),
-        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr* source, int,
            void* argument)
-        { static_cast<peer_network*>(argument)->accept(descriptor); },
+        {
+            static_cast<peer_network*>(argument)->accept(
+                descriptor,
+                from_address(*reinterpret_cast<sockaddr_in*>(source)).host);
+        },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
         reinterpret_cast<sockaddr*>(&bound), sizeof(bound)));
     if (!this->listener)
@@ -178,16 +182,15 @@
     return connection;
 }
 
-void peer_network::accept(int descriptor)
+void peer_network::accept(int descriptor, const std::string& host)
 {
-    const auto connection =
-        std::make_shared<detail::peer_connection>(*this, descriptor);
-    this->incoming[connection.get()] = connection;
+    this->incoming.add(
+        std::make_shared<detail::peer_connection>(*this, descriptor), host);
 }
 
 void peer_network::handle_connection_closed(detail::peer_connection& connection)
 {
-    this->incoming.erase(&connection);
+    this->incoming.remove(connection);
     for (auto entry = this->outgoing.begin(); entry != this->outgoing.end();
          ++entry)
     {
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -3,10 +3,12 @@
 #include "net/event_loop.hpp"
 #include "units/endpoint.hpp"
 #include "units/result.hpp"
+#include "wire/incoming_connections.hpp"
 #include "wire/message_type.hpp"
 #include "wire/peer_call.hpp"
 #include "wire/peer_exchange.hpp"
 #include "wire/peer_lane.hpp"
+#include "wire/peer_limits.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -76,6 +78,12 @@
     /// \returns The port, or error_code::bad_settings.
     result<std::uint16_t> listen(const endpoint& address);
 
+    /// Bounds what others may make this node hold.
+    void set_limits(const peer_limits& chosen)
+    {
+        this->incoming.set_limits(chosen);
+    }
+
     /// Sets the handler for calls of a type, replacing any earlier one.
     void on_call(message_type type, call_handler handler);
 
@@ -113,13 +121,15 @@
     void dispatch(message_type type,
                   const std::shared_ptr<peer_exchange>& exchange);
     void handle_connection_closed(detail::peer_connection& connection);
+    detail::incoming_connections& incoming_links() { return this->incoming; }
     net::event_loop& loop() { return this->loop_handle; }
     traffic& mutable_counters() { return this->traffic_counters; }
 
 private:
     std::shared_ptr<detail::peer_connection> connect(const endpoint& target,
                                                      peer_lane lane);
-    void accept(int descriptor);
+    /// \param host Address of the other end without the port.
+    void accept(int descriptor, const std::string& host);
     void read_datagrams();
     result<std::uint16_t> try_listen(const endpoint& address);
     result<std::uint16_t> open_datagram_socket(const endpoint& address);
@@ -131,8 +141,7 @@
     std::map<std::pair<endpoint, peer_lane>,
              std::shared_ptr<detail::peer_connection>>
         outgoing;
-    std::map<detail::peer_connection*, std::shared_ptr<detail::peer_connection>>
-        incoming;
+    detail::incoming_connections incoming;
     std::unique_ptr<evconnlistener, detail::listener_deleter> listener;
     int datagram_socket = -1;
     event* datagram_event = nullptr;
--- a/tests/wire/peer_network_test.cpp
+++ b/tests/wire/peer_network_test.cpp
@@ -178,3 +178,50 @@
     CHECK(!bulk_ended);
     this->run_until([&] { return bulk_ended; });
 }
+
+// Guards against messages of nodes that are lost for the limit of unfinished
+// input, which only strangers meet.
+TEST(peer_network, a_large_message_arrives_within_the_limit)
+{
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    this->callee.set_limits({byte_count(8 * mebibyte)});
+    std::size_t received = 0;
+    this->callee.on_call(
+        any_type,
+        [&received](const std::shared_ptr<peer_exchange>& exchange)
+        {
+            received += exchange->request().size();
+            exchange->finish("done");
+        });
+    const std::string payload(6 * mebibyte, 'x');
+    for (int number = 0; number < 3; ++number)
+    {
+        this->outcome.reset();
+        const auto call = this->caller.call(this->address, any_type, payload,
+                                            duration::zero(),
+                                            {{},
+                                             [this](result<std::string> end)
+                                             {
+                                                 this->outcome = std::move(end);
+                                             }});
+        this->wait();
+        CHECK(this->outcome->has_value());
+    }
+    CHECK_EQUAL(3 * payload.size(), received);
+}
+
+TEST(peer_network, a_message_over_the_limit_ends_its_connection)
+{
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    this->callee.set_limits({byte_count(mebibyte)});
+    const std::string payload(6 * mebibyte, 'x');
+    const auto call =
+        this->caller.call(this->address, any_type, payload, duration::zero(),
+                          {{},
+                           [this](result<std::string> end)
+                           {
+                               this->outcome = std::move(end);
+                           }});
+    this->wait();
+    CHECK(this->outcome->has_error());
+}
