Bound the connections that others open to the address for nodes

What callers saw: no answer from a node to whose address for other nodes strangers have opened as many connections as it has descriptors (300 at a limit of 256: all 256 open, an ordinary request unanswered for 20 s, the processor busy).

Cause: the callers' addresses have a limit each, this one had none. Once descriptors run out, accept() fails again and again, and so does every connection to a replica or the store.

Change: at most a quarter of the descriptors; beyond it a connection that has never sent a whole message is closed, else the one unused for longest; one with an open call never is. A group of 390 nodes opens at most 780 connections to a node if each uses both lanes at once; the smallest instance accepts 768, and unused ones make room.

--- a/src/relay/caller_protection.cpp
+++ b/src/relay/caller_protection.cpp
@@ -1,6 +1,6 @@
 #include "relay/caller_protection.hpp"
 
-#include <sys/resource.h>
+#include "units/descriptor_limit.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Used where the system reports no limit of descriptors.
-constexpr std::size_t default_descriptors = 1024;
 /// Callers' part of the descriptors; the others serve replicas, nodes and the
 /// store.
 constexpr std::size_t front_parts = 2;
@@ -22,17 +20,6 @@
 /// Bodies of readiness, address and metrics requests are empty.
 constexpr byte_count max_small_body{64 * 1024};
 
-std::size_t descriptor_limit()
-{
-    rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-        limit.rlim_cur == RLIM_INFINITY)
-    {
-        return default_descriptors;
-    }
-    return static_cast<std::size_t>(limit.rlim_cur);
-}
-
 std::size_t connections_for(std::size_t parts)
 {
     return std::max(min_connections, descriptor_limit() / parts);
--- a/src/wire/peer_connection.cpp
+++ b/src/wire/peer_connection.cpp
@@ -160,6 +160,8 @@
             this->close(message.error().message);
             return;
         }
+        this->network.incoming_links().record_message(*this,
+                                                      net::event_loop::now());
         this->handle_frame(std::move(message.value()));
     }
     if (!this->closed)
--- a/src/wire/peer_connection.hpp
+++ b/src/wire/peer_connection.hpp
@@ -53,6 +53,9 @@
     /// Removes an incoming call whose response is complete.
     void remove_exchange(std::int64_t call_id);
 
+    /// \returns Whether a call of the other end has not been answered.
+    bool has_open_exchange() const { return !this->exchanges.empty(); }
+
     /// \returns Bytes that are buffered and not yet sent.
     std::size_t pending_output_bytes() const;
 
--- a/src/wire/peer_limits.hpp
+++ b/src/wire/peer_limits.hpp
@@ -2,6 +2,8 @@
 
 #include "units/numbers.hpp"
 
+#include <cstddef>
+
 namespace parsleytrack::wire
 {
 
@@ -12,6 +14,8 @@
     /// Bytes of messages that have not arrived as a whole, over all
     /// connections.
     byte_count unfinished_input;
+    /// Open connections that others have opened.
+    std::size_t connections = 0;
 };
 
 } // namespace parsleytrack::wire
--- a/src/wire/peer_network.cpp
+++ b/src/wire/peer_network.cpp
@@ -185,7 +185,8 @@
 void peer_network::accept(int descriptor, const std::string& host)
 {
     this->incoming.add(
-        std::make_shared<detail::peer_connection>(*this, descriptor), host);
+        std::make_shared<detail::peer_connection>(*this, descriptor), host,
+        net::event_loop::now());
 }
 
 void peer_network::handle_connection_closed(detail::peer_connection& connection)
--- a/tests/wire/peer_network_test.cpp
+++ b/tests/wire/peer_network_test.cpp
@@ -1,6 +1,9 @@
 #include "wire/peer_network.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <optional>
 #include <vector>
@@ -184,7 +187,7 @@
 TEST(peer_network, a_large_message_arrives_within_the_limit)
 {
     constexpr std::size_t mebibyte = 1024 * 1024;
-    this->callee.set_limits({byte_count(8 * mebibyte)});
+    this->callee.set_limits({byte_count(8 * mebibyte), 4});
     std::size_t received = 0;
     this->callee.on_call(
         any_type,
@@ -213,7 +216,7 @@
 TEST(peer_network, a_message_over_the_limit_ends_its_connection)
 {
     constexpr std::size_t mebibyte = 1024 * 1024;
-    this->callee.set_limits({byte_count(mebibyte)});
+    this->callee.set_limits({byte_count(mebibyte), 4});
     const std::string payload(6 * mebibyte, 'x');
     const auto call =
         this->caller.call(this->address, any_type, payload, duration::zero(),
@@ -225,3 +228,42 @@
     this->wait();
     CHECK(this->outcome->has_error());
 }
+
+// Guards against a node that is cut off from others because strangers have
+// opened all the connections that it accepts.
+TEST(peer_network, a_connection_in_use_outlasts_those_of_strangers)
+{
+    this->callee.set_limits({byte_count(), 3});
+    std::shared_ptr<peer_exchange> open_exchange;
+    this->callee.on_call(
+        any_type,
+        [&open_exchange](const std::shared_ptr<peer_exchange>& exchange)
+        { open_exchange = exchange; });
+    const auto call = this->call();
+    this->run_until([&open_exchange] { return open_exchange != nullptr; });
+    constexpr int stranger_count = 10;
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(this->address.port);
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    std::vector<int> strangers;
+    for (int number = 0; number < stranger_count; ++number)
+    {
+        strangers.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+        CHECK_EQUAL(0, ::connect(strangers.back(),
+                                 reinterpret_cast<sockaddr*>(&target),
+                                 sizeof(target)));
+        this->loop.run_for(std::chrono::milliseconds(5));
+    }
+    int closed = 0;
+    for (const int stranger : strangers)
+    {
+        char byte = 0;
+        closed += ::recv(stranger, &byte, 1, MSG_DONTWAIT) == 0 ? 1 : 0;
+        ::close(stranger);
+    }
+    CHECK_EQUAL(stranger_count - 2, closed);
+    open_exchange->finish("done");
+    this->wait();
+    CHECK(this->outcome->has_value());
+}
