Ignore the ends of runs that their job has given up

What callers saw: a node ended (std::out_of_range), with all requests that it had open, when a job was cancelled or lost while others of its items waited for slots.

Cause: return_running_items() destroys all runs one after the other, and the slot of the first goes at once to a run that waits and is destroyed next. If that run cannot use it, it reports its end, and handle_item_end() looks it up with at() in a table that has it no more.

Change: a run that is no longer in the table gets no leave to send, and its end is ignored. Both are needed: a slot can also be refused or taken back at that moment.

--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -155,8 +155,14 @@
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
                                 const std::string& reason, int max_failures)
 {
-    auto run = std::move(this->runs.at(item));
-    this->runs.erase(item);
+    const auto found = this->runs.find(item);
+    if (found == this->runs.end())
+    {
+        // See return_running_items(); the item has been returned.
+        return;
+    }
+    auto run = std::move(found->second);
+    this->runs.erase(found);
     const jobs::item_progress& known = this->progress.progress_of(item);
     const replica_id& replica = run->last_replica();
     const time_point now = net::event_loop::now();
@@ -248,6 +254,8 @@
 void job_owner::return_running_items()
 {
     this->unconfirmed_items.clear();
+    // The slot of a run that is destroyed here may go to one that is destroyed
+    // next, which must neither send its item nor report an end.
     for (const auto& [item, run] : std::exchange(this->runs, {}))
     {
         this->hold_unconfirmed(item, *run);
@@ -257,6 +265,10 @@
 
 std::optional<time_point> job_owner::may_send(std::size_t item)
 {
+    if (!this->runs.contains(item))
+    {
+        return std::nullopt;
+    }
     const auto limit = this->start_limit();
     if (!limit)
     {
