--- a/src/feeds/record_feed_sources.cpp
+++ b/src/feeds/record_feed_sources.cpp
@@ -156,7 +156,7 @@
         this->handle_confirmation();
         return;
     case feed_message::kind::last_known:
-        // The latter only answers a question of ask_another_node().
+        // Only answers a question of ask_another_node().
         return;
     case feed_message::kind::failing:
         this->source_failed = true;
--- a/tests/relay_process/crowd_port_test.cpp
+++ b/tests/relay_process/crowd_port_test.cpp
@@ -42,6 +42,20 @@
     rlimit before{};
 };
 
+constexpr rlim_t few_descriptors = 256;
+/// Connections of the tests in which descriptors count.
+constexpr std::size_t connection_count = 300;
+
+void restart_with_few_descriptors(relay_fleet& fleet)
+{
+    fleet.process(0).kill();
+    {
+        const descriptor_limit lowered(few_descriptors);
+        fleet.start(0);
+    }
+    fleet.wait_ready(0);
+}
+
 relay_fleet_options with_storage_node()
 {
     relay_fleet_options options = crowded_node::limited(false);
@@ -99,32 +113,18 @@
 // Connections that say nothing, and ones whose heads are not complete.
 TEST(relay_crowd_ports, more_connections_than_descriptors)
 {
-    constexpr rlim_t descriptors = 256;
-    constexpr std::size_t connections = 300;
     crowded_node node(whole);
-    node.fleet().process(0).kill();
-    {
-        const descriptor_limit lowered(descriptors);
-        node.fleet().start(0);
-    }
-    node.fleet().wait_ready(0);
-    node.add(connections / 2, "P");
-    node.add(connections / 2, "POST /plain/a HTTP/1.1\r\nHost: h\r\n");
+    restart_with_few_descriptors(node.fleet());
+    node.add(connection_count / 2, "P");
+    node.add(connection_count / 2, "POST /plain/a HTTP/1.1\r\nHost: h\r\n");
     node.check();
 }
 
 TEST(relay_crowd_ports, more_connections_than_descriptors_of_nodes)
 {
-    constexpr rlim_t descriptors = 256;
-    constexpr std::size_t connections = 300;
     crowded_node node(whole);
-    node.fleet().process(0).kill();
-    {
-        const descriptor_limit lowered(descriptors);
-        node.fleet().start(0);
-    }
-    node.fleet().wait_ready(0);
+    restart_with_few_descriptors(node.fleet());
     node.aim_at(node.fleet().peer_address(0));
-    node.add(connections, std::string("\x01", 1));
+    node.add(connection_count, std::string("\x01", 1));
     node.check();
 }
