--- a/src/wire/incoming_connections.hpp
+++ b/src/wire/incoming_connections.hpp
@@ -15,8 +15,9 @@
 class peer_connection;
 
 /// The connections that others have opened to this node, within limits. When
-/// one is exceeded, a connection is closed that has never sent a whole message
-/// or, for want of one, the longest unused connection.
+/// there are too many, one is closed that has never sent a whole message or,
+/// for want of one, the longest unused connection. When too many bytes of
+/// unfinished messages wait, the connection with the least progress is closed.
 class incoming_connections
 {
 public:
--- a/tests/relay_process/crowd_port_test.cpp
+++ b/tests/relay_process/crowd_port_test.cpp
@@ -118,6 +118,7 @@
     node.add(connection_count / 2, "P");
     node.add(connection_count / 2, "POST /plain/a HTTP/1.1\r\nHost: h\r\n");
     node.check();
+    CHECK(node.fleet().process(0).open_descriptors() < few_descriptors);
 }
 
 TEST(relay_crowd_ports, more_connections_than_descriptors_of_nodes)
@@ -127,4 +128,5 @@
     node.aim_at(node.fleet().peer_address(0));
     node.add(connection_count, std::string("\x01", 1));
     node.check();
+    CHECK(node.fleet().process(0).open_descriptors() < few_descriptors);
 }
