--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -119,7 +119,8 @@
 
     def put(self, key, value):
         self.revision += 1
-        self._write(key, value if isinstance(value, bytes) else value.encode())
+        value = value if isinstance(value, bytes) else value.encode()
+        self._write(key, base64.b64encode(value).decode())
         self._notify()
 
     def erase(self, key):
@@ -128,8 +129,9 @@
         self._notify()
 
     def _write(self, key, value):
+        """Writes a value in base64."""
         created = self.items[key]["createRev"] if key in self.items else self.revision
-        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
+        self.items[key] = {"key": key, "value": value,
                            "revision": self.revision, "createRev": created, "lease": 0}
         self.changes.append((self.revision, key, dict(self.items[key])))
 
@@ -218,7 +220,7 @@
             holds = holds and (item["revision"] if item else 0) == row["revision"]
             if item:
                 current.append(item)
-        if any(len(base64.b64decode(put["value"])) > self.VALUE_BYTES
+        if any(len(put["value"]) * 3 // 4 > self.VALUE_BYTES
                for put in change.get("puts", [])):
             await connection.answer_json(400, {})
             return
@@ -227,7 +229,7 @@
             return
         self.revision += 1
         for put in change.get("puts", []):
-            self._write(put["key"], base64.b64decode(put["value"]))
+            self._write(put["key"], put["value"])
         for key in change.get("deletes", []):
             self._delete(key)
         self._notify()
@@ -553,6 +555,12 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("the disruption is " + ("on" if trouble else "off"))
     loop = asyncio.new_event_loop()
+
+    def end(*_):
+        raise KeyboardInterrupt
+
+    # So that the nodes end with the case.
+    signal.signal(signal.SIGTERM, end)
     try:
         broken = loop.run_until_complete(
             asyncio.wait_for(scenario(record, trouble), 110))
