--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -101,6 +101,7 @@
     """The platform's store, as PROTOCOL.md describes it."""
 
     VALUE_BYTES = 1048576
+    PAGE_BYTES = 1_000_000
 
     def __init__(self, record):
         self.record = record
@@ -178,7 +179,13 @@
         elif url.path == "/v1/kv-range":
             keys = sorted(k for k in self.items
                           if k.startswith(query["prefix"]) and k > query.get("after", ""))
-            page = keys[:500]
+            page = []
+            size = 0
+            for key in keys[:500]:
+                size += len(self.items[key]["value"]) * 3 // 4
+                if page and size > self.PAGE_BYTES:
+                    break
+                page.append(key)
             await connection.answer_json(200, {
                 "items": [self.items[k] for k in page],
                 "truncated": len(keys) > len(page), "currentRev": self.revision})
