Let work that waits follow its route to another service

Cause: an owner reads the route once, when it starts an item. The request for a slot names the service that the route had then and waits without an end, also at a pool without replicas; the item counts as running, and nothing looks at the configuration again.

Evidence: owners now log items_waiting (job, items, longest wait, service, configuration, replicas). Ruled out: requests lost by the broker, and items that pause.

A run whose service, priority or due time has changed asks for a slot anew; any other keeps its place. The same class on related paths: items of a split route whose first service has no replica, the number of attempts of items that wait, online requests that wait (they follow the route, or are refused at once if no replica can serve them).

Why it works: no wait outlives the decision that it was begun by, whichever broker holds the request, and no grant that is on its way is used by it.

--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -63,24 +63,22 @@
 item_run::item_run(const relay_context& node, slot_client& slot_source,
                    const jobs::job_item& run_item, std::string run_host,
                    workspace_name run_workspace,
-                   jobs::item_progress& known_progress, send_check check,
-                   end_callback on_end)
+                   jobs::item_progress& known_progress, callbacks run_listener)
     : context(node), slots(slot_source), item(run_item),
       host(std::move(run_host)), workspace(std::move(run_workspace)),
-      progress(known_progress), may_send(std::move(check)),
-      ended_callback(std::move(on_end)),
+      progress(known_progress), listener(std::move(run_listener)),
       traits(node.adapter.parse_prompt_parts(run_item.headers)),
       sequence(event_numbering::consecutive, known_progress.last_event),
       limit(node.adapter.parse_output_tokens(run_item.headers))
 {
 }
 
-void item_run::start(const service_name& name, int route_priority,
-                     duration due_in, std::set<replica_id> avoided)
+void item_run::start(item_assignment given, duration due_in,
+                     std::set<replica_id> avoided)
 {
-    this->service = name;
-    this->priority = route_priority;
-    this->due = net::event_loop::now() + due_in;
+    this->assigned = std::move(given);
+    this->started = net::event_loop::now();
+    this->due = this->started + due_in;
     // Earlier versions accepted items that cannot be sent as they are.
     if (const auto problem =
             check_item(this->item, this->context.adapter.headers()))
@@ -121,9 +119,9 @@
 {
     slot_request order;
     order.request = request_id(this->item.id);
-    order.pool.service = this->service;
+    order.pool.service = this->assigned.service;
     order.kind = work_class::batch;
-    order.priority = this->priority;
+    order.priority = this->assigned.priority;
     order.workspace = this->workspace;
     order.useful_for = this->due - net::event_loop::now();
     order.wait_when_late = true;
@@ -157,7 +155,7 @@
 void item_run::handle_grant(const replica_id& granted)
 {
     this->exclusion_timer.cancel();
-    if (const auto send_by = this->may_send())
+    if (const auto send_by = this->listener.may_send())
     {
         this->send(granted, *send_by);
         return;
@@ -199,6 +197,12 @@
         this->finish(item_run_result::interrupted, "the replica has left");
         return;
     }
+    if (!this->listener.keeps_service())
+    {
+        this->finish(item_run_result::interrupted,
+                     "the route has left the service");
+        return;
+    }
     if (this->context.crashes.rejection(request_id(this->item.id),
                                         this->traits))
     {
@@ -247,11 +251,12 @@
     replica_exchange::callbacks hooks;
     hooks.on_leaving = [this]
     {
-        this->slots.report_leaving(this->service, this->replica);
+        this->slots.report_leaving(this->assigned.service, this->replica);
     };
     hooks.on_limit = [this](const routing::limit_observation& observation)
     {
-        this->slots.report_limit(this->service, this->replica, observation);
+        this->slots.report_limit(this->assigned.service, this->replica,
+                                 observation);
     };
     hooks.on_head = [this](const net::http_response& head)
     {
@@ -304,9 +309,10 @@
     {
         this->context.crashes.handle_lost_item(request_id(this->item.id));
     }
-    this->slots.report_failure(
-        request_id(this->item.id), this->service, this->replica, outcome,
-        this->attempt->was_cut() || outcome == attempt_outcome::not_sent);
+    this->slots.report_failure(request_id(this->item.id),
+                               this->assigned.service, this->replica, outcome,
+                               this->attempt->was_cut() ||
+                                   outcome == attempt_outcome::not_sent);
     this->finish(result_of(outcome, response.status), reason);
 }
 
@@ -321,7 +327,7 @@
         this->context.loop.free_later(std::move(this->attempt));
     }
     this->lease.reset();
-    const auto callback = std::move(this->ended_callback);
+    const auto callback = std::move(this->listener.on_end);
     callback(end, reason);
 }
 
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -41,6 +41,19 @@
     interrupted
 };
 
+/// What a run is given by the configuration.
+struct item_assignment
+{
+    /// Service whose replicas may run the item.
+    service_name service;
+    /// Priority among all work of the service.
+    int priority = 0;
+    /// Time from the job's submission until the result is due.
+    duration run_target = duration::zero();
+    /// The configuration that these are from.
+    configuration_version version;
+};
+
 /// One run of an item on one replica, from the slot request to the end of the
 /// response. Destroying it aborts the run.
 class item_run
@@ -59,6 +72,18 @@
     /// \returns The latest time at which it may be sent. If absent,
     /// handle_confirmation() is called once that is known.
     using send_check = std::function<std::optional<time_point>()>;
+    /// Asked at the same moment.
+    ///
+    /// \returns Whether the item may run at the service that it was given.
+    using service_check = std::function<bool()>;
+
+    struct callbacks
+    {
+        send_check may_send;
+        service_check keeps_service;
+        /// Called once, never from the constructor; may destroy the run.
+        end_callback on_end;
+    };
 
     /// \param node Outlives this object.
     /// \param slot_source Outlives this object.
@@ -67,23 +92,26 @@
     /// \param workspace Whose item it is; empty if there are no workspaces.
     /// \param progress Progress to resume from, extended by this run; outlives
     /// this object.
-    /// \param may_send Asked before the item is sent.
-    /// \param on_end Called once, never from the constructor; may destroy this
-    /// object.
     item_run(const relay_context& node, slot_client& slot_source,
              const jobs::job_item& run_item, std::string host,
              workspace_name workspace, jobs::item_progress& progress,
-             send_check may_send, end_callback on_end);
+             callbacks listener);
 
-    /// \param service Service whose replicas may run the item.
-    /// \param priority Priority among all work of the service.
     /// \param due_in Time until the result is due.
     /// \param avoided Replicas at which it must not run. If no other has a slot
     /// for a while, the run ends as interrupted, so that they may be chosen
     /// anew.
-    void start(const service_name& service, int priority, duration due_in,
+    void start(item_assignment assigned, duration due_in,
                std::set<replica_id> avoided);
 
+    const item_assignment& assignment() const { return this->assigned; }
+
+    /// \returns Whether the item has not been sent to a replica in this run.
+    bool is_waiting() const { return !this->began; }
+
+    /// \returns When this run was started.
+    time_point started_at() const { return this->started; }
+
     /// Goes on after a send_check that could not be answered at once.
     ///
     /// \param send_by The latest time at which the item may be sent; absent if
@@ -141,16 +169,15 @@
     std::string host;
     workspace_name workspace;
     jobs::item_progress& progress;
-    send_check may_send;
-    end_callback ended_callback;
+    callbacks listener;
     /// The parts of the prompt, which online requests may have shown to crash
     /// replicas. Losses under items show nothing: items never crash replicas by
     /// themselves.
     std::vector<request_trait> traits;
     /// The granted replica while the item must not be sent yet.
     replica_id granted_replica;
-    service_name service;
-    int priority = 0;
+    item_assignment assigned;
+    time_point started;
     time_point due;
     std::set<replica_id> excluded;
     /// The replica of the current attempt, or else of the last one.
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -74,7 +74,7 @@
         return;
     }
     const jobs::job_input& input = this->owned.input();
-    const routing::route* route = table->find_by_name(input.route_name);
+    const routing::route* route = this->current_route();
     const bool expired = route != nullptr &&
                          route->retention > duration::zero() &&
                          this->age() > route->retention;
@@ -98,6 +98,9 @@
     {
         this->save_progress();
     }
+    this->run_target = route->run_target;
+    this->max_failures = route->max_attempts;
+    this->log_waiting_runs();
     const time_point now = net::event_loop::now();
     while (this->runs.size() < max_runs)
     {
@@ -109,7 +112,7 @@
             this->schedule_start();
             return;
         }
-        this->start_item(*item, *route);
+        this->start_item(*item, this->assign(*route));
     }
 }
 
@@ -123,37 +126,30 @@
     }
 }
 
-void job_owner::start_item(std::size_t item, const routing::route& route)
+void job_owner::start_item(std::size_t item, const item_assignment& assignment)
 {
     const jobs::job_input& input = this->owned.input();
-    this->run_target = route.run_target;
     this->confirm_version(item);
-    const service_name& service = route.services.front().service;
+    const service_name& service = assignment.service;
     const std::set<replica_id> usable = this->usable_replicas(item, service);
     auto run = std::make_unique<item_run>(
         this->context, this->slots, input.items[item], input.host,
         input.workspace, this->progress.progress_of(item),
-        [this, item] { return this->may_send(item); },
-        [this, item, max_failures = route.max_attempts](
-            item_run_result end, const std::string& reason)
-        { this->handle_item_end(item, end, reason, max_failures); });
+        item_run::callbacks{
+            [this, item] { return this->may_send(item); },
+            [this, item] { return this->keeps_service(item); },
+            [this, item](item_run_result end, const std::string& reason)
+            {
+                this->handle_item_end(item, end, reason);
+            }});
     item_run& started = *run;
     this->runs[item] = std::move(run);
-    started.start(service, this->priority_on(route), this->due_in(),
+    started.start(assignment, this->due_in(),
                   this->avoided_replicas(item, service, usable));
 }
 
-int job_owner::priority_on(const routing::route& route) const
-{
-    const auto table = this->context.configuration.current();
-    const workspaces::workspace* workspace =
-        table->contents().workspaces.find(this->owned.input().workspace);
-    return workspace == nullptr ? route.priority
-                                : workspace->priority_or(route.priority);
-}
-
 void job_owner::handle_item_end(std::size_t item, item_run_result end,
-                                const std::string& reason, int max_failures)
+                                const std::string& reason)
 {
     const auto found = this->runs.find(item);
     if (found == this->runs.end())
@@ -182,7 +178,7 @@
     case item_run_result::failed:
         outcome = "failed";
         this->retries.record_error(item, replica, now);
-        if (this->owned.fail_item(item, max_failures))
+        if (this->owned.fail_item(item, this->max_failures))
         {
             outcome = "given_up";
             this->forget(item);
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -47,6 +47,11 @@
     /// it has expired or its route was removed. To be called periodically.
     void start_items();
 
+    /// Applies a change of the configuration or of the list of replicas: a run
+    /// that waits for a slot ends, and begins anew, if its item would now be
+    /// given another service, priority or due time.
+    void review_waiting_runs();
+
     /// Called when the next owner of a job is written.
     using handed_over_callback =
         std::function<void(const node_info& next, store_revision revision)>;
@@ -94,10 +99,21 @@
     /// confirms.
     void confirm_outcomes(time_point sent);
     void fail_unconfirmed();
-    void start_item(std::size_t item, const routing::route& route);
+    void start_item(std::size_t item, const item_assignment& assignment);
+    /// \returns The job's route in the current configuration; null if there is
+    /// none.
+    const routing::route* current_route() const;
+    /// \returns What an item of the job is given now.
+    item_assignment assign(const routing::route& route) const;
     /// \returns The priority of the job's items: its workspace's or the
     /// route's.
     int priority_on(const routing::route& route) const;
+    /// \returns Whether an item that has a slot may be sent to its service.
+    bool keeps_service(std::size_t item) const;
+    /// \returns Whether a run that waits has what its item is given now.
+    bool is_up_to_date(const item_run& run, const routing::route& route) const;
+    /// Logs for how long items have waited for a slot, and where.
+    void log_waiting_runs();
     /// \param usable The replicas that may run the item.
     /// \returns Those at which it must not run now.
     std::set<replica_id> avoided_replicas(std::size_t item,
@@ -128,7 +144,7 @@
     /// Calls start_items() when the next item that pauses may start.
     void schedule_start();
     void handle_item_end(std::size_t item, item_run_result end,
-                         const std::string& reason, int max_failures);
+                         const std::string& reason);
     void log_run_end(std::size_t item, const item_run& run, const char* outcome,
                      const std::string& reason) const;
     /// \returns The latest time at which the item may be sent to a replica; if
@@ -189,6 +205,9 @@
     net::timer state_timer;
     /// Time from submission until the job is due, from the newest route seen.
     duration run_target = duration::zero();
+    /// Failures after which an item is given up, from the same route.
+    int max_failures = 1;
+    time_point waiting_logged_at;
     bool commit_is_scheduled = false;
     net::timer commit_timer;
     net::timer retry_timer;
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -30,10 +30,6 @@
 /// How long the age of a job is remembered after the job was last seen in the
 /// store, which may be unreachable meanwhile.
 constexpr duration unobserved_age_retention = std::chrono::minutes(10);
-/// How long the node's links to the replicas may be lost before its jobs move.
-constexpr duration handover_delay = std::chrono::seconds(1);
-/// Longer than the writes that hand a job over are retried.
-constexpr duration handover_timeout = std::chrono::seconds(30);
 
 /// One part of the memory in this many is for submissions in progress. Those
 /// that arrive within the time until a submission is given up fit in, at five
@@ -95,6 +91,8 @@
     this->context.link.on_change(
         [this](bool reaches_replicas)
         { this->handle_link_change(reaches_replicas); });
+    this->context.configuration.on_change([this] { this->schedule_review(); });
+    this->context.replicas.on_change([this] { this->schedule_review(); });
 }
 
 void job_service::submit(
@@ -322,67 +320,4 @@
                   });
 }
 
-void job_service::hand_over_jobs()
-{
-    for (auto entry = this->owned.begin(); entry != this->owned.end();)
-    {
-        const auto& [id, owner] = *entry;
-        const node_info& next = preferred_owner(this->context.group, id);
-        if (owner->job().state().is_finished() ||
-            next.id == this->context.group.own().id)
-        {
-            ++entry;
-            continue;
-        }
-        owner->stop(next, [this, id = id](const node_info& target,
-                                          store_revision revision)
-                    { this->peers.notify(target, id, revision); });
-        this->handed_over.push_back(std::move(entry->second));
-        this->evict_at.erase(id);
-        entry = this->owned.erase(entry);
-    }
-    this->handover_timer = this->context.loop.call_after(
-        handover_timeout, [this] { this->handed_over.clear(); });
-}
-
-void job_service::handle_link_change(bool reaches_replicas)
-{
-    if (this->stopped)
-    {
-        return;
-    }
-    if (reaches_replicas)
-    {
-        this->handover_timer = this->context.loop.call_after(
-            handover_timeout, [this] { this->handed_over.clear(); });
-        for (auto& [id, owner] : this->owned)
-        {
-            owner->start_items();
-        }
-        return;
-    }
-    this->handover_timer = this->context.loop.call_after(
-        handover_delay, [this] { this->hand_over_jobs(); });
-}
-
-void job_service::stop()
-{
-    this->stopped = true;
-    this->handover_timer.cancel();
-    this->takeover.stop();
-    for (auto& [id, owner] : this->owned)
-    {
-        const node_info& next = preferred_owner(this->context.group, id);
-        const bool has_next = next.id != this->context.group.own().id;
-        owner->stop(
-            has_next ? std::optional<node_info>(next) : std::nullopt,
-            [this, id = id](const node_info& target, store_revision revision)
-            { this->peers.notify(target, id, revision); });
-        this->handed_over.push_back(std::move(owner));
-    }
-    // Other nodes run these jobs now and have their latest results.
-    this->owned.clear();
-    this->evict_at.clear();
-}
-
 } // namespace parsleytrack::relay
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -80,6 +80,8 @@
     /// Hands the jobs over whose items this node cannot run.
     void hand_over_jobs();
     void handle_link_change(bool reaches_replicas);
+    /// Reviews what waits in all jobs, once for all changes so far.
+    void schedule_review();
 
     const relay_context& context;
     slot_client& slots;
@@ -100,6 +102,7 @@
     /// When to evict a finished job from memory; it stays in the store.
     std::map<job_id, time_point> evict_at;
     net::timer periodic_timer;
+    bool review_is_scheduled = false;
     bool stopped = false;
 };
 
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -3,9 +3,9 @@
 #include "relay/caller_authorization.hpp"
 #include "relay/replica_request.hpp"
 #include "relay/request_content.hpp"
+#include "routing/service_choice.hpp"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -36,15 +36,9 @@
     const net::http_request_head& head = this->exchange->head();
     this->traits = this->context.adapter.parse_prompt_parts(head.headers);
     this->traits.push_back(content_trait(head, this->request.body));
-    const auto& choices = this->request.route->services;
-    std::vector<int> weights;
-    for (const routing::weighted_service& choice : choices)
-    {
-        weights.push_back(choice.weight);
-    }
-    std::discrete_distribution<std::size_t> draw(weights.begin(),
-                                                 weights.end());
-    this->service = choices.at(draw(this->context.random)).service;
+    this->service = routing::draw_service(*this->request.route,
+                                          this->context.replicas.registry(),
+                                          this->context.random);
     this->exchange->on_closed(
         [this]
         {
@@ -94,7 +88,7 @@
 
 void online_call::request_slot()
 {
-    if (this->reject_if_blocked())
+    if (this->reject_if_blocked() || !this->follow_route())
     {
         return;
     }
@@ -188,6 +182,17 @@
         this->relay();
         return;
     }
+    const service_name granted_service = this->service;
+    if (!this->follow_route())
+    {
+        return;
+    }
+    if (this->service != granted_service)
+    {
+        this->lease.reset();
+        this->request_slot();
+        return;
+    }
     const routing::replica_entry* entry =
         this->context.replicas.registry().find_usable(granted);
     const bool fits = entry != nullptr &&
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -44,7 +44,20 @@
 
     void start();
 
+    /// Applies a change of the configuration or of the list of replicas: a
+    /// request that waits for a slot of a service that its route has left waits
+    /// for one of another service, or ends if no replica will serve it.
+    void review_service();
+
 private:
+    /// Gives the request another service if its route has left the one that it
+    /// has, unless that has begun the stream.
+    ///
+    /// \returns Whether the call goes on.
+    bool follow_route();
+    /// \returns The route that the current configuration has for the request;
+    /// null if there is none of its kind.
+    const routing::route* current_route() const;
     /// Rejects the request if replicas crash under it or a part of its prompt.
     ///
     /// \returns Whether it was rejected.
--- a/src/relay/online_service.cpp
+++ b/src/relay/online_service.cpp
@@ -62,6 +62,26 @@
                                slot_client& slot_source)
     : context(node), slots(slot_source)
 {
+    this->context.configuration.on_change([this] { this->schedule_review(); });
+    this->context.replicas.on_change([this] { this->schedule_review(); });
+}
+
+void online_service::schedule_review()
+{
+    if (std::exchange(this->review_is_scheduled, true))
+    {
+        return;
+    }
+    // A change may come up while a call handles a response.
+    this->context.loop.post(
+        [this]
+        {
+            this->review_is_scheduled = false;
+            for (const auto& [number, call] : this->calls)
+            {
+                call->review_service();
+            }
+        });
 }
 
 void online_service::handle_request(
--- a/src/relay/online_service.hpp
+++ b/src/relay/online_service.hpp
@@ -41,12 +41,16 @@
 private:
     void start(const std::shared_ptr<net::http_exchange>& exchange,
                online_request request);
+    /// Reviews the services of all waiting requests, once for all changes so
+    /// far.
+    void schedule_review();
 
     const relay_context& context;
     slot_client& slots;
     std::map<std::uint64_t, std::unique_ptr<online_call>> calls;
     caller_wait_estimator wait_estimator;
     std::uint64_t next_number = 1;
+    bool review_is_scheduled = false;
 };
 
 } // namespace parsleytrack::relay
--- a/src/routing/replica_registry.cpp
+++ b/src/routing/replica_registry.cpp
@@ -105,6 +105,15 @@
     return found;
 }
 
+bool replica_registry::has_usable(const service_name& name) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(),
+                       [this, &name](const auto& known) {
+                           return known.second.service == name &&
+                                  this->is_usable(known.second);
+                       });
+}
+
 bool replica_registry::has_usable(const service_name& name,
                                   const software_version& version,
                                   const std::set<replica_id>& excluded) const
--- a/src/routing/replica_registry.hpp
+++ b/src/routing/replica_registry.hpp
@@ -63,6 +63,9 @@
     /// \returns The replicas of a service that may get new requests.
     std::vector<const replica_entry*> usable(const service_name& name) const;
 
+    /// \returns Whether a replica of the service may get new requests.
+    bool has_usable(const service_name& name) const;
+
     /// \param excluded Replicas that do not count.
     /// \returns Whether a replica of the version may get new requests.
     bool has_usable(const service_name& name, const software_version& version,
