Run no item by an older configuration than its job was accepted by

Cause: the record of a job names the version of its acceptance, but an owner waited for that version only if its own has no route of that name. Where the route had moved, the older one was used. What later owners knew was not recorded.

Change: an owner starts no item while its configuration is older than that of the acceptance or than the newest one that an owner had when it wrote the record (node_job_state.configuration, optional; builds before ignore it and lose it when they write the record).

Evidence: with the store of one of two nodes blocked, three of eight items that were accepted by the next version ran at the service before.

Why it works: the owner's version only grows, and the wait ends with the first configuration that is as new as the record.

Test: an_owner_waits_for_the_configuration_of_the_acceptance failed before (3 runs at the service before instead of 0) and passes now, as do the tests of relay_later_routes.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -95,6 +95,7 @@
     {
         message.__set_workspace(state.workspace.str());
     }
+    message.__set_configuration(state.configuration.count());
     for (const item_outcome& outcome : state.outcomes)
     {
         wire::node_job_outcome& entry = message.outcomes.emplace_back();
@@ -126,6 +127,7 @@
     state.item_count = static_cast<std::size_t>(read.item_count);
     state.waiting_tokens = token_count(read.waiting_tokens);
     state.workspace = workspace_name(read.workspace);
+    state.configuration = configuration_version(read.configuration);
     state.age = std::max<duration>(duration::zero(),
                                    std::chrono::milliseconds(read.age_ms));
     for (const wire::node_job_outcome& entry : read.outcomes)
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -45,6 +45,9 @@
     token_count waiting_tokens;
     /// Whose job it is; empty if the configuration had no workspaces.
     workspace_name workspace;
+    /// The newest version of the configuration that an owner has known; 0 in
+    /// records of earlier releases.
+    configuration_version configuration;
 
     bool is_finished() const
     {
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -6,6 +6,7 @@
 #include "jobs/job_state.hpp"
 #include "units/numbers.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -33,6 +34,14 @@
     const job_state& state() const { return this->committed; }
     store_revision revision() const { return this->committed_revision; }
 
+    /// \returns The newest configuration by which the job was accepted or that
+    /// an owner has known. Items must not be run by an older one.
+    configuration_version newest_configuration() const
+    {
+        return std::max(this->submitted.accepted_by,
+                        this->committed.configuration);
+    }
+
     /// Marks the next waiting item as running.
     ///
     /// \param may_start Whether an item may start now; all may if it is empty.
--- a/src/relay/job_acceptor.cpp
+++ b/src/relay/job_acceptor.cpp
@@ -62,6 +62,7 @@
     state.id = entry->input->id;
     state.route_name = entry->input->route_name;
     state.workspace = entry->input->workspace;
+    state.configuration = entry->input->accepted_by;
     state.owner = owner.id;
     state.owner_process = owner.process;
     state.submitted_at_ms = entry->input->submitted_at_ms;
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -78,9 +78,10 @@
     const bool expired = route != nullptr &&
                          route->retention > duration::zero() &&
                          this->age() > route->retention;
-    if (route == nullptr && table->contents().version < input.accepted_by)
+    if (table->contents().version < this->owned.newest_configuration())
     {
-        // The configuration by which the job was accepted has not arrived yet.
+        // The configuration by which the job was accepted, or that its last
+        // owner had, has not arrived yet.
         return;
     }
     if (route == nullptr || expired)
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -167,6 +167,8 @@
     duration age() const;
     duration due_in() const;
     void save_progress();
+    /// \returns The newest configuration that any owner has known.
+    configuration_version newest_configuration() const;
     /// Applies the job's record among those of a conflict.
     void
     apply_newer_state(const std::vector<key_value::stored_record>& current);
--- a/src/relay/job_owner_assignment.cpp
+++ b/src/relay/job_owner_assignment.cpp
@@ -26,6 +26,13 @@
                  : nullptr;
 }
 
+configuration_version job_owner::newest_configuration() const
+{
+    const auto table = this->context.configuration.current();
+    const configuration_version known = this->owned.newest_configuration();
+    return table ? std::max(known, table->contents().version) : known;
+}
+
 item_assignment job_owner::assign(const routing::route& route) const
 {
     item_assignment given;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -45,6 +45,7 @@
     commit.state.owner = this->next_owner->id;
     commit.state.owner_process = this->next_owner->process;
     commit.state.age = this->age();
+    commit.state.configuration = this->newest_configuration();
     const token_count remaining =
         std::max(token_count(0), usage.waiting - commit.released_tokens);
     auto transaction =
@@ -106,6 +107,7 @@
         return;
     }
     commit->state.age = this->age();
+    commit->state.configuration = this->newest_configuration();
     const token_count remaining =
         std::max(token_count(0), usage.waiting - commit->released_tokens);
     auto transaction = transaction_of(
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -53,6 +53,8 @@
   10: i64 age_ms;
   // The workspace that submitted the job; absent if there were none.
   11: optional string workspace;
+  // The newest version of the configuration that an owner has known.
+  12: optional i64 configuration;
 }
 
 // Tokens of accepted items without an outcome, over all jobs of a route, or
--- a/tests/relay_process/moved_route_test.cpp
+++ b/tests/relay_process/moved_route_test.cpp
@@ -136,6 +136,29 @@
     CHECK_EQUAL(sent, world.before().arrivals.size());
 }
 
+// Guards against items that are sent by the configuration of an owner that
+// knows an older one than the node that has accepted the job.
+TEST(relay_moved_routes, an_owner_waits_for_the_configuration_of_the_acceptance)
+{
+    two_services world({.node_count = 2, .has_proxies = true});
+    world.fleet.store_proxies[1]->set_fault(fault_proxy::fault::blocked);
+    world.set_services(batch_route, {{"service", "other"}});
+    world.fleet.run_for(std::chrono::milliseconds(500));
+    for (int number = 0; number < 8; ++number)
+    {
+        const std::string job = "job" + std::to_string(number);
+        CHECK_EQUAL(202, world.fleet.submit(0, job, 1).status);
+    }
+    world.fleet.run_for(std::chrono::seconds(1));
+    world.fleet.store_proxies[1]->set_fault(fault_proxy::fault::none);
+    for (int number = 0; number < 8; ++number)
+    {
+        CHECK_EQUAL(
+            1, world.fleet.results(0, "job" + std::to_string(number)).size());
+    }
+    CHECK_EQUAL(0, world.before().run_count);
+}
+
 // Guards against items that go back to the front of a move that was taken back.
 TEST(relay_moved_routes, a_move_there_and_back_loses_no_item)
 {
