Let reads of a job hold what they return, at any number of readers

Cause: a node that does not run the job listed all of its results in the store for each read, whatever its position, decoded them all, and gave one page. Nothing bounded how many reads did so at a time. Bodies of items (the whole input for each) and pages that the owner gives to other nodes (all that were asked for waited on one connection) have the same cause: memory that a caller can ask for without a bound.

Evidence: 100 callers at a node of 64 MB took it to 366 MB at one position, 0.2 MB each, and to 384 MB at 100 positions, 1 MB each; the callers had read their responses, so that it depends on what a job holds and not on what is returned. Bodies: 140 MB. Ruled out: responses that nobody reads, and copies that the owner makes.

Change: a read takes one page of the store's listing from its position on (record_client::list_page). job_record_reader has one read of a job's results and one of its input under way, which answers all requests that it brings something for. read_admission bounds the reads under way by an eighth of the memory; others wait for up to a second, or get 503 with Retry-After at once. shared_reads gives callers of the same one response, and adds 1 MB a turn to connections, between which the server closes those that nobody reads. The budget of submissions and this one are budgets::byte_budget.

Why it works: what is held depends on the reads under way, which have a budget, and no longer on the job or on the number of callers. Committed results never change, so that a page from a read that was under way is right. A refusal is never a page, and a single read is always admitted, so that a result of any size is delivered.

Calls to the store: one listing for each read became one page of it.

Tests: the four of relay_crowd_reads failed before and pass now, each with another caller that reads beside the crowd.

--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -58,6 +58,9 @@
     read_freshness freshness = read_freshness::latest;
     record_listing collected;
     bool first_page = true;
+    /// Where a single page begins.
+    std::string after;
+    bool is_single_page = false;
     list_callback callback;
 };
 
@@ -112,10 +115,23 @@
     this->send_page(state);
 }
 
+void record_client::list_page(const std::string& prefix,
+                              const std::string& after,
+                              read_freshness freshness, list_callback callback)
+{
+    const auto state = std::make_shared<list_state>();
+    state->prefix = prefix;
+    state->after = after;
+    state->is_single_page = true;
+    state->freshness = freshness;
+    state->callback = std::move(callback);
+    this->send_page(state);
+}
+
 void record_client::send_page(const std::shared_ptr<list_state>& state)
 {
     const std::string after = state->collected.records.empty()
-                                  ? std::string()
+                                  ? state->after
                                   : state->collected.records.back().key;
     this->count_read(state->freshness);
     net::http_request request =
@@ -145,11 +161,12 @@
                 state->collected.read_revision = page.value().read_revision;
             }
             const bool has_more = page.value().truncated && !records.empty();
+            state->collected.truncated = has_more;
             for (stored_record& record : records)
             {
                 state->collected.records.push_back(std::move(record));
             }
-            if (has_more)
+            if (has_more && !state->is_single_page)
             {
                 this->send_page(state);
                 return;
--- a/src/key_value/record_client.hpp
+++ b/src/key_value/record_client.hpp
@@ -52,6 +52,12 @@
     void list(const std::string& prefix, read_freshness freshness,
               list_callback callback);
 
+    /// Reads one page of the keys that begin with a prefix.
+    ///
+    /// \param after Only keys greater than this one; empty for all.
+    void list_page(const std::string& prefix, const std::string& after,
+                   read_freshness freshness, list_callback callback);
+
     /// Makes one call that waits for changes after a revision.
     ///
     /// \param wait How long the store may hold the call open.
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -5,6 +5,7 @@
 #include "wire/codec.hpp"
 #include "wire/generated/node_jobs_types.h"
 
+#include <cstddef>
 #include <utility>
 
 namespace parsleytrack::relay
@@ -17,6 +18,29 @@
 /// finds the change in its next scan of the records.
 constexpr duration call_timeout = std::chrono::seconds(1);
 
+/// Sends as much of a page as the connection has room for: what waits to be
+/// sent must not grow with the number of reads.
+void send_page(wire::peer_exchange& exchange, const jobs::job_page& page)
+{
+    const std::size_t waiting = exchange.pending_output_bytes();
+    if (waiting > jobs::max_page_bytes)
+    {
+        // The other node reads the store instead.
+        exchange.fail(error{error_code::store_unavailable,
+                            "too many pages wait to be sent",
+                            ran_state::no,
+                            {}});
+        return;
+    }
+    if (waiting == 0 || page.results.size() <= 1)
+    {
+        exchange.finish(jobs::encode(page));
+        return;
+    }
+    exchange.finish(
+        jobs::encode(jobs::job_page{page.total, {page.results.front()}}));
+}
+
 } // namespace
 
 job_peers::job_peers(const relay_context& node, callbacks listener)
@@ -140,7 +164,7 @@
                         exchange->fail(page.error());
                         return;
                     }
-                    exchange->finish(jobs::encode(page.value()));
+                    send_page(*exchange, page.value());
                 });
 }
 
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -1,7 +1,6 @@
 #include "relay/job_reader.hpp"
 
 #include "jobs/job_codec.hpp"
-#include "jobs/page_builder.hpp"
 #include "logging/log.hpp"
 #include "relay/job_keys.hpp"
 #include "relay/job_placement.hpp"
@@ -29,38 +28,13 @@
                  retry_after};
 }
 
-error item_not_found()
-{
-    return error{error_code::not_found,
-                 "the job or item does not exist",
-                 ran_state::no,
-                 {}};
-}
+} // namespace
 
-/// \param bytes The record of a job's input.
-/// \returns The body of one of its items.
-result<std::string> find_item_body(const std::string& bytes,
-                                   const std::string& item)
+job_reader::job_reader(const relay_context& node, read_admission& reads)
+    : context(node), records(node, reads)
 {
-    auto input = jobs::decode_input(bytes);
-    if (input.has_error())
-    {
-        return input.error();
-    }
-    for (jobs::job_item& entry : input.value().items)
-    {
-        if (entry.id == item)
-        {
-            return std::move(entry.body);
-        }
-    }
-    return item_not_found();
 }
 
-} // namespace
-
-job_reader::job_reader(const relay_context& node) : context(node) {}
-
 void job_reader::read(const job_id& job, std::size_t after, duration wait,
                       page_callback callback)
 {
@@ -118,7 +92,7 @@
                  if (page.has_value() &&
                      !this->is_outdated(*request, page.value()))
                  {
-                     request->callback(std::move(page.value()));
+                     request->callback(std::move(page.value()), nullptr);
                      return;
                  }
              }
@@ -172,7 +146,7 @@
         log_event(
             log_level::warning, "job_read_failed",
             {{"job", request->job.str()}, {"reason", record.error().message}});
-        request->callback(read_failed(request->job));
+        request->callback(read_failed(request->job), nullptr);
         return;
     }
     if (!record.value().exists())
@@ -183,7 +157,8 @@
         request->callback(error{error_code::not_found,
                                 "there is no job " + request->job.str(),
                                 ran_state::no,
-                                {}});
+                                {}},
+                          nullptr);
         return;
     }
     const auto state = jobs::decode_state(record.value().value);
@@ -192,7 +167,7 @@
         log_event(
             log_level::error, "job_record_damaged",
             {{"key", record.value().key}, {"reason", state.error().message}});
-        request->callback(read_failed(request->job));
+        request->callback(read_failed(request->job), nullptr);
         return;
     }
     if (!state.value().is_finished() &&
@@ -207,81 +182,18 @@
     }
     if (request->after >= state.value().outcomes.size())
     {
-        request->callback(jobs::job_page{state.value().item_count, {}});
+        request->callback(jobs::job_page{state.value().item_count, {}},
+                          nullptr);
         return;
     }
-    this->read_outputs(request, state.value().item_count);
-}
-
-void job_reader::read_outputs(const shared_request& request, std::size_t total)
-{
-    this->context.store.list(
-        job_output_prefix(request->job), key_value::read_freshness::latest,
-        [request, total](const result<key_value::record_listing>& outputs)
-        {
-            if (outputs.has_error())
-            {
-                request->callback(read_failed(request->job));
-                return;
-            }
-            jobs::page_builder page(total, jobs::max_page_bytes);
-            const auto& records = outputs.value().records;
-            for (std::size_t position = request->after;
-                 position < records.size(); ++position)
-            {
-                auto output = jobs::decode_output(records[position].value);
-                if (output.has_error())
-                {
-                    log_event(log_level::error, "job_output_damaged",
-                              {{"key", records[position].key},
-                               {"reason", output.error().message}});
-                    request->callback(read_failed(request->job));
-                    return;
-                }
-                if (!page.add(std::move(output.value())))
-                {
-                    break;
-                }
-            }
-            request->callback(page.finish());
-        });
+    this->records.read_results(request->job, request->after,
+                               state.value().item_count, request->callback);
 }
 
 void job_reader::read_body(const job_id& job, const std::string& item,
                            body_callback callback)
 {
-    this->read_body(job, item, key_value::read_freshness::may_be_stale,
-                    std::move(callback));
-}
-
-void job_reader::read_body(const job_id& job, const std::string& item,
-                           key_value::read_freshness freshness,
-                           body_callback callback)
-{
-    this->context.store.get(
-        job_input_key(job), freshness,
-        [this, job, item, freshness, callback = std::move(callback)](
-            const result<key_value::stored_record>& record)
-        {
-            if (record.has_error())
-            {
-                error reason = record.error();
-                reason.ran = ran_state::no;
-                reason.code = error_code::store_unavailable;
-                callback(reason);
-                return;
-            }
-            if (!record.value().exists() &&
-                freshness != key_value::read_freshness::latest)
-            {
-                this->read_body(job, item, key_value::read_freshness::latest,
-                                callback);
-                return;
-            }
-            callback(record.value().exists()
-                         ? find_item_body(record.value().value, item)
-                         : item_not_found());
-        });
+    this->records.read_body(job, item, std::move(callback));
 }
 
 } // namespace parsleytrack::relay
--- a/src/relay/job_reader.hpp
+++ b/src/relay/job_reader.hpp
@@ -2,6 +2,8 @@
 
 #include "jobs/job_page.hpp"
 #include "jobs/job_state.hpp"
+#include "relay/job_record_reader.hpp"
+#include "relay/read_admission.hpp"
 #include "relay/relay_context.hpp"
 #include "units/ids.hpp"
 #include "units/result.hpp"
@@ -22,10 +24,12 @@
 public:
     /// Gets a page; error_code::not_found if the job does not exist, and
     /// error_code::store_unavailable if it could not be read.
-    using page_callback = std::function<void(result<jobs::job_page>)>;
+    /// The claim is the room of the page, empty if it has none.
+    using page_callback = job_record_reader::page_callback;
 
     /// \param node Outlives this object.
-    explicit job_reader(const relay_context& node);
+    /// \param reads Admits the reads of large records; outlives this object.
+    job_reader(const relay_context& node, read_admission& reads);
 
     /// Reads results starting at a position.
     ///
@@ -38,7 +42,7 @@
                      page_callback callback);
 
     /// Gets the body; error_code::not_found if the job or item does not exist.
-    using body_callback = std::function<void(result<std::string>)>;
+    using body_callback = job_record_reader::body_callback;
 
     /// Reads the body of an item as it was submitted.
     void read_body(const job_id& job, const std::string& item,
@@ -63,11 +67,8 @@
     void read_state(const shared_request& request);
     void handle_state(const shared_request& request,
                       const result<key_value::stored_record>& record);
-    void read_outputs(const shared_request& request, std::size_t total);
-    void read_body(const job_id& job, const std::string& item,
-                   key_value::read_freshness freshness, body_callback callback);
-
     const relay_context& context;
+    job_record_reader records;
     /// Owners found in the store, for jobs whose owner is not the preferred
     /// one.
     std::map<job_id, node_id> owners;
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -52,7 +52,8 @@
     : context(node), slots(slot_source),
       submissions(
           byte_count(node.settings.memory.count() / submission_memory_parts)),
-      acceptor(node, this->usages), reader(node),
+      acceptor(node, this->usages), admission(node.loop, node.settings.memory),
+      reader(node, this->admission), reads(node.loop, node.metrics),
       cancellation(node, this->usages), cleaner(node, this->ages),
       takeover(node, this->ages,
                {[this](const job_id& job) { return this->owned.contains(job); },
@@ -136,7 +137,8 @@
         [this, exchange, table, &route,
          input = std::move(input)](const std::string& body) mutable
         {
-            auto room = this->submissions.claim(body.size());
+            // A submission exists about six times while it is accepted.
+            auto room = this->submissions.take(body.size());
             if (!room)
             {
                 refuse(*exchange,
@@ -295,6 +297,7 @@
 
 void job_service::run_periodic_tasks()
 {
+    this->export_metrics();
     const time_point now = net::event_loop::now();
     this->ages.forget_before(now - unobserved_age_retention);
     for (const auto& [id, owner] : this->owned)
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budgets/byte_budget.hpp"
 #include "jobs/job_ages.hpp"
 #include "net/http_exchange.hpp"
 #include "relay/job_acceptor.hpp"
@@ -10,9 +11,10 @@
 #include "relay/job_peers.hpp"
 #include "relay/job_reader.hpp"
 #include "relay/job_takeover.hpp"
+#include "relay/read_admission.hpp"
 #include "relay/relay_context.hpp"
+#include "relay/shared_reads.hpp"
 #include "relay/slot_client.hpp"
-#include "relay/submission_limit.hpp"
 #include "relay/usage_tracker.hpp"
 
 #include <map>
@@ -72,6 +74,19 @@
                       const job_call& call);
     void read_body(const std::shared_ptr<net::http_exchange>& exchange,
                    const job_call& call);
+    /// \param done Gets the response to all callers that share the read.
+    void begin_results_read(const job_call& call, duration wait,
+                            const shared_reads::end_callback& done);
+    void begin_body_read(const job_call& call,
+                         const shared_reads::end_callback& done);
+    /// Passes a page on, or its first result if there is no room for more.
+    void finish_results_read(jobs::job_page page, std::size_t after,
+                             read_admission::claim room,
+                             const shared_reads::end_callback& done);
+    /// Passes a response on if there is room for it.
+    void finish_read(shared_response response,
+                     const shared_reads::end_callback& done);
+    void export_metrics() const;
     void cancel_job(const std::shared_ptr<net::http_exchange>& exchange,
                     const job_call& call);
     void refresh(const job_id& job);
@@ -87,9 +102,11 @@
     slot_client& slots;
     usage_tracker usages;
     jobs::job_ages ages;
-    submission_limit submissions;
+    budgets::byte_budget submissions;
     job_acceptor acceptor;
+    read_admission admission;
     job_reader reader;
+    shared_reads reads;
     job_cancellation cancellation;
     job_cleaner cleaner;
     job_takeover takeover;
--- a/src/relay/job_service_calls.cpp
+++ b/src/relay/job_service_calls.cpp
@@ -18,6 +18,18 @@
 
 constexpr int status_ok = 200;
 constexpr duration max_wait = std::chrono::milliseconds(1000);
+/// Responses up to this size need no room.
+constexpr std::size_t small_response_bytes = std::size_t{16} * 1024;
+
+std::size_t output_bytes(const jobs::job_page& page)
+{
+    std::size_t bytes = 0;
+    for (const jobs::job_result& entry : page.results)
+    {
+        bytes += entry.output.size();
+    }
+    return bytes;
+}
 
 } // namespace
 
@@ -57,16 +69,26 @@
         wait = std::clamp<duration>(std::chrono::milliseconds(count),
                                     duration::zero(), max_wait);
     }
+    this->reads.join("results/" + call.job.str() + "/" +
+                         std::to_string(call.after),
+                     exchange,
+                     [this, &call, wait](const shared_reads::end_callback& done)
+                     { this->begin_results_read(call, wait, done); });
+}
+
+void job_service::begin_results_read(const job_call& call, duration wait,
+                                     const shared_reads::end_callback& done)
+{
     const job_reader::page_callback respond =
-        [this, exchange, after = call.after](const result<jobs::job_page>& page)
+        [this, done, after = call.after](const result<jobs::job_page>& page,
+                                         read_admission::claim room)
     {
         if (page.has_error())
         {
-            refuse(*exchange, page.error());
+            done(page.error());
             return;
         }
-        exchange->respond_json(status_ok, this->context.adapter.format_results(
-                                              page.value(), after));
+        this->finish_results_read(page.value(), after, std::move(room), done);
     };
     const auto found = this->owned.find(call.job);
     if (found == this->owned.end())
@@ -84,28 +106,88 @@
                 this->reader.read_stored(call.job, call.after, respond);
                 return;
             }
-            respond(page);
+            respond(page, nullptr);
         });
 }
 
+void job_service::finish_results_read(jobs::job_page page, std::size_t after,
+                                      read_admission::claim room,
+                                      const shared_reads::end_callback& done)
+{
+    if (!room && page.results.size() > 1)
+    {
+        room = this->admission.take(output_bytes(page));
+        // A page needs one result only.
+        page.results.resize(room ? page.results.size() : 1);
+    }
+    this->finish_read({status_ok,
+                       {{"Content-Type", "application/json"}},
+                       this->context.adapter.format_results(page, after),
+                       std::move(room)},
+                      done);
+}
+
+void job_service::finish_read(shared_response response,
+                              const shared_reads::end_callback& done)
+{
+    const std::size_t bytes = response.body.size();
+    if (!response.room && bytes > small_response_bytes)
+    {
+        response.room = this->admission.take(bytes);
+        if (!response.room)
+        {
+            this->context.metrics.count("parsleytrack_job_reads_total",
+                                        {{"kind", "refused"}});
+            done(error{error_code::store_unavailable,
+                       "too many results are being sent", ran_state::no,
+                       read_admission::min_retry_after});
+            return;
+        }
+    }
+    done(std::make_shared<const shared_response>(std::move(response)));
+}
+
 void job_service::read_body(const std::shared_ptr<net::http_exchange>& exchange,
                             const job_call& call)
+{
+    this->reads.join("body/" + call.job.str() + "/" + call.item, exchange,
+                     [this, &call](const shared_reads::end_callback& done)
+                     { this->begin_body_read(call, done); });
+}
+
+void job_service::begin_body_read(const job_call& call,
+                                  const shared_reads::end_callback& done)
 {
     this->reader.read_body(
         call.job, call.item,
-        [exchange](const result<std::string>& body)
+        [this, done](const result<std::string>& body,
+                     read_admission::claim room)
         {
             if (body.has_error())
             {
-                refuse(*exchange, body.error());
+                done(body.error());
                 return;
             }
-            exchange->respond(status_ok,
-                              {{"Content-Type", "application/octet-stream"}},
-                              body.value());
+            this->finish_read({status_ok,
+                               {{"Content-Type", "application/octet-stream"}},
+                               body.value(),
+                               std::move(room)},
+                              done);
         });
 }
 
+void job_service::export_metrics() const
+{
+    const auto set = [this](const char* state, byte_count bytes)
+    {
+        this->context.metrics.set_gauge("parsleytrack_job_read_bytes",
+                                        {{"state", state}},
+                                        static_cast<double>(bytes.count()));
+    };
+    set("limit", this->admission.limit());
+    set("used", this->admission.used());
+}
+
 void job_service::cancel_job(
     const std::shared_ptr<net::http_exchange>& exchange, const job_call& call)
 {
