Let items go on only at the service that has begun them

Cause: the progress of an item names the software version that wrote its events and not the service; both services run the same version. It is the class of the moved routes: something that was begun by a configuration and is carried on by another.

In the test an item went on after event 6 at the other service.

Change: the progress names its service, also in the store (node_job_partial.service_name, optional). An item keeps its service while the route does and else starts anew; the service is compared when its run starts, when it is sent, and when its version is confirmed. Progress of the build before has no service and is dropped, as that without a version is.

Why it works: no run is sent Last-Event-Id at another service than the one in the progress, whichever node took the job over.

--- a/src/jobs/item_progress.hpp
+++ b/src/jobs/item_progress.hpp
@@ -19,6 +19,8 @@
     std::string output;
     /// The version of the replicas that sent them; no other may go on.
     software_version version = {};
+    /// The service of these replicas, for which the same holds.
+    service_name service = {};
 
     bool operator==(const item_progress&) const = default;
 };
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -219,6 +219,7 @@
         entry.last_event = known.last_event;
         entry.output = known.output;
         entry.__set_version(known.version.str());
+        entry.__set_service_name(known.service.str());
     }
     return wire::encode(message);
 }
@@ -237,14 +238,15 @@
         {
             return damaged("item progress has a negative item or event number");
         }
-        if (!entry.__isset.version)
+        if (!entry.__isset.version || !entry.__isset.service_name)
         {
             // Written by an earlier release; the item starts anew.
             continue;
         }
         progress[static_cast<std::size_t>(entry.item)] =
             item_progress{entry.last_event, std::move(entry.output),
-                          software_version(std::move(entry.version))};
+                          software_version(std::move(entry.version)),
+                          service_name(std::move(entry.service_name))};
     }
     return progress;
 }
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -218,7 +218,8 @@
         return;
     }
     if (this->progress.last_event > 0 &&
-        this->progress.version != entry->version)
+        (this->progress.version != entry->version ||
+         this->progress.service != entry->service))
     {
         log_event(log_level::info, "item_starts_anew",
                   {{"item", this->item.id},
--- a/src/relay/item_run_output.cpp
+++ b/src/relay/item_run_output.cpp
@@ -94,6 +94,7 @@
         }
         this->progress.output += event.data;
         this->progress.last_event = this->sequence.last_number();
+        this->progress.service = this->replica.service;
         // A node that takes the job over before the version is confirmed must
         // start the item anew.
         this->progress.version = net::event_loop::now() < this->confirmed_at()
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -113,7 +113,7 @@
             this->schedule_start();
             return;
         }
-        this->start_item(*item, this->assign(*route));
+        this->start_item(*item, this->assign(*item, *route));
     }
 }
 
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -103,8 +103,9 @@
     /// \returns The job's route in the current configuration; null if there is
     /// none.
     const routing::route* current_route() const;
-    /// \returns What an item of the job is given now.
-    item_assignment assign(const routing::route& route) const;
+    /// \returns What an item is given now. An item that has begun goes on at
+    /// its service if that may have it.
+    item_assignment assign(std::size_t item, const routing::route& route);
     /// \returns The priority of the job's items: its workspace's or the
     /// route's.
     int priority_on(const routing::route& route) const;
@@ -126,7 +127,8 @@
                                            const service_name& service,
                                            const std::set<replica_id>& usable);
     /// \returns The replicas that may run the item. Its progress is erased if
-    /// those of the version that has begun it have left.
+    /// those of the version that has begun it have left, or if another service
+    /// has.
     std::set<replica_id> usable_replicas(std::size_t item,
                                          const service_name& service);
     /// Forgets an item that has an outcome.
--- a/src/relay/job_owner_assignment.cpp
+++ b/src/relay/job_owner_assignment.cpp
@@ -33,11 +33,16 @@
     return table ? std::max(known, table->contents().version) : known;
 }
 
-item_assignment job_owner::assign(const routing::route& route) const
+item_assignment job_owner::assign(std::size_t item, const routing::route& route)
 {
+    const routing::replica_registry& replicas =
+        this->context.replicas.registry();
+    const jobs::item_progress& begun = this->progress.progress_of(item);
+    const bool goes_on = begun.last_event > 0 &&
+                         routing::keeps_service(route, begun.service, replicas);
     item_assignment given;
     given.service =
-        routing::first_service(route, this->context.replicas.registry());
+        goes_on ? begun.service : routing::first_service(route, replicas);
     given.priority = this->priority_on(route);
     given.run_target = route.run_target;
     given.version = this->context.configuration.current()->contents().version;
--- a/src/relay/job_owner_versions.cpp
+++ b/src/relay/job_owner_versions.cpp
@@ -1,4 +1,4 @@
-// At which replicas an item may go on, by their software versions.
+// At which replicas an item may go on, by their services and software versions.
 
 #include "logging/log.hpp"
 #include "relay/job_owner.hpp"
@@ -59,7 +59,7 @@
     {
         return all;
     }
-    if (same_version.empty() && !all.empty())
+    if (known.service != service || (same_version.empty() && !all.empty()))
     {
         this->start_anew(item, known.version);
         return all;
@@ -107,6 +107,7 @@
     const auto found = listed.find(used.id);
     // While the store is away, the list would not show a change.
     if (found == listed.end() || found->second.version != used.version ||
+        found->second.service != used.service ||
         !this->context.store.is_reachable())
     {
         this->start_anew(item, used.version);
--- a/src/wire/node_jobs.thrift
+++ b/src/wire/node_jobs.thrift
@@ -70,6 +70,8 @@
   3: binary output;
   // The software version of the replicas that sent the output.
   4: optional string version;
+  // The service of these replicas.
+  5: optional string service_name;
 }
 
 struct node_job_progress {
--- a/tests/relay_process/moved_route_test.cpp
+++ b/tests/relay_process/moved_route_test.cpp
@@ -136,6 +136,25 @@
     CHECK_EQUAL(sent, world.before().arrivals.size());
 }
 
+// Guards against a result that joins the texts of two services: an item goes on
+// in the middle of its output where its route has moved to.
+TEST(relay_moved_routes, an_item_that_has_begun_starts_anew_at_the_next_service)
+{
+    two_services world({});
+    world.before().event_interval = std::chrono::milliseconds(400);
+    world.start_job();
+    // Until the list of replicas has confirmed the version of the output.
+    world.fleet.run_for(std::chrono::milliseconds(2600));
+    world.set_services(batch_route, {{"service", "other"}});
+    world.leave();
+    world.before().behaviour = replica_stand_in::fault::truncating;
+    CHECK_EQUAL(job_items, world.completed());
+    for (const auto& [request, starts] : world.other.resumed_after)
+    {
+        CHECK_EQUAL(0, starts.front());
+    }
+}
+
 // Guards against items that are sent by the configuration of an owner that
 // knows an older one than the node that has accepted the job.
 TEST(relay_moved_routes, an_owner_waits_for_the_configuration_of_the_acceptance)
