Count a watch that the store cuts as an outage only if the listing fails

Cause: record_follower took a cut call for a failure, so that the listing after it counted as one after an outage. Records that go missing within 2.2 s of an outage are kept, as replicas restore those that have expired; with cuts more often than that, for good.

Change: the end of such a call is logged as store_watch_cut and followed by a listing, with the delay as before. A listing that fails begins an outage, and so does a cut while other calls have shown that the store is unreachable.

Why it works: a store that answers the listing shows that the list is complete, so that what is missing there is gone.

--- a/src/key_value/record_follower.cpp
+++ b/src/key_value/record_follower.cpp
@@ -203,7 +203,7 @@
 {
     if (response.has_error())
     {
-        this->handle_failure(response.error());
+        this->handle_watch_end(response.error());
         return;
     }
     if (response.value().history_lost)
@@ -226,6 +226,24 @@
         [this] { this->wait_for_changes(record_client::max_watch_wait); });
 }
 
+void record_follower::handle_watch_end(const error& reason)
+{
+    if (!this->store.is_reachable())
+    {
+        this->handle_failure(reason);
+        return;
+    }
+    // A store that works cuts calls that wait. The listing shows whether it
+    // does; until then nothing counts as an outage, in which removed records
+    // would be kept.
+    log_event(log_level::info, "store_watch_cut",
+              {{"prefix", this->prefix},
+               {"reason", reason.message},
+               {"waited_ms",
+                to_milliseconds(net::event_loop::now() - this->call_started)}});
+    this->retry_later();
+}
+
 void record_follower::handle_failure(const error& reason)
 {
     if (!std::exchange(this->failing, true))
@@ -242,6 +260,11 @@
             this->handlers.on_failure(reason);
         }
     }
+    this->retry_later();
+}
+
+void record_follower::retry_later()
+{
     this->waiting_to_retry = true;
     this->retry_timer =
         this->loop.call_after(this->retry_backoff.next_delay(this->random),
--- a/src/key_value/record_follower.hpp
+++ b/src/key_value/record_follower.hpp
@@ -90,7 +90,10 @@
     void handle_other_response(time_point sent);
     void record_confirmation(time_point confirmed);
     void handle_changes(const result<record_changes>& response);
+    /// Handles the end of a call for changes without an answer.
+    void handle_watch_end(const error& reason);
     void handle_failure(const error& reason);
+    void retry_later();
     void retry();
 
     net::event_loop& loop;
--- a/tests/relay_support/store_stand_in.cpp
+++ b/tests/relay_support/store_stand_in.cpp
@@ -110,6 +110,14 @@
     return found;
 }
 
+void store_stand_in::cut_watches()
+{
+    for (const pending_watch& watch : std::exchange(this->watches, {}))
+    {
+        watch.exchange->abort();
+    }
+}
+
 void store_stand_in::forget_watches()
 {
     for (pending_watch& watch : this->watches)
--- a/tests/relay_support/store_stand_in.hpp
+++ b/tests/relay_support/store_stand_in.hpp
@@ -64,6 +64,9 @@
     /// hold_reads_of().
     int held_reads() const { return this->held_read_count; }
 
+    /// Closes the connections of the watches that are open now.
+    void cut_watches();
+
     /// Never responds to the watches that are open now.
     void forget_watches();
 
