Tell the next broker of replicas that may have been replaced

Cause: the loss was known to the node that had a request there and to the broker that it told, here one process. The list of replicas is behind for up to six seconds, in which nobody else doubted its record. A node without a responding broker chose a replica by its own data, also for requests that depend on a version.

Ruled out: the origin of the streams, which the storage node knew (service=llm version=v1 in stream_taken_up).

Change: a loss is reported to the successor of the broker as well (broker_selector::successor), without the request, and requests that depend on a version ask the next broker when theirs does not respond.

Why it works: the node that brokers next holds the doubt before it has to decide, and requests that need it come to it. It costs one message for each lost connection.

--- a/src/relay/slot_client.cpp
+++ b/src/relay/slot_client.cpp
@@ -277,7 +277,10 @@
         }
     }
     const callbacks handlers = state.handlers;
-    if (best == nullptr && has_limited)
+    // The next broker knows which processes may have been replaced.
+    const bool needs_broker =
+        state.request.version && state.broker != this->context.group.own().id;
+    if (needs_broker || (best == nullptr && has_limited))
     {
         // Asks the next broker; the one that was lost is excluded.
         this->open(number);
--- a/src/relay/slot_client.hpp
+++ b/src/relay/slot_client.hpp
@@ -110,8 +110,10 @@
         slots::pool_selector selector;
     };
 
-    /// Notifies the broker that a request has failed on its replica.
+    /// Notifies the broker that a request has failed on its replica, and the
+    /// node that is the next broker of a process that may have ended.
     void report(const replica_report& report);
+    void send_report(const node_info& receiver, const replica_report& report);
     service_pools& pools_of(const service_name& service);
     /// \returns The pool in which a new request waits.
     int choose_pool(const slot_request& wanted);
--- a/src/relay/slot_client_reports.cpp
+++ b/src/relay/slot_client_reports.cpp
@@ -22,15 +22,38 @@
     const slot_pool pool{
         report.service,
         slots::pool_of(report.replica, this->pools_of(report.service).count)};
+    const node_info& own = this->context.group.own();
     const node_info broker = this->broker_of(pool);
-    if (broker.id == this->context.group.own().id)
+    if (broker.id == own.id)
     {
         this->server.handle_report(report);
+    }
+    else
+    {
+        this->send_report(broker, report);
+    }
+    if (!report.lost)
+    {
         return;
     }
+    const node_info next = this->brokers.successor(
+        pool.name(), own, this->context.group.live_nodes(),
+        net::event_loop::now());
+    if (next.id != own.id)
+    {
+        replica_report loss = report;
+        // The request is known to its broker only.
+        loss.request = request_id();
+        this->send_report(next, loss);
+    }
+}
+
+void slot_client::send_report(const node_info& receiver,
+                              const replica_report& report)
+{
     const std::uint64_t number = this->next_number++;
     this->reports[number] = this->context.peers.call(
-        broker.peer, wire::message_type::slot_report,
+        receiver.peer, wire::message_type::slot_report,
         encode(report, net::event_loop::now()), report_timeout,
         {{},
          [this, number, replica = report.replica](result<std::string> outcome)
--- a/src/slots/broker_selector.cpp
+++ b/src/slots/broker_selector.cpp
@@ -10,6 +10,30 @@
 namespace parsleytrack::slots
 {
 
+namespace
+{
+
+/// \returns The node with the highest score for the pool; the fallback if there
+/// is no node.
+const node_info& best_of(const std::vector<node_info>& candidates,
+                         const std::string& pool, const node_info& fallback)
+{
+    const node_info* best = &fallback;
+    std::uint64_t best_score = 0;
+    for (const node_info& node : candidates)
+    {
+        const std::uint64_t score = rendezvous_score(node.id.str(), pool);
+        if (score > best_score)
+        {
+            best = &node;
+            best_score = score;
+        }
+    }
+    return *best;
+}
+
+} // namespace
+
 broker_selector::broker_selector(duration exclusion) : exclusion_time(exclusion)
 {
 }
@@ -50,21 +74,22 @@
         }
         valid_until = std::min(valid_until, excluded->second);
     }
-    const node_info* best = &own;
-    std::uint64_t best_score = 0;
     candidates = high_capacity_nodes(nodes_with_replicas(candidates));
-    for (const node_info& node : candidates)
-    {
-        const std::uint64_t score = rendezvous_score(node.id.str(), pool);
-        if (score > best_score)
-        {
-            best = &node;
-            best_score = score;
-        }
-    }
     choice& chosen = this->choices[pool];
-    chosen = choice{*best, valid_until};
+    chosen = choice{best_of(candidates, pool, own), valid_until};
     return chosen.broker;
 }
 
+node_info broker_selector::successor(const std::string& pool,
+                                     const node_info& own,
+                                     const std::vector<node_info>& live_nodes,
+                                     time_point now)
+{
+    const node_id broker = this->choose(pool, own, live_nodes, now).id;
+    std::vector<node_info> others = live_nodes;
+    std::erase_if(others, [&broker](const node_info& node)
+                  { return node.id == broker; });
+    return best_of(high_capacity_nodes(nodes_with_replicas(others)), pool, own);
+}
+
 } // namespace parsleytrack::slots
--- a/src/slots/broker_selector.hpp
+++ b/src/slots/broker_selector.hpp
@@ -37,6 +37,11 @@
                             const std::vector<node_info>& live_nodes,
                             time_point now);
 
+    /// \returns The broker if the one that choose() returns is gone.
+    node_info successor(const std::string& pool, const node_info& own,
+                        const std::vector<node_info>& live_nodes,
+                        time_point now);
+
 private:
     struct choice
     {
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -185,3 +185,56 @@
     CHECK(fleet->wait([&fleet] { return ended_items(*fleet) == 2; }));
     CHECK_EQUAL(0, joined_runs(*fleet));
 }
+
+// Guards against the same where the node that has lost the replica is the
+// broker of its slots and ends, too: the next broker must know of the loss.
+TEST(relay_replaced_processes, nor_when_the_broker_that_knew_of_the_loss_ends)
+{
+    relay_fleet_options options;
+    options.node_count = 2;
+    options.engine_count = 2;
+    options.storage_count = 1;
+    relay_fleet fleet(options);
+    // With a second version, the storage node remembers what began a stream.
+    replica_stand_in newer(fleet.loop, "newer");
+    newer.version = "v2";
+    newer.behaviour = replica_stand_in::fault::full;
+    fleet.store.put("servers/newer", newer.record("llm"));
+    replica_stand_in& lost = *fleet.engines.front();
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(100);
+    }
+    fleet.run_for(std::chrono::seconds(1));
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/stream/a", "first").status);
+    const int broker = fleet.status(0)["pools"].empty() ? 1 : 0;
+    // As many as both replicas run at a time.
+    constexpr int streams = 8;
+    for (int number = 0; number < streams; ++number)
+    {
+        fleet.start_call(broker, "POST", "/stream/a",
+                         "s" + std::to_string(number), "",
+                         std::make_shared<relay_fleet::response>());
+    }
+    CHECK(fleet.wait([&lost] { return lost.sent_events.size() > 16; }));
+    lost.behaviour = replica_stand_in::fault::truncating;
+    CHECK(fleet.wait([&lost] { return lost.open_streams() == 0; }));
+    lost.behaviour = replica_stand_in::fault::none;
+    lost.version = "v2";
+    lost.restart();
+    fleet.run_for(std::chrono::milliseconds(100));
+    fleet.process(broker).kill();
+    for (int number = 0; number < streams; ++number)
+    {
+        fleet.caller_headers = {{"Last-Event-Id", "3"},
+                                {"Resumes", "s" + std::to_string(number)}};
+        fleet.start_call(1 - broker, "POST", "/stream/a",
+                         "again" + std::to_string(number), "",
+                         std::make_shared<relay_fleet::response>());
+    }
+    fleet.run_for(std::chrono::seconds(2));
+    for (const auto& [request, event, version] : lost.resumptions)
+    {
+        STRCMP_EQUAL("v1", version.c_str());
+    }
+}
