Keep replicas in use that refuse a caller's request for other weights

Cause: a replica answers 421 to a request that names another replica, as at an address that is used again, and to one that asks for other weights. Both were taken for the former, which marks the process as leaving at all nodes for as long as it lives.

Evidence: in the test a plain request gets 503 after three requests with the field and one such item; without the field the same requests are served.

Change: a 421 to a request that asks for weights means that it was not run, and nothing else. Items that ask for them are repeated with growing pauses.

Why it works: what a caller asks for no longer decides whether a replica is used. Requests without the field still find out a replica at another one's address.

Test: requests_for_other_weights_cost_no_replica failed before (503) and passes.

--- a/src/relay/header_names.hpp
+++ b/src/relay/header_names.hpp
@@ -15,6 +15,9 @@
     std::string remaining_time_ms;
     /// Id of the replica to which the request is addressed.
     std::string expected_replica;
+    /// In a caller's request: the version of the model's weights that the
+    /// replica must have; others refuse it as if it were misdirected.
+    std::string expected_weights;
     /// Number of the last event received of a stream that is resumed.
     std::string resume_after;
     /// In a request that takes a stream up again: the id of the caller's
--- a/src/relay/item_run.cpp
+++ b/src/relay/item_run.cpp
@@ -32,6 +32,7 @@
 /// The replica failed the item. Other errors, such as a timeout of the replica,
 /// say nothing about the item.
 constexpr int status_failed = 500;
+constexpr int status_misdirected = 421;
 constexpr int status_impossible = 422;
 
 /// \returns How a run ended that is to be repeated.
@@ -47,7 +48,9 @@
         return status == status_failed ? item_run_result::failed
                                        : item_run_result::rejected;
     case attempt_outcome::not_run:
-        return item_run_result::refused;
+        // The weights that the item asks for will take longer than a free slot.
+        return status == status_misdirected ? item_run_result::rejected
+                                            : item_run_result::refused;
     case attempt_outcome::wrong_replica:
     case attempt_outcome::expired:
         return item_run_result::interrupted;
--- a/src/relay/replica_exchange.cpp
+++ b/src/relay/replica_exchange.cpp
@@ -56,6 +56,9 @@
         request.headers.emplace_back(this->names.expected_replica,
                                      this->replica.str());
     }
+    this->names_weights =
+        net::find_header(request.headers,
+                         this->names.expected_weights.c_str()) != nullptr;
     request.identity = this->id.str();
     net::http_client::callbacks client_hooks;
     client_hooks.on_head = [this](const net::http_response& response)
@@ -188,7 +191,10 @@
     }
     if (response.status == status_misdirected)
     {
-        return response_kind::wrong_replica;
+        // A caller's request for other weights gets the same status, which then
+        // says nothing of the replica.
+        return this->names_weights ? response_kind::not_run
+                                   : response_kind::wrong_replica;
     }
     if (field(this->names.not_executed) != nullptr)
     {
--- a/src/relay/replica_exchange.hpp
+++ b/src/relay/replica_exchange.hpp
@@ -140,6 +140,8 @@
     request_id id;
     callbacks hooks;
     exchange_peer peer;
+    /// Whether the caller asks for a version of the model's weights.
+    bool names_weights = false;
     response_kind kind = response_kind::none;
     bool cancelled = false;
     bool head_seen = false;
--- a/tests/relay_process/rules_test.cpp
+++ b/tests/relay_process/rules_test.cpp
@@ -128,3 +128,24 @@
                             [](const auto& run)
                             { return run.first.starts_with("job"); }));
 }
+
+// Guards against replicas that are out of use for good, at all nodes, because a
+// caller has asked them for weights that they do not have.
+TEST(relay_rules, requests_for_other_weights_cost_no_replica)
+{
+    relay_fleet fleet(1);
+    fleet.caller_headers = {{"Parsleytrack-Expect-Version", "7"}};
+    for (int number = 0; number < 3; ++number)
+    {
+        const std::string id = "other-" + std::to_string(number);
+        CHECK_EQUAL(503, fleet.call(0, "POST", "/once/a", id).status);
+    }
+    fleet.item_headers = fleet.caller_headers;
+    fleet.caller_headers.clear();
+    CHECK_EQUAL(202, fleet.submit(0, "other", 1).status);
+    fleet.run_for(std::chrono::seconds(1));
+    fleet.item_headers.clear();
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/once/a", "plain").status);
+    CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
+    CHECK_EQUAL(2, fleet.results(0, "job").size());
+}
--- a/tests/relay_support/replica_stand_in.cpp
+++ b/tests/relay_support/replica_stand_in.cpp
@@ -108,6 +108,16 @@
         exchange->respond(request == nullptr ? 400 : 421, {}, "");
         return;
     }
+    const std::string* wanted =
+        net::find_header(headers, "Parsleytrack-Expect-Version");
+    if (wanted != nullptr && *wanted != this->weights)
+    {
+        exchange->respond(421,
+                          {{"Parsleytrack-Request-Id", *request},
+                           {"Parsleytrack-Not-Executed", "1"}},
+                          "");
+        return;
+    }
     if (this->behaviour == fault::full)
     {
         net::http_header_list fields = this->extra_headers;
--- a/tests/relay_support/replica_stand_in.hpp
+++ b/tests/relay_support/replica_stand_in.hpp
@@ -81,6 +81,9 @@
     fault behaviour = fault::none;
     /// Version of the replica's software.
     std::string version = "v1";
+    /// Version of the model's weights; requests that ask for another one are
+    /// refused with status 421.
+    std::string weights = "1";
     /// Header fields that each response gets in addition.
     net::http_header_list extra_headers;
     /// Whether streams pause.
