Reject a request that every replica has refused at once

Callers waited until their deadline, several seconds, for a 503 although every replica of the service had refused their request within milliseconds. Found by the test of requests for other weights, which took 12 s.

Cause: a request is not sent to a replica again that has refused it, whatever comes of it; with all of them left out it still asked for a slot and waited for one that it could not be granted.

Evidence: with three full replicas the answer came after 3.7 s, the rest of its time; request_ended shows three sends in the first milliseconds.

Change: if all sends were refused and no other replica is usable, the request is rejected with 503 and Retry-After of 0.3 s. Requests that a replica has failed or lost still wait, since its next process may serve them.

Why it works: the caller learns at once what is known at once, and comes back when a replica may have a free slot again.

Test: a_request_that_every_replica_refuses_is_rejected_at_once failed before (3.7 s) and passes (10 ms).

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -17,6 +17,8 @@
 /// The target latency divided by this is reserved for the replica's own work
 /// when judging whether a response can still be on time.
 constexpr int replica_time_divisor = 4;
+/// A replica that was full may have a free slot again by then.
+constexpr duration retry_after_refused = std::chrono::milliseconds(300);
 /// A caller that leaves after this time without a response head shows that the
 /// replica is unresponsive.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
@@ -112,6 +114,14 @@
                          {}});
         return;
     }
+    if (this->sends > 0 && this->refusals == this->sends &&
+        this->is_excluded_everywhere())
+    {
+        this->fail(error{error_code::no_replica,
+                         "every replica has refused the request", ran_state::no,
+                         retry_after_refused});
+        return;
+    }
     slot_request wanted;
     wanted.request = this->request.id;
     wanted.pool.service = this->service;
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -72,6 +72,8 @@
     bool is_resumable_stream() const;
     /// \returns Replicas that the request must not be sent to.
     std::set<replica_id> replicas_to_avoid() const;
+    /// \returns Whether the request was at all usable replicas of its service.
+    bool is_excluded_everywhere() const;
     /// \returns The excluded replicas that are not another process by now.
     std::set<replica_id> excluded_replicas() const;
     /// Requests the slot anew once one of the avoided replicas may be used.
@@ -214,6 +216,8 @@
 
     /// How often the request was sent, and how often it may have been run.
     int sends = 0;
+    /// How often a replica did not run it, such as a full one.
+    int refusals = 0;
     int runs = 0;
     bool response_started = false;
     /// Status of the stream that the caller receives.
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -35,6 +35,7 @@
     {
         ++this->runs;
     }
+    this->refusals += outcome == attempt_outcome::not_run ? 1 : 0;
     if (!answered && this->peer == exchange_peer::node)
     {
         this->handle_node_end(outcome, response, reason);
--- a/src/relay/online_call_origin.cpp
+++ b/src/relay/online_call_origin.cpp
@@ -129,6 +129,16 @@
     return has_other ? avoided : unusable;
 }
 
+bool online_call::is_excluded_everywhere() const
+{
+    const auto usable = this->context.replicas.registry().usable(this->service);
+    const std::set<replica_id> tried = this->excluded_replicas();
+    return !usable.empty() &&
+           std::all_of(usable.begin(), usable.end(),
+                       [&tried](const routing::replica_entry* entry)
+                       { return tried.contains(entry->id); });
+}
+
 std::set<replica_id> online_call::excluded_replicas() const
 {
     const routing::replica_registry& registry =
--- a/tests/relay_process/rules_test.cpp
+++ b/tests/relay_process/rules_test.cpp
@@ -149,3 +149,19 @@
     CHECK_EQUAL(202, fleet.submit(0, "job", 2).status);
     CHECK_EQUAL(2, fleet.results(0, "job").size());
 }
+
+// Guards against requests that are held until their deadline although they were
+// refused by every replica there is.
+TEST(relay_rules, a_request_that_every_replica_refuses_is_rejected_at_once)
+{
+    relay_fleet fleet(1);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->behaviour = replica_stand_in::fault::full;
+    }
+    const time_point begin = net::event_loop::now();
+    const auto refused = fleet.call(0, "POST", "/once/a", "once");
+    CHECK(net::event_loop::now() - begin < std::chrono::seconds(1));
+    CHECK_EQUAL(503, refused.status);
+    CHECK(net::find_header(refused.headers, "Retry-After") != nullptr);
+}
