Bound the jobs that a node holds, and let others wait in the store

Cause: a node holds the input of each job that it runs until 15 s after the job's end. The limit of a route counts tokens and that of submissions the ones that are being written, so that nothing bounds what is accepted and waits; a node that starts took up all jobs at once, and ended again.

Evidence: 100 jobs of 0.75 MB without a replica took a node of 64 MB to 95 MB, with the submissions sent one after the other.

Change: the jobs that a node runs have a quarter of its memory. A job without room stays in the store (job_postponed), where a scan finds it when there is room; finished jobs leave the memory first. At most 16 jobs are loaded at a time.

Why it works: an accepted job is in the store from the beginning, and all calls about it can be answered from there, so that holding it is a choice of the node. What it holds no longer depends on what was accepted.

Test: accepted_jobs_that_wait in relay_crowd_jobs failed before (95 MB) and passes.

--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -35,6 +35,14 @@
     {
         has_outcome.at(outcome.item) = true;
     }
+    for (const job_item& item : this->submitted.items)
+    {
+        this->input_bytes += sizeof(job_item) + item.body.size();
+    }
+    for (const std::string& output : this->committed_outputs)
+    {
+        this->output_bytes += output.size();
+    }
     for (std::size_t item = 0; item < has_outcome.size(); ++item)
     {
         if (!has_outcome[item])
@@ -100,6 +108,7 @@
 
 void owned_job::end_item(ended_item ended)
 {
+    this->output_bytes += ended.output.size();
     this->uncommitted.push_back(std::move(ended));
 }
 
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -98,6 +98,10 @@
     /// Returns the outcomes of a commit that was not applied to the queue.
     void commit_failed(const job_commit& commit);
 
+    /// \returns The bytes of the items and of their outputs, which this object
+    /// holds.
+    std::size_t bytes() const { return this->input_bytes + this->output_bytes; }
+
     /// Replaces the state with the one that another node has written.
     void set_committed(job_state state, store_revision revision);
 
@@ -125,6 +129,8 @@
     std::vector<int> failures;
     std::deque<ended_item> uncommitted;
     bool committing = false;
+    std::size_t input_bytes = 0;
+    std::size_t output_bytes = 0;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -37,6 +37,11 @@
 constexpr std::int64_t submission_memory_parts = 8;
 constexpr duration retry_after_submissions = std::chrono::milliseconds(500);
 
+/// One part of the memory in this many is for the jobs that this node runs.
+constexpr std::int64_t job_memory_parts = 4;
+/// Largest input of a job, which is one record of the store.
+constexpr std::size_t max_input_bytes = 1'000'000;
+
 std::string describe(const result<accepted_job>& accepted)
 {
     if (accepted.has_error())
@@ -57,6 +62,13 @@
       cancellation(node, this->usages), cleaner(node, this->ages),
       takeover(node, this->ages,
                {[this](const job_id& job) { return this->owned.contains(job); },
+                [this](std::size_t loading)
+                {
+                    const bool is_possible =
+                        this->has_room((loading + 1) * max_input_bytes);
+                    this->has_postponed = this->has_postponed || !is_possible;
+                    return is_possible;
+                },
                 [this](jobs::owned_job job, jobs::job_progress progress)
                 { this->start_job(std::move(job), std::move(progress)); },
                 [this](const jobs::job_state& state, store_revision revision)
@@ -274,6 +286,15 @@
     {
         return;
     }
+    if (!this->has_room(job.bytes()))
+    {
+        this->has_postponed = true;
+        log_event(log_level::info, "job_postponed",
+                  {{"job", id.str()},
+                   {"bytes", job.bytes()},
+                   {"jobs", this->owned.size()}});
+        return;
+    }
     this->ages.observe(id, job.state().age, net::event_loop::now());
     auto owner = std::make_unique<job_owner>(
         this->context, this->slots, this->usages, this->ages, std::move(job),
@@ -285,6 +306,39 @@
     started.start_items();
 }
 
+bool job_service::has_room(std::size_t bytes) const
+{
+    if (this->owned.empty())
+    {
+        return true;
+    }
+    std::size_t sum = bytes;
+    for (const auto& [id, owner] : this->owned)
+    {
+        sum += owner->job().bytes();
+    }
+    return sum <= static_cast<std::size_t>(
+                      this->context.settings.memory.count() / job_memory_parts);
+}
+
+void job_service::resume_postponed_jobs()
+{
+    if (!this->has_postponed)
+    {
+        return;
+    }
+    // The results of finished jobs are in the store, too.
+    for (const auto& [id, when] : std::exchange(this->evict_at, {}))
+    {
+        this->owned.erase(id);
+    }
+    if (this->has_room(max_input_bytes))
+    {
+        this->has_postponed = false;
+        this->takeover.scan_soon();
+    }
+}
+
 std::vector<const jobs::owned_job*> job_service::owned_jobs() const
 {
     std::vector<const jobs::owned_job*> list;
@@ -311,6 +365,7 @@
                                    this->context.settings.result_retention));
         }
     }
+    this->resume_postponed_jobs();
     std::erase_if(this->evict_at,
                   [this, now](const auto& entry)
                   {
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -90,7 +90,13 @@
     void cancel_job(const std::shared_ptr<net::http_exchange>& exchange,
                     const job_call& call);
     void refresh(const job_id& job);
+    /// Runs a job if there is room for it. Otherwise it stays in the store,
+    /// where a scan of the records finds it.
     void start_job(jobs::owned_job job, jobs::job_progress progress);
+    /// \returns Whether the jobs that this node runs leave room for more.
+    bool has_room(std::size_t bytes) const;
+    /// Looks for jobs that had no room, once there is some.
+    void resume_postponed_jobs();
     void run_periodic_tasks();
     /// Hands the jobs over whose items this node cannot run.
     void hand_over_jobs();
@@ -120,6 +126,8 @@
     std::map<job_id, time_point> evict_at;
     net::timer periodic_timer;
     bool review_is_scheduled = false;
+    /// Whether a job has found no room since the last look for such jobs.
+    bool has_postponed = false;
     bool stopped = false;
 };
 
--- a/src/relay/job_takeover.cpp
+++ b/src/relay/job_takeover.cpp
@@ -35,6 +35,9 @@
 constexpr duration change_scan_delay = std::chrono::milliseconds(150);
 /// A node that has just started does not know yet which nodes are live.
 constexpr duration startup_delay = std::chrono::seconds(2);
+/// Jobs whose records are read at the same time. Each record may have a
+/// megabyte.
+constexpr std::size_t max_loads = 16;
 /// When a node that has just started looks for the jobs of its last process.
 constexpr duration own_jobs_delay = std::chrono::milliseconds(100);
 
@@ -80,6 +83,11 @@
         this->context.loop.call_after(delay, [this] { this->scan(); });
 }
 
+void job_takeover::scan_soon()
+{
+    this->schedule(orphan_scan_interval);
+}
+
 void job_takeover::scan()
 {
     this->next_scan.reset();
@@ -247,20 +255,54 @@
     }
     if (owned_here && state.value().owner_process == own.process)
     {
-        // This node wrote the record but lost the response, or could not
-        // finish a takeover.
+        // This node wrote the record but lost the response, had no room for the
+        // job, or could not finish a takeover.
+        if (!this->may_load(record))
+        {
+            return;
+        }
         this->claims_in_progress.insert(job);
         this->load(state.value(), record.revision);
         return;
     }
     // A job of this node's last process needs no view of the other nodes.
-    if (!owned_here && !this->should_claim(state.value()))
+    if ((!owned_here && !this->should_claim(state.value())) ||
+        !this->may_load(record))
     {
         return;
     }
     this->claim(std::move(state.value()), record.revision);
 }
 
+bool job_takeover::may_load(const key_value::stored_record& record)
+{
+    if (this->claims_in_progress.size() >= max_loads)
+    {
+        this->waiting_records[record.key] = record;
+        return false;
+    }
+    return this->hooks.has_room(this->claims_in_progress.size());
+}
+
+void job_takeover::end_load(const job_id& job)
+{
+    this->claims_in_progress.erase(job);
+    if (this->waiting_records.empty())
+    {
+        return;
+    }
+    const auto next = this->waiting_records.begin();
+    this->context.loop.post(
+        [this, record = next->second]
+        {
+            if (!this->stopped)
+            {
+                this->examine(record);
+            }
+        });
+    this->waiting_records.erase(next);
+}
+
 bool job_takeover::should_claim(const jobs::job_state& state) const
 {
     if (!is_owner_gone(this->context.group.find(state.owner), state))
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -28,6 +28,9 @@
     {
         /// \returns Whether this node already runs the job.
         std::function<bool(const job_id&)> is_owned;
+        /// \returns Whether there is room for another job, in addition to those
+        /// that are being loaded.
+        std::function<bool(std::size_t loading)> has_room;
         /// A job has been taken over.
         std::function<void(jobs::owned_job, jobs::job_progress)> on_taken_over;
         /// A finished job was found that this node may erase once it expires.
@@ -51,6 +54,9 @@
     /// if it is not known.
     void look_up(const job_id& job, store_revision revision);
 
+    /// Scans the records soon, since there is room for jobs that had none.
+    void scan_soon();
+
     /// Stops looking for jobs to take over.
     void stop();
 
@@ -64,6 +70,11 @@
     /// to take over.
     bool handle_listing(const key_value::record_listing& listing);
     void examine(const key_value::stored_record& record);
+    /// \returns Whether a job may be loaded now. If too many are being loaded,
+    /// its record is examined again later.
+    bool may_load(const key_value::stored_record& record);
+    /// Notes that a job is no longer being loaded.
+    void end_load(const job_id& job);
     /// Notifies the node that must act on a record, if it is another one.
     ///
     /// \returns Whether the job lacks an owner.
@@ -91,6 +102,8 @@
     std::set<job_id> claims_in_progress;
     /// Those among them that were found finished or cancelled meanwhile.
     std::set<job_id> finished_while_loading;
+    /// Records to examine when fewer jobs are being loaded.
+    std::map<std::string, key_value::stored_record> waiting_records;
     time_point started;
     bool scanning = false;
     bool stopped = false;
--- a/src/relay/job_takeover_claims.cpp
+++ b/src/relay/job_takeover_claims.cpp
@@ -140,7 +140,7 @@
                     {{"job", id.str()}, {"reason", progress.error().message}});
                 progress = jobs::job_progress();
             }
-            this->claims_in_progress.erase(id);
+            this->end_load(id);
             if (this->finished_while_loading.erase(id) > 0)
             {
                 log_event(log_level::info, "job_finished_while_loading",
@@ -155,7 +155,7 @@
 void job_takeover::abandon(const job_id& job, const char* step,
                            const std::string& reason)
 {
-    this->claims_in_progress.erase(job);
+    this->end_load(job);
     this->finished_while_loading.erase(job);
     log_event(log_level::warning, "job_takeover_abandoned",
               {{"job", job.str()}, {"step", step}, {"reason", reason}});
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -216,9 +216,9 @@
 
     /// How often the request was sent, and how often it may have been run.
     int sends = 0;
+    int runs = 0;
     /// How often a replica did not run it, such as a full one.
     int refusals = 0;
-    int runs = 0;
     bool response_started = false;
     /// Status of the stream that the caller receives.
     int stream_status = 0;
