Load no job in vain, and let the test of old progress name the service

progress_of_an_unknown_version_is_not_used expected progress with a version and without a service to be used; that was the rule before an item's progress named its service.

A job that was loaded and is larger than the room that was asked for it was dropped and loaded again with the next scan.

--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -286,7 +286,9 @@
     {
         return;
     }
-    if (!this->has_room(job.bytes()))
+    // Whatever the size of a job that was loaded, it must not be loaded in vain
+    // again and again.
+    if (!this->has_room(0))
     {
         this->has_postponed = true;
         log_event(log_level::info, "job_postponed",
--- a/tests/relay/progress_tracker_test.cpp
+++ b/tests/relay/progress_tracker_test.cpp
@@ -94,9 +94,9 @@
     CHECK_EQUAL(1, read.value().size());
 }
 
-// Guards against going on at any version with output that an earlier release of
-// this program has saved, which does not say what began it.
-TEST(progress_tracker, progress_of_an_unknown_version_is_not_used)
+// Guards against going on at any version or service with output that an earlier
+// release of this program has saved, which does not say what began it.
+TEST(progress_tracker, progress_of_an_unknown_version_or_service_is_not_used)
 {
     wire::node_job_progress message;
     wire::node_job_partial& entry = message.items.emplace_back();
@@ -105,5 +105,9 @@
     entry.output = "seven";
     CHECK(jobs::decode_progress(wire::encode(message)).value().empty());
     entry.__set_version("v1");
-    CHECK_EQUAL(1, jobs::decode_progress(wire::encode(message)).value().size());
+    CHECK(jobs::decode_progress(wire::encode(message)).value().empty());
+    entry.__set_service_name("llm");
+    const auto known = jobs::decode_progress(wire::encode(message)).value();
+    CHECK_EQUAL(1, known.size());
+    CHECK(known == jobs::decode_progress(jobs::encode(known)).value());
 }
