--- a/tests/soak/fault_kinds.hpp
+++ b/tests/soak/fault_kinds.hpp
@@ -21,7 +21,10 @@
     with_returning_replicas,
     /// As with_repeated_responses, and callers use the keys of workspaces,
     /// which operators change.
-    with_workspaces
+    with_workspaces,
+    /// As with_repeated_responses, and configurations move and split the routes
+    /// of streams and jobs.
+    with_moving_routes
 };
 
 } // namespace parsleytrack::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,9 @@
 DEFINE_bool(workspaces, false,
             "whether callers use the keys of workspaces, which operators "
             "change, in addition to --repeated_responses");
+DEFINE_bool(moving_routes, false,
+            "whether configurations move and split routes, in addition to "
+            "--repeated_responses");
 DEFINE_string(logs, "", "folder for a log of the faults of each failed run");
 
 namespace
@@ -56,6 +59,10 @@
     {
         kinds = fault_kinds::with_workspaces;
     }
+    if (FLAGS_moving_routes)
+    {
+        kinds = fault_kinds::with_moving_routes;
+    }
     int failed = 0;
     const std::uint64_t end =
         FLAGS_first_seed + static_cast<std::uint64_t>(FLAGS_seeds);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,6 +4,7 @@
 #include "soak/callers.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/job_callers.hpp"
+#include "soak/moving_routes.hpp"
 #include "soak/workspace_checks.hpp"
 
 #include <algorithm>
@@ -103,20 +104,21 @@
     }
 }
 
-/// Checks that runs went on after an event of their own version.
+/// Checks that runs went on after an event of their own version and service.
 ///
+/// \param replicas Those of one service.
 /// \param allowed How many may not: two where processes are replaced under
 /// their ids, which the platform's rules allow.
-void check_versions(const relay_support::relay_fleet& fleet,
+void check_versions(const moving_routes::replicas& replicas,
                     std::size_t allowed, violations& found)
 {
     std::vector<std::string> joined;
     std::set<std::tuple<std::string, int, std::string>> sent;
-    for (const auto& engine : fleet.engines)
+    for (const auto& engine : replicas)
     {
         sent.insert(engine->sent_events.begin(), engine->sent_events.end());
     }
-    for (const auto& engine : fleet.engines)
+    for (const auto& engine : replicas)
     {
         for (const auto& resumed : engine->resumptions)
         {
@@ -164,6 +166,13 @@
         plan.change_configuration();
         workspaces->start();
     }
+    std::optional<moving_routes> moving;
+    if (kinds == fault_kinds::with_moving_routes)
+    {
+        moving.emplace(fleet, random);
+        plan.set_configuration_source(
+            [&moving](int version) { return moving->configuration(version); });
+    }
     workspace_checks* checks = workspaces ? &*workspaces : nullptr;
     callers online(fleet, node_count, plan, random, found, checks);
     job_callers jobs(fleet, node_count, random, found, checks);
@@ -199,8 +208,13 @@
     {
         workspaces->check_runs();
     }
-    check_versions(fleet, kinds == fault_kinds::with_returning_replicas ? 2 : 0,
+    check_versions(fleet.engines,
+                   kinds == fault_kinds::with_returning_replicas ? 2 : 0,
                    found);
+    if (moving)
+    {
+        check_versions(moving->others(), 0, found);
+    }
     return soak_outcome{found.all(), online.asked(), online.served(),
                         jobs.accepted(),
                         workspaces ? workspaces->summary() : ""};
