--- a/src/key_value/record_client.cpp
+++ b/src/key_value/record_client.cpp
@@ -56,12 +56,12 @@
 {
     std::string prefix;
     read_freshness freshness = read_freshness::latest;
-    record_listing collected;
-    bool first_page = true;
-    /// Where a single page begins.
+    /// Only keys greater than this one are listed.
     std::string after;
     bool is_single_page = false;
     list_callback callback;
+    record_listing collected = {};
+    bool first_page = true;
 };
 
 record_client::record_client(net::event_loop& event_loop,
@@ -108,24 +108,16 @@
 void record_client::list(const std::string& prefix, read_freshness freshness,
                          list_callback callback)
 {
-    const auto state = std::make_shared<list_state>();
-    state->prefix = prefix;
-    state->freshness = freshness;
-    state->callback = std::move(callback);
-    this->send_page(state);
+    this->send_page(std::make_shared<list_state>(
+        list_state{prefix, freshness, {}, false, std::move(callback)}));
 }
 
 void record_client::list_page(const std::string& prefix,
                               const std::string& after,
                               read_freshness freshness, list_callback callback)
 {
-    const auto state = std::make_shared<list_state>();
-    state->prefix = prefix;
-    state->after = after;
-    state->is_single_page = true;
-    state->freshness = freshness;
-    state->callback = std::move(callback);
-    this->send_page(state);
+    this->send_page(std::make_shared<list_state>(
+        list_state{prefix, freshness, after, true, std::move(callback)}));
 }
 
 void record_client::send_page(const std::shared_ptr<list_state>& state)
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -51,7 +51,7 @@
     /// Time from the job's submission until the result is due.
     duration run_target = duration::zero();
     /// The configuration that these are from.
-    configuration_version version;
+    configuration_version configuration;
 };
 
 /// One run of an item on one replica, from the slot request to the end of the
--- a/src/relay/job_owner_assignment.cpp
+++ b/src/relay/job_owner_assignment.cpp
@@ -45,7 +45,8 @@
         goes_on ? begun.service : routing::first_service(route, replicas);
     given.priority = this->priority_on(route);
     given.run_target = route.run_target;
-    given.version = this->context.configuration.current()->contents().version;
+    given.configuration =
+        this->context.configuration.current()->contents().version;
     return given;
 }
 
@@ -100,7 +101,7 @@
                   {{"job", this->owned.input().id.str()},
                    {"item", this->owned.input().items[item].id},
                    {"service", run->assignment().service.str()},
-                   {"configuration", run->assignment().version.count()}});
+                   {"configuration", run->assignment().configuration.count()}});
         this->owned.return_item(item);
         outdated.push_back(std::move(run));
         entry = this->runs.erase(entry);
@@ -145,7 +146,7 @@
                {"items", waiting},
                {"longest_ms", to_milliseconds(now - longest->started_at())},
                {"service", given.service.str()},
-               {"configuration", given.version.count()},
+               {"configuration", given.configuration.count()},
                {"replicas", usable.size()}});
 }
 
--- a/src/relay/job_reader.cpp
+++ b/src/relay/job_reader.cpp
@@ -18,16 +18,8 @@
 
 /// Time for the call in addition to the time that the owner may wait.
 constexpr duration owner_margin = std::chrono::milliseconds(400);
-constexpr duration retry_after = std::chrono::milliseconds(500);
 constexpr std::size_t max_known_jobs = 4096;
 
-error read_failed(const job_id& job)
-{
-    return error{error_code::store_unavailable,
-                 "job " + job.str() + " cannot be read now", ran_state::no,
-                 retry_after};
-}
-
 } // namespace
 
 job_reader::job_reader(const relay_context& node, read_admission& reads)
--- a/src/relay/job_record_reader.cpp
+++ b/src/relay/job_record_reader.cpp
@@ -22,13 +22,6 @@
 constexpr duration max_wait = std::chrono::seconds(1);
 constexpr duration retry_after_failure = std::chrono::milliseconds(500);
 
-error read_failed(const job_id& job)
-{
-    return error{error_code::store_unavailable,
-                 "job " + job.str() + " cannot be read now", ran_state::no,
-                 retry_after_failure};
-}
-
 error too_many_reads(duration retry_after)
 {
     return error{error_code::store_unavailable,
@@ -71,6 +64,13 @@
 
 } // namespace
 
+error read_failed(const job_id& job)
+{
+    return error{error_code::store_unavailable,
+                 "job " + job.str() + " cannot be read now", ran_state::no,
+                 retry_after_failure};
+}
+
 job_record_reader::job_record_reader(const relay_context& node,
                                      read_admission& reads)
     : context(node), admission(reads)
--- a/src/relay/job_record_reader.hpp
+++ b/src/relay/job_record_reader.hpp
@@ -16,6 +16,9 @@
 namespace parsleytrack::relay
 {
 
+/// \returns The reason for a read that has failed and may be repeated.
+error read_failed(const job_id& job);
+
 /// Reads results and bodies of jobs from the store. Requests for one job wait
 /// for its read that is under way, which answers all that it brings something
 /// for; so the memory depends neither on their number nor on the job's size.
--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -17,8 +17,6 @@
 /// The target latency divided by this is reserved for the replica's own work
 /// when judging whether a response can still be on time.
 constexpr int replica_time_divisor = 4;
-/// A replica that was full may have a free slot again by then.
-constexpr duration retry_after_refused = std::chrono::milliseconds(300);
 /// A caller that leaves after this time without a response head shows that the
 /// replica is unresponsive.
 constexpr duration unresponsive_timeout = std::chrono::milliseconds(600);
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -50,6 +50,10 @@
     void review_service();
 
 private:
+    /// A replica that was full may have a free slot again by then.
+    static constexpr duration retry_after_refused =
+        std::chrono::milliseconds(300);
+
     /// Gives the request another service if its route has left the one that it
     /// has, unless that has begun the stream.
     ///
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -16,7 +16,6 @@
 
 /// Most replicas tried for one request, including those that did not run it.
 constexpr int max_sends = 5;
-constexpr duration retry_after_refused = std::chrono::milliseconds(300);
 constexpr int first_error_status = 500;
 /// Replicas that may fail a request before the node's links are checked.
 constexpr int sends_before_check = 2;
