review: Name the memory of the machines in the settings of cases 1 to 5

The cases 1 to 5 could not run: all nodes ended with exit code 1 and

event=bad_settings place=.../edge-1.boot:9 message="is not valid JSON: ..."

Cause: since the settings template names {{limits.memoryMb}}. The stand-in of these cases, which is older, does not know the value, so that line 8 of the settings is '"memory_mb": ' without a value. The stand-ins of cases 6 to 15 know it. DEPLOY.md has memoryMb among the limits of every machine, so the product refuses nothing that the pages allow.

Nothing else changes. The template's other sections that came later (bounds.quotaWindowS, bounds.strictRevoke) are left out where their value is absent, as before. With the value, the stand-in of the store refuses no call of today's nodes but transactions whose condition does not hold (the usage record of the route).

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -620,7 +620,7 @@
             "ip": machine.host, "portRange": [self.ports[4], self.ports[5]],
             "listen": {"front": text("front"), "ready": text("ready"), "control": text("control"),
                        "directory": text("directory")} if edge else {},
-            "limits": {"cpuShare": 0.25 if edge else 0.5},
+            "limits": {"cpuShare": 0.25 if edge else 0.5, "memoryMb": 260 if edge else 290},
             "seeds": ["%s:%d" % self.address(m, "control") for m in self.edges[:3]],
             "platform": {"address": "%s:%d" % store}, "bounds": {"graceS": 8}}
         role = self.deploy["roles"][machine.role]
