Bound the memory of the outputs of all items that a node runs

Cause: output_limit bounds one output, nothing bounded their sum. The owner kept the outputs of items that had ended until 15 s after the job's end, though they are in the store; a node that took a job over loaded all of them; each run under way has up to 1 MB, and discarded output kept its memory, since assigning an empty string does (91 MB in use with ten connections open, seen in the maps of the process).

Ruled out: heads without end (15 MB), outputs without end of few runs (37 MB).

Why the change works: outputs that are received, wait to be committed or are kept share one budget, an eighth of the memory. Committed outputs stay only while half of it is free, and are read from the store otherwise; a takeover loads none; a run without memory for its output ends and starts anew, and its job runs fewer items until there is room.

--- a/src/budgets/byte_budget.cpp
+++ b/src/budgets/byte_budget.cpp
@@ -31,6 +31,12 @@
             }};
 }
 
+void byte_budget::replace(std::size_t released, std::size_t added)
+{
+    this->shared->sum +=
+        static_cast<std::int64_t>(added) - static_cast<std::int64_t>(released);
+}
+
 void byte_budget::on_release(std::function<void()> callback)
 {
     this->shared->released = std::move(callback);
--- a/src/budgets/byte_budget.hpp
+++ b/src/budgets/byte_budget.hpp
@@ -27,6 +27,18 @@
     /// \returns The claim; empty if there is no room for it.
     claim take(std::size_t bytes);
 
+    /// Replaces a part of the sum, whatever its size.
+    ///
+    /// \param released Bytes that are no longer held.
+    /// \param added Bytes that are held in their place.
+    void replace(std::size_t released, std::size_t added);
+
+    /// \returns Whether more than half of the bytes are held.
+    bool is_half_used() const
+    {
+        return this->shared->sum > this->max.count() / 2;
+    }
+
     /// \param callback Called after each end of a claim; must not take one.
     void on_release(std::function<void()> callback);
 
--- a/src/jobs/item_progress.hpp
+++ b/src/jobs/item_progress.hpp
@@ -22,6 +22,13 @@
     /// The service of these replicas, for which the same holds.
     service_name service = {};
 
+    /// Discards it, with the memory of the output, which an assignment keeps.
+    void reset()
+    {
+        *this = item_progress();
+        this->output.shrink_to_fit();
+    }
+
     bool operator==(const item_progress&) const = default;
 };
 
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -4,6 +4,7 @@
 #include "units/invariant.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace parsleytrack::jobs
@@ -21,15 +22,10 @@
 
 } // namespace
 
-owned_job::owned_job(job_input job, job_state state, store_revision revision,
-                     std::vector<std::string> outputs)
+owned_job::owned_job(job_input job, job_state state, store_revision revision)
     : submitted(std::move(job)), committed(std::move(state)),
-      committed_revision(revision), committed_outputs(std::move(outputs)),
-      failures(this->submitted.items.size(), 0)
+      committed_revision(revision), failures(this->submitted.items.size(), 0)
 {
-    check_invariant(this->committed_outputs.size() ==
-                        this->committed.outcomes.size(),
-                    "each committed outcome has an output");
     std::vector<bool> has_outcome(this->submitted.items.size(), false);
     for (const item_outcome& outcome : this->committed.outcomes)
     {
@@ -39,10 +35,6 @@
     {
         this->input_bytes += sizeof(job_item) + item.body.size();
     }
-    for (const std::string& output : this->committed_outputs)
-    {
-        this->output_bytes += output.size();
-    }
     for (std::size_t item = 0; item < has_outcome.size(); ++item)
     {
         if (!has_outcome[item])
@@ -108,10 +100,26 @@
 
 void owned_job::end_item(ended_item ended)
 {
-    this->output_bytes += ended.output.size();
+    this->held_outputs += ended.output.size();
     this->uncommitted.push_back(std::move(ended));
 }
 
+std::size_t owned_job::uncommitted_bytes() const
+{
+    return std::accumulate(this->uncommitted.begin(), this->uncommitted.end(),
+                           std::size_t{0},
+                           [](std::size_t sum, const ended_item& ended)
+                           { return sum + ended.output.size(); });
+}
+
+void owned_job::release_outputs()
+{
+    for (const std::string& output : std::exchange(this->kept_outputs, {}))
+    {
+        this->held_outputs -= output.size();
+    }
+}
+
 bool owned_job::has_uncommitted_failure() const
 {
     return std::any_of(this->uncommitted.begin(), this->uncommitted.end(),
@@ -179,7 +187,7 @@
     this->committed_revision = revision;
     for (const job_result& entry : commit.results)
     {
-        this->committed_outputs.push_back(entry.output);
+        this->kept_outputs.push_back(entry.output);
     }
 }
 
@@ -203,16 +211,22 @@
     this->committed_revision = revision;
 }
 
-job_page owned_job::page(std::size_t after, std::size_t max_bytes) const
+std::optional<job_page> owned_job::page(std::size_t after,
+                                        std::size_t max_bytes) const
 {
+    const std::size_t first = this->first_kept();
+    if (after < first)
+    {
+        return std::nullopt;
+    }
     page_builder page(this->submitted.items.size(), max_bytes);
     for (std::size_t position = after;
          position < this->committed.outcomes.size(); ++position)
     {
         const item_outcome& outcome = this->committed.outcomes[position];
-        const bool fits = page.add(
-            job_result{this->submitted.items[outcome.item].id,
-                       outcome.completed, this->committed_outputs[position]});
+        const bool fits = page.add(job_result{
+            this->submitted.items[outcome.item].id, outcome.completed,
+            this->kept_outputs[position - first]});
         if (!fits)
         {
             break;
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -26,9 +26,8 @@
     /// \param submitted The job as submitted.
     /// \param committed The state as last read from or written to the store.
     /// \param revision The state's revision.
-    /// \param outputs Outputs of the committed outcomes, in the same order.
-    owned_job(job_input submitted, job_state committed, store_revision revision,
-              std::vector<std::string> outputs);
+    owned_job(job_input submitted, job_state committed,
+              store_revision revision);
 
     const job_input& input() const { return this->submitted; }
     const job_state& state() const { return this->committed; }
@@ -100,7 +99,17 @@
 
     /// \returns The bytes of the items and of their outputs, which this object
     /// holds.
-    std::size_t bytes() const { return this->input_bytes + this->output_bytes; }
+    std::size_t bytes() const { return this->input_bytes + this->held_outputs; }
+
+    /// \returns The bytes of the outputs, committed or not, which this object
+    /// holds.
+    std::size_t output_bytes() const { return this->held_outputs; }
+
+    /// \returns The bytes of the outputs that wait to be committed.
+    std::size_t uncommitted_bytes() const;
+
+    /// Frees the committed outputs. They are in the store.
+    void release_outputs();
 
     /// Replaces the state with the one that another node has written.
     void set_committed(job_state state, store_revision revision);
@@ -108,7 +117,9 @@
     /// \param after Position of the first result.
     /// \param max_bytes Limit on the total size of the outputs; the first
     /// result is returned whatever its size.
-    job_page page(std::size_t after, std::size_t max_bytes) const;
+    /// \returns The page; absent if the first result's output was released.
+    std::optional<job_page> page(std::size_t after,
+                                 std::size_t max_bytes) const;
 
 private:
     struct ended_item
@@ -119,18 +130,24 @@
     };
 
     void end_item(ended_item ended);
+    /// \returns Position of the first committed outcome whose output is held.
+    std::size_t first_kept() const
+    {
+        return this->committed.outcomes.size() - this->kept_outputs.size();
+    }
     token_count unfinished_tokens(const job_state& state) const;
 
     job_input submitted;
     job_state committed;
     store_revision committed_revision;
-    std::vector<std::string> committed_outputs;
+    /// Outputs of the last committed outcomes.
+    std::vector<std::string> kept_outputs;
     std::deque<std::size_t> waiting;
     std::vector<int> failures;
     std::deque<ended_item> uncommitted;
     bool committing = false;
     std::size_t input_bytes = 0;
-    std::size_t output_bytes = 0;
+    std::size_t held_outputs = 0;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/relay/event_splitter.hpp
+++ b/src/relay/event_splitter.hpp
@@ -23,6 +23,9 @@
     /// \returns Whether an incomplete event is buffered.
     bool has_partial_event() const { return !this->pending.empty(); }
 
+    /// \returns The bytes of memory that the incomplete event takes.
+    std::size_t memory_bytes() const { return this->pending.capacity(); }
+
     /// \returns Whether the incomplete event exceeds max_event_bytes.
     bool is_too_long() const { return this->pending.size() > max_event_bytes; }
 
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -38,7 +38,9 @@
     /// The replica did not run the item; to be resumed likewise.
     refused,
     /// To be resumed from the saved progress.
-    interrupted
+    interrupted,
+    /// This node has no memory for the output; to start anew.
+    out_of_memory
 };
 
 /// What a run is given by the configuration.
@@ -76,11 +78,16 @@
     ///
     /// \returns Whether the item may run at the service that it was given.
     using service_check = std::function<bool()>;
+    /// Called when output has been received.
+    ///
+    /// \returns Whether the node has memory for it.
+    using output_check = std::function<bool()>;
 
     struct callbacks
     {
         send_check may_send;
         service_check keeps_service;
+        output_check may_hold_output;
         /// Called once, never from the constructor; may destroy the run.
         end_callback on_end;
     };
@@ -138,6 +145,9 @@
         return this->connection.opened_at + confirmation_delay;
     }
 
+    /// \returns The bytes of memory that an incomplete event takes.
+    std::size_t buffered_bytes() const { return this->splitter.memory_bytes(); }
+
     /// \returns The connection of the last attempt.
     net::connection_use last_connection() const { return this->connection; }
 
--- a/src/relay/item_run_output.cpp
+++ b/src/relay/item_run_output.cpp
@@ -32,7 +32,7 @@
 
 void item_run::discard_progress()
 {
-    this->progress = jobs::item_progress();
+    this->progress.reset();
     this->sequence = event_sequence(event_numbering::consecutive, 0);
 }
 
@@ -109,6 +109,13 @@
     if (problem != nullptr)
     {
         this->attempt->abort(problem);
+        return;
+    }
+    if (!this->listener.may_hold_output())
+    {
+        this->discard_progress();
+        this->finish(item_run_result::out_of_memory,
+                     "this node has no memory for the output");
     }
 }
 
--- a/src/relay/job_owner.cpp
+++ b/src/relay/job_owner.cpp
@@ -16,9 +16,6 @@
 namespace
 {
 
-/// Items of one job that hold or wait for a slot at the same time; limits the
-/// messages to the broker for large jobs.
-constexpr std::size_t max_runs = 32;
 /// Outcomes are collected for this long before they are committed, to reduce
 /// calls to the store; items that a failed node did not commit run again.
 constexpr duration commit_interval = std::chrono::milliseconds(1500);
@@ -44,16 +41,17 @@
 job_owner::job_owner(const relay_context& node, slot_client& slot_source,
                      usage_tracker& usages_of_routes,
                      const jobs::job_ages& ages_of_jobs,
-                     jobs::owned_job owned_job, jobs::job_progress known,
-                     std::function<void()> on_lost)
+                     budgets::byte_budget& outputs, jobs::owned_job owned_job,
+                     jobs::job_progress known, std::function<void()> on_lost)
     : context(node), slots(slot_source), usages(usages_of_routes),
-      ages(ages_of_jobs), owned(std::move(owned_job)),
-      lost_callback(std::move(on_lost)),
+      ages(ages_of_jobs), output_budget(outputs), output_claim(outputs),
+      owned(std::move(owned_job)), lost_callback(std::move(on_lost)),
       progress(this->owned.input().id,
                without_ended(std::move(known), this->owned.state()),
                net::event_loop::now()),
       readers(node.loop, this->owned), state_wait(state_timeout)
 {
+    this->claim_outputs();
 }
 
 job_owner::~job_owner()
@@ -103,7 +101,7 @@
     this->max_failures = route->max_attempts;
     this->log_waiting_runs();
     const time_point now = net::event_loop::now();
-    while (this->runs.size() < max_runs)
+    while (this->may_start_item())
     {
         const auto item = this->owned.start_next_item(
             [this, now](std::size_t waiting)
@@ -139,6 +137,11 @@
         item_run::callbacks{
             [this, item] { return this->may_send(item); },
             [this, item] { return this->keeps_service(item); },
+            [this]
+            {
+                this->claim_outputs();
+                return this->output_claim.has_room();
+            },
             [this, item](item_run_result end, const std::string& reason)
             {
                 this->handle_item_end(item, end, reason);
@@ -160,7 +163,7 @@
     }
     auto run = std::move(found->second);
     this->runs.erase(found);
-    const jobs::item_progress& known = this->progress.progress_of(item);
+    jobs::item_progress& known = this->progress.progress_of(item);
     const replica_id& replica = run->last_replica();
     const time_point now = net::event_loop::now();
     const char* outcome = "completed";
@@ -168,8 +171,10 @@
     switch (end)
     {
     case item_run_result::completed:
-        this->owned.complete_item(item, known.output);
+        known.output.shrink_to_fit();
+        this->owned.complete_item(item, std::move(known.output));
         this->forget(item);
+        this->raise_run_limit();
         break;
     case item_run_result::impossible:
         outcome = "impossible";
@@ -200,12 +205,16 @@
         this->retries.record_loss(item, replica, now);
         this->owned.return_item(item);
         break;
+    case item_run_result::out_of_memory:
+        this->lower_run_limit();
+        [[fallthrough]];
     case item_run_result::interrupted:
         outcome = "interrupted";
         this->retries.record_interruption(item, now);
         this->owned.return_item(item);
         break;
     }
+    this->claim_outputs();
     this->log_run_end(item, *run, outcome, reason);
     // Freed later, since this is one of its callbacks.
     this->context.loop.free_later(std::move(run));
@@ -258,6 +267,7 @@
         this->hold_unconfirmed(item, *run);
         this->owned.return_item(item);
     }
+    this->claim_outputs();
 }
 
 std::optional<time_point> job_owner::may_send(std::size_t item)
@@ -293,6 +303,7 @@
     }
     const bool is_last = this->runs.empty() && !this->owned.has_waiting_item();
     if (is_last || this->owned.has_uncommitted_failure() ||
+        this->owned.uncommitted_bytes() >= jobs::max_page_bytes ||
         this->due_in() < urgent_before_due)
     {
         this->commit();
--- a/src/relay/job_owner.hpp
+++ b/src/relay/job_owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budgets/variable_claim.hpp"
 #include "jobs/item_retries.hpp"
 #include "jobs/job_ages.hpp"
 #include "jobs/owned_job.hpp"
@@ -32,13 +33,14 @@
     /// \param slot_source Outlives this object.
     /// \param usages Outlives this object.
     /// \param ages Outlives this object.
+    /// \param outputs The node's memory for outputs; outlives this object.
     /// \param known Progress of the items that an earlier owner has saved.
     /// \param on_lost Called when another node has taken the job over. This
     /// object may be destroyed once the callback has returned, not earlier.
     job_owner(const relay_context& node, slot_client& slot_source,
               usage_tracker& usages, const jobs::job_ages& ages,
-              jobs::owned_job owned, jobs::job_progress known,
-              std::function<void()> on_lost);
+              budgets::byte_budget& outputs, jobs::owned_job owned,
+              jobs::job_progress known, std::function<void()> on_lost);
     ~job_owner();
     job_owner(const job_owner&) = delete;
     job_owner& operator=(const job_owner&) = delete;
@@ -72,7 +74,7 @@
     using page_callback = std::function<void(result<jobs::job_page>)>;
 
     /// Reads results. A page without any is given only if the job's state is
-    /// known to be recent.
+    /// known to be recent. Results that are in the store only are an error.
     ///
     /// \param after Position of the first result.
     /// \param wait How long to wait if there is no result yet.
@@ -81,6 +83,9 @@
     const jobs::owned_job& job() const { return this->owned; }
 
 private:
+    /// Most of `run_limit`; limits the messages to the broker for large jobs.
+    static constexpr std::size_t max_runs = 32;
+
     /// A read that waits until the job's state is known.
     struct unconfirmed_reader
     {
@@ -91,6 +96,20 @@
 
     void end_runs();
     void return_running_items();
+    /// \returns Whether another item may run, and there is memory for its
+    /// output.
+    bool may_start_item() const;
+    /// Allows one run less than there were when the memory was used up.
+    void lower_run_limit();
+    /// Allows another run if there is memory for it.
+    void raise_run_limit();
+    /// Brings the claim up to what this object holds of outputs.
+    void claim_outputs();
+    /// Lets go of committed outputs if further ones need their memory.
+    void release_outputs();
+    /// \returns The page; error_code::store_unavailable if its results are in
+    /// the store only.
+    result<jobs::job_page> page_from(std::size_t after) const;
     /// Gives a page without results, once it is known that there are none.
     void confirm_page(std::size_t after, page_callback callback);
     /// Gives the pages that wait for it.
@@ -189,6 +208,8 @@
     slot_client& slots;
     usage_tracker& usages;
     const jobs::job_ages& ages;
+    budgets::byte_budget& output_budget;
+    budgets::variable_claim output_claim;
     jobs::owned_job owned;
     std::function<void()> lost_callback;
     progress_tracker progress;
@@ -197,6 +218,8 @@
     std::map<std::size_t, routing::replica_entry> unconfirmed_sources;
     result_readers readers;
     std::map<std::size_t, std::unique_ptr<item_run>> runs;
+    /// Items that hold or wait for a slot at the same time.
+    std::size_t run_limit = max_runs;
     state_confirmation confirmation;
     /// When the store had exactly the outcomes that this node has.
     std::optional<time_point> outcomes_confirmed_at;
--- a/src/relay/job_owner_commits.cpp
+++ b/src/relay/job_owner_commits.cpp
@@ -207,6 +207,7 @@
     }
     this->log_state("job_committed");
     this->readers.answer_ready();
+    this->release_outputs();
     if (const auto newer = std::exchange(this->deferred_record, std::nullopt))
     {
         this->apply_record(*newer);
@@ -217,6 +218,8 @@
         return;
     }
     this->commit_when_due();
+    // Items may have waited for the memory.
+    this->start_items();
 }
 
 void job_owner::resolve_conflict(const jobs::job_commit& commit,
@@ -238,6 +241,7 @@
             // The commit was applied, but its response was lost.
             this->owned.commit_applied(commit, record.revision);
             this->readers.answer_ready();
+            this->release_outputs();
             if (state.value().cancelled)
             {
                 this->apply_record(record);
--- a/src/relay/job_owner_confirmation.cpp
+++ b/src/relay/job_owner_confirmation.cpp
@@ -31,6 +31,13 @@
                  ran_state::no, std::chrono::milliseconds(500)};
 }
 
+error results_in_store()
+{
+    return error{error_code::store_unavailable,
+                 "the results are in the store only", ran_state::no,
+                 std::chrono::milliseconds(500)};
+}
+
 } // namespace
 
 void job_owner::confirm_state()
@@ -157,19 +164,34 @@
 
 void job_owner::read(std::size_t after, duration wait, page_callback callback)
 {
-    this->readers.read(
-        after, wait,
-        [this, after,
-         callback = std::move(callback)](const jobs::job_page& page)
-        {
-            if (!page.results.empty() || this->owned.state().is_finished())
-            {
-                // Committed results stay at their positions.
-                callback(page);
-                return;
-            }
-            this->confirm_page(after, callback);
-        });
+    this->readers.read(after, wait,
+                       [this, after, callback = std::move(callback)](
+                           const std::optional<jobs::job_page>& page)
+                       {
+                           if (!page)
+                           {
+                               callback(results_in_store());
+                               return;
+                           }
+                           if (!page->results.empty() ||
+                               this->owned.state().is_finished())
+                           {
+                               // Committed results stay at their positions.
+                               callback(*page);
+                               return;
+                           }
+                           this->confirm_page(after, callback);
+                       });
+}
+
+result<jobs::job_page> job_owner::page_from(std::size_t after) const
+{
+    auto page = this->owned.page(after, jobs::max_page_bytes);
+    if (!page)
+    {
+        return results_in_store();
+    }
+    return std::move(*page);
 }
 
 void job_owner::confirm_page(std::size_t after, page_callback callback)
@@ -178,7 +200,7 @@
     if (this->outcomes_confirmed_at &&
         now - *this->outcomes_confirmed_at <= max_page_age)
     {
-        callback(this->owned.page(after, jobs::max_page_bytes));
+        callback(this->page_from(after));
         return;
     }
     unconfirmed_reader& added = this->unconfirmed_readers.emplace_back();
@@ -207,7 +229,7 @@
     for (const unconfirmed_reader& reader :
          std::exchange(this->unconfirmed_readers, {}))
     {
-        reader.callback(this->owned.page(reader.after, jobs::max_page_bytes));
+        reader.callback(this->page_from(reader.after));
     }
 }
 
--- a/src/relay/job_owner_versions.cpp
+++ b/src/relay/job_owner_versions.cpp
@@ -75,7 +75,7 @@
                {"item", this->owned.input().items[item].id},
                {"version", version.str()},
                {"after_event", known.last_event}});
-    known = jobs::item_progress();
+    known.reset();
 }
 
 void job_owner::forget(std::size_t item)
--- a/src/relay/job_peers.cpp
+++ b/src/relay/job_peers.cpp
@@ -133,7 +133,7 @@
     }
     this->hooks.on_handed_over(
         jobs::owned_job(std::move(input.value()), std::move(state.value()),
-                        store_revision(message.value().revision), {}));
+                        store_revision(message.value().revision)));
     exchange->finish({});
 }
 
--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -37,6 +37,10 @@
 constexpr std::int64_t submission_memory_parts = 8;
 constexpr duration retry_after_submissions = std::chrono::milliseconds(500);
 
+/// One part of the memory in this many is for outputs of items. A commit takes
+/// up to five times the memory of the outputs that it writes.
+constexpr std::int64_t output_memory_parts = 8;
+
 /// One part of the memory in this many is for the jobs that this node runs.
 constexpr std::int64_t job_memory_parts = 4;
 /// Largest input of a job, which is one record of the store.
@@ -57,6 +61,7 @@
     : context(node), slots(slot_source),
       submissions(
           byte_count(node.settings.memory.count() / submission_memory_parts)),
+      outputs(byte_count(node.settings.memory.count() / output_memory_parts)),
       acceptor(node, this->usages), admission(node.loop, node.settings.memory),
       reader(node, this->admission), reads(node.loop, node.metrics),
       cancellation(node, this->usages), cleaner(node, this->ages),
@@ -247,7 +252,7 @@
     if (state.owner == own.id && state.owner_process == own.process)
     {
         this->start_job(
-            jobs::owned_job(*input, state, accepted.value().revision, {}), {});
+            jobs::owned_job(*input, state, accepted.value().revision), {});
     }
     else if (!accepted.value().already_accepted)
     {
@@ -299,8 +304,8 @@
     }
     this->ages.observe(id, job.state().age, net::event_loop::now());
     auto owner = std::make_unique<job_owner>(
-        this->context, this->slots, this->usages, this->ages, std::move(job),
-        std::move(progress),
+        this->context, this->slots, this->usages, this->ages, this->outputs,
+        std::move(job), std::move(progress),
         [this, id]
         { this->context.loop.post([this, id] { this->owned.erase(id); }); });
     job_owner& started = *owner;
--- a/src/relay/job_service.hpp
+++ b/src/relay/job_service.hpp
@@ -109,6 +109,8 @@
     usage_tracker usages;
     jobs::job_ages ages;
     budgets::byte_budget submissions;
+    /// For the outputs of the jobs that this node runs.
+    budgets::byte_budget outputs;
     job_acceptor acceptor;
     read_admission admission;
     job_reader reader;
--- a/src/relay/job_service_calls.cpp
+++ b/src/relay/job_service_calls.cpp
@@ -178,14 +178,18 @@
 
 void job_service::export_metrics() const
 {
-    const auto set = [this](const char* state, byte_count bytes)
+    const auto set =
+        [this](const char* metric, byte_count limit, byte_count used)
     {
-        this->context.metrics.set_gauge("parsleytrack_job_read_bytes",
-                                        {{"state", state}},
-                                        static_cast<double>(bytes.count()));
+        this->context.metrics.set_gauge(metric, {{"state", "limit"}},
+                                        static_cast<double>(limit.count()));
+        this->context.metrics.set_gauge(metric, {{"state", "used"}},
+                                        static_cast<double>(used.count()));
     };
-    set("limit", this->admission.limit());
-    set("used", this->admission.used());
+    set("parsleytrack_job_read_bytes", this->admission.limit(),
+        this->admission.used());
+    set("parsleytrack_job_output_bytes", this->outputs.limit(),
+        this->outputs.used());
 }
 
 void job_service::cancel_job(
--- a/src/relay/job_takeover.hpp
+++ b/src/relay/job_takeover.hpp
@@ -84,8 +84,6 @@
     bool should_claim(const jobs::job_state& state) const;
     void claim(jobs::job_state state, store_revision revision);
     void load(const jobs::job_state& state, store_revision revision);
-    void load_outputs(const jobs::job_state& state, store_revision revision,
-                      const jobs::job_input& input);
     void load_progress(const std::shared_ptr<jobs::owned_job>& job);
     void abandon(const job_id& job, const char* step,
                  const std::string& reason);
--- a/src/relay/job_takeover_claims.cpp
+++ b/src/relay/job_takeover_claims.cpp
@@ -75,44 +75,8 @@
                 this->abandon(state.id, "read_input", "the record is damaged");
                 return;
             }
-            this->load_outputs(state, revision, input.value());
-        });
-}
-
-void job_takeover::load_outputs(const jobs::job_state& state,
-                                store_revision revision,
-                                const jobs::job_input& input)
-{
-    this->context.store.list(
-        job_output_prefix(state.id), key_value::read_freshness::latest,
-        [this, state, revision,
-         input](const result<key_value::record_listing>& listing)
-        {
-            if (listing.has_error())
-            {
-                this->abandon(state.id, "read_outputs",
-                              listing.error().message);
-                return;
-            }
-            std::vector<std::string> outputs;
-            for (const auto& record : listing.value().records)
-            {
-                auto output = jobs::decode_output(record.value);
-                if (output.has_error())
-                {
-                    this->abandon(state.id, "read_outputs",
-                                  "an output is damaged");
-                    return;
-                }
-                outputs.push_back(std::move(output.value().output));
-            }
-            if (outputs.size() != state.outcomes.size())
-            {
-                this->abandon(state.id, "read_outputs", "an output is missing");
-                return;
-            }
             this->load_progress(std::make_shared<jobs::owned_job>(
-                input, state, revision, std::move(outputs)));
+                std::move(input.value()), state, revision));
         });
 }
 
--- a/src/relay/progress_tracker.cpp
+++ b/src/relay/progress_tracker.cpp
@@ -105,6 +105,16 @@
     this->next_save = now + interval;
 }
 
+std::size_t progress_tracker::output_bytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [item, known] : this->items)
+    {
+        bytes += known.output.capacity();
+    }
+    return bytes;
+}
+
 std::int64_t progress_tracker::total_events() const
 {
     std::int64_t events = 0;
--- a/src/relay/progress_tracker.hpp
+++ b/src/relay/progress_tracker.hpp
@@ -29,6 +29,9 @@
     /// Removes an item that has ended.
     void erase(std::size_t item) { this->items.erase(item); }
 
+    /// \returns The bytes of memory that all outputs take.
+    std::size_t output_bytes() const;
+
     /// \returns Whether it is time to save new progress.
     bool is_due(time_point now) const { return now >= this->next_save; }
 
--- a/src/relay/result_readers.cpp
+++ b/src/relay/result_readers.cpp
@@ -9,8 +9,8 @@
 void result_readers::read(std::size_t after, duration wait,
                           page_callback callback)
 {
-    const jobs::job_page first = this->page(after);
-    if (!first.results.empty() || wait <= duration::zero() ||
+    const std::optional<jobs::job_page> first = this->page(after);
+    if (!first || !first->results.empty() || wait <= duration::zero() ||
         this->job.state().is_finished())
     {
         callback(first);
@@ -33,8 +33,8 @@
 {
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();)
     {
-        const jobs::job_page found = this->page(entry->after);
-        if (found.results.empty() && !this->job.state().is_finished())
+        const std::optional<jobs::job_page> found = this->page(entry->after);
+        if (found && found->results.empty() && !this->job.state().is_finished())
         {
             ++entry;
             continue;
--- a/src/relay/result_readers.hpp
+++ b/src/relay/result_readers.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <list>
+#include <optional>
 
 namespace parsleytrack::relay
 {
@@ -14,7 +15,9 @@
 class result_readers
 {
 public:
-    using page_callback = std::function<void(const jobs::job_page&)>;
+    /// Gets the page; absent if its results are in the store only.
+    using page_callback =
+        std::function<void(const std::optional<jobs::job_page>&)>;
 
     /// \param event_loop Outlives this object, as does the job.
     result_readers(net::event_loop& event_loop, const jobs::owned_job& read_job)
@@ -43,7 +46,7 @@
         net::timer expiry;
     };
 
-    jobs::job_page page(std::size_t after) const
+    std::optional<jobs::job_page> page(std::size_t after) const
     {
         return this->job.page(after, jobs::max_page_bytes);
     }
--- a/tests/relay_process/endless_response_test.cpp
+++ b/tests/relay_process/endless_response_test.cpp
@@ -1,6 +1,7 @@
 #include "relay_support/expected_output.hpp"
 #include "relay_support/raw_replica.hpp"
 #include "relay_support/relay_fleet.hpp"
+#include "relay_support/scripted_replica.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -56,6 +57,57 @@
     CHECK(fleet.process(0).peak_memory_bytes() < max_node_bytes);
 }
 
+/// A node whose memory is smaller than the outputs of a job.
+class node_of_large_outputs
+{
+public:
+    static constexpr int job_items = 100;
+
+    /// Submits a job of items that do not say how long their outputs are.
+    void submit(const std::string& job)
+    {
+        this->fleet.item_headers = {{"Parsleytrack-Token-Usage", ""}};
+        CHECK_EQUAL(202, this->fleet.submit(0, job, job_items).status);
+    }
+
+    /// Checks that the node has stayed within its memory.
+    void check_memory()
+    {
+        const std::size_t peak = this->fleet.process(0).peak_memory_bytes();
+        CHECK_TEXT(peak < memory_mb * mebibyte, std::to_string(peak).c_str());
+    }
+
+    relay_fleet fleet{
+        relay_fleet_options{.engine_count = 0, .memory_mb = memory_mb}};
+
+private:
+    static constexpr int memory_mb = 64;
+    static constexpr std::size_t mebibyte = 1024 * 1024;
+};
+
+constexpr std::size_t large_event_bytes = 100'000;
+constexpr int large_events = 9;
+
+/// \returns A response to an item that ends as it should.
+scripted_replica::script large_response(const std::string& request)
+{
+    const std::string field = "Parsleytrack-Request-Id: ";
+    const std::size_t begin = request.find(field) + field.size();
+    const std::string id =
+        request.substr(begin, request.find('\r', begin) - begin);
+    std::string body;
+    for (int event = 1; event <= large_events; ++event)
+    {
+        body += "id: " + std::to_string(event) +
+                "\ndata: " + std::string(large_event_bytes, 'x') + "\n\n";
+    }
+    return {{{{},
+              "HTTP/1.1 200 OK\r\n" + field + id +
+                  "\r\nParsleytrack-Response-Seal: seal-" + id +
+                  "\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body}}};
+}
+
 } // namespace
 
 TEST_GROUP(relay_endless_responses){};
@@ -170,3 +222,58 @@
     }
     CHECK(faulty.runs.size() >= runs_before + sound_runs);
 }
+
+// Guards against a node that holds the outputs of its jobs until it is killed
+// for its memory: those that have ended are in the store.
+TEST(relay_endless_responses, large_outputs_of_a_job_do_not_fill_the_memory)
+{
+    node_of_large_outputs node;
+    relay_fleet& fleet = node.fleet;
+    scripted_replica replica(fleet.loop, large_response);
+    fleet.store.put("servers/i-llm", replica.record("llm"));
+    node.submit("job");
+    constexpr int half = node_of_large_outputs::job_items / 2;
+    CHECK(fleet.wait([&replica] { return replica.started() >= half; }));
+    node.check_memory();
+    // The next process takes the job up with what has ended.
+    fleet.process(0).kill();
+    fleet.start(0);
+    fleet.wait_ready(0);
+    const auto results = fleet.results(0, "job");
+    CHECK_EQUAL(node_of_large_outputs::job_items, results.size());
+    for (const auto& entry : results)
+    {
+        CHECK_EQUAL(large_events * (large_event_bytes + 1) - 1,
+                    entry["output"].get_ref<const std::string&>().size());
+    }
+    node.check_memory();
+}
+
+// Guards against the same by many outputs without end at a time, each of which
+// is within the limit of one output.
+TEST(relay_endless_responses, nor_do_many_endless_outputs_at_once)
+{
+    constexpr int replica_count = 12;
+    constexpr int job_count = 3;
+    for (const auto fault : {raw_replica::fault::endless_event,
+                             raw_replica::fault::endless_events})
+    {
+        node_of_large_outputs node;
+        std::vector<std::unique_ptr<raw_replica>> replicas;
+        for (int number = 0; number < replica_count; ++number)
+        {
+            const auto& added =
+                replicas.emplace_back(std::make_unique<raw_replica>(
+                    node.fleet.loop, "i-endless-" + std::to_string(number),
+                    fault));
+            node.fleet.store.put("servers/" + added->name(),
+                                 added->record("llm"));
+        }
+        for (int number = 0; number < job_count; ++number)
+        {
+            node.submit("job" + std::to_string(number));
+        }
+        node.fleet.run_for(std::chrono::seconds(5));
+        node.check_memory();
+    }
+}
