Erase the results of a job page by page

Found when asking where else a node holds all outputs of a job: a node that erases a job after its retention listed all results to get their keys, and so loaded them.

The cleaner now reads one page of the listing, which the store bounds to about 1 MB, erases its keys, and reads the next one while more follow. A job whose results fit on one page costs the same calls as before.

--- a/src/relay/job_cleaner.cpp
+++ b/src/relay/job_cleaner.cpp
@@ -37,10 +37,14 @@
     {
         return;
     }
-    this->context.store.list(
-        job_output_prefix(state.id), key_value::read_freshness::latest,
-        [this, job = state.id,
-         revision](const result<key_value::record_listing>& outputs)
+    this->erase_page(state.id, revision);
+}
+
+void job_cleaner::erase_page(const job_id& job, store_revision revision)
+{
+    this->context.store.list_page(
+        job_output_prefix(job), {}, key_value::read_freshness::latest,
+        [this, job, revision](const result<key_value::record_listing>& outputs)
         {
             if (outputs.has_error())
             {
@@ -52,16 +56,18 @@
             {
                 keys.push_back(record.key);
             }
-            this->erase_outputs(job, revision, std::move(keys));
+            this->erase_outputs(job, revision, std::move(keys),
+                                outputs.value().truncated);
         });
 }
 
 void job_cleaner::erase_outputs(const job_id& job, store_revision revision,
-                                std::vector<std::string> keys)
+                                std::vector<std::string> keys, bool has_more)
 {
     if (keys.empty())
     {
-        this->erase_records(job, revision);
+        has_more ? this->erase_page(job, revision)
+                 : this->erase_records(job, revision);
         return;
     }
     key_value::record_transaction transaction;
@@ -71,8 +77,8 @@
         keys.pop_back();
     }
     this->commit(job, std::move(transaction),
-                 [this, job, revision, keys = std::move(keys)]
-                 { this->erase_outputs(job, revision, keys); });
+                 [this, job, revision, keys = std::move(keys), has_more]
+                 { this->erase_outputs(job, revision, keys, has_more); });
 }
 
 void job_cleaner::erase_records(const job_id& job, store_revision revision)
--- a/src/relay/job_cleaner.hpp
+++ b/src/relay/job_cleaner.hpp
@@ -27,8 +27,11 @@
                           store_revision revision);
 
 private:
+    /// Reads a page of the job's results and erases them.
+    void erase_page(const job_id& job, store_revision revision);
+    /// \param has_more Whether results follow these.
     void erase_outputs(const job_id& job, store_revision revision,
-                       std::vector<std::string> keys);
+                       std::vector<std::string> keys, bool has_more);
     void erase_records(const job_id& job, store_revision revision);
     void commit(const job_id& job, key_value::record_transaction transaction,
                 std::function<void()> next);
--- a/tests/relay_process/endless_response_test.cpp
+++ b/tests/relay_process/endless_response_test.cpp
@@ -1,3 +1,5 @@
+#include "jobs/job_codec.hpp"
+#include "relay/job_keys.hpp"
 #include "relay_support/expected_output.hpp"
 #include "relay_support/raw_replica.hpp"
 #include "relay_support/relay_fleet.hpp"
@@ -277,3 +279,34 @@
         node.check_memory();
     }
 }
+
+// Guards against a node that loads all results of a job to erase them.
+TEST(relay_endless_responses, nor_do_large_results_that_are_erased)
+{
+    node_of_large_outputs node;
+    const job_id job("old");
+    jobs::job_input input;
+    input.id = job;
+    jobs::job_state state;
+    state.id = job;
+    state.age = std::chrono::hours(1);
+    state.item_count = node_of_large_outputs::job_items;
+    for (std::size_t number = 0; number < state.item_count; ++number)
+    {
+        input.items.emplace_back().id = "item-" + std::to_string(number);
+        state.outcomes.push_back({number, true});
+        const jobs::job_result output{
+            input.items.back().id, true,
+            std::string(large_events * large_event_bytes, 'x')};
+        node.fleet.store.put(relay::job_output_key(job, number),
+                             jobs::encode_output(output, state.item_count));
+    }
+    node.fleet.store.put(relay::job_input_key(job), jobs::encode(input));
+    node.fleet.store.put(relay::job_state_key(job), jobs::encode(state));
+    CHECK(node.fleet.wait(
+        [&node, &job] {
+            return node.fleet.store.values(relay::job_state_key(job)).empty();
+        }));
+    CHECK(node.fleet.store.values(relay::job_output_prefix(job)).empty());
+    node.check_memory();
+}
