Doubt replicas that crash together

Cause: a process whose connection has ended is doubted until the list names another one, but not if three were lost within 200 ms, which counted as the loss of the node's own link.

Why it works: a reset of a link or of all connections takes those to most replicas along, a crash does not. Losses count as a reset only if they are of half of the listed processes, and three.

Test: nor_after_some_of_the_replicas_crash_together in relay_replaced_processes failed before, 3 of 3 runs (1 or 2 joined runs), and passes, 3 of 3. The test in routing/lost_processes that three processes lost together are not doubted stated the fault; it now asks for both, doubts below half of the listed ones and none from half on.

--- a/src/relay/replica_doubts.cpp
+++ b/src/relay/replica_doubts.cpp
@@ -8,20 +8,25 @@
 
 void replica_doubts::handle_lost(const replica_process_id& process)
 {
-    const time_point now = net::event_loop::now();
-    if (!this->lost.lost_at(process, now))
+    if (!this->lost_at(process))
     {
         log_event(log_level::info, "replica_may_be_replaced",
                   {{"replica", process.str()}});
     }
-    this->lost.record(process, now);
+    this->lost.record(process, net::event_loop::now());
+}
+
+std::optional<time_point>
+replica_doubts::lost_at(const replica_process_id& process) const
+{
+    return this->lost.lost_at(process, net::event_loop::now(),
+                              this->replicas.registry().all().size());
 }
 
 bool replica_doubts::may_be_replaced(
     const routing::replica_entry& replica) const
 {
-    const auto lost_at = this->lost.lost_at(routing::process_of(replica),
-                                            net::event_loop::now());
+    const auto lost_at = this->lost_at(routing::process_of(replica));
     // A process that has ended leaves no connection from before open.
     return lost_at &&
            !this->http.has_idle_connection(replica.address, *lost_at);
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -6,6 +6,7 @@
 #include "routing/replica_entry.hpp"
 #include "units/time.hpp"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -51,6 +52,9 @@
                    time_point sent_at) const;
 
 private:
+    /// \returns When a process was lost that may have been replaced since.
+    std::optional<time_point> lost_at(const replica_process_id& process) const;
+
     const net::http_client& http;
     const replica_follower& replicas;
     routing::lost_processes lost;
--- a/src/routing/lost_processes.hpp
+++ b/src/routing/lost_processes.hpp
@@ -20,10 +20,10 @@
     /// after which a silent replica is removed, the first ping of the next
     /// process and the delay of the list.
     static constexpr duration list_delay = std::chrono::seconds(6);
-    /// Many processes that are lost within this time were lost with a link of
-    /// this node.
+    /// If half of the listed processes, and so many, are lost within this time,
+    /// their connections were reset and they have not ended.
     static constexpr duration burst_window = std::chrono::milliseconds(200);
-    static constexpr std::size_t burst_size = 3;
+    static constexpr std::size_t min_burst_size = 3;
     static constexpr std::size_t max_entries = 256;
 
     /// \returns The number of processes that are remembered.
@@ -35,10 +35,11 @@
     /// Records that a connection to a process has ended.
     void record(const replica_process_id& process, time_point now);
 
+    /// \param listed Number of listed processes.
     /// \returns When the process was last lost, if another one may have taken
     /// its place since and may not be listed yet.
     std::optional<time_point> lost_at(const replica_process_id& process,
-                                      time_point now) const;
+                                      time_point now, std::size_t listed) const;
 
 private:
     struct entry
@@ -47,7 +48,7 @@
         time_point at;
     };
 
-    bool is_in_burst(time_point at) const;
+    bool is_in_burst(time_point at, std::size_t listed) const;
 
     /// The oldest first.
     std::deque<entry> entries;
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -238,3 +238,61 @@
         STRCMP_EQUAL("v1", version.c_str());
     }
 }
+
+// Guards against the same after several replicas have crashed together: that
+// was taken for the loss of a link of the node.
+TEST(relay_replaced_processes, nor_after_some_of_the_replicas_crash_together)
+{
+    constexpr int streams = 12;
+    constexpr int crash_size = 3;
+    relay_fleet_options options;
+    options.engine_count = 4 * crash_size;
+    relay_fleet fleet(options);
+    const auto for_each = [&fleet](int first, const auto& change)
+    {
+        for (int number = first; number < first + crash_size; ++number)
+        {
+            change(*fleet.engines[static_cast<std::size_t>(number)]);
+        }
+    };
+    const auto be_full = [](replica_stand_in& engine)
+    {
+        engine.behaviour = replica_stand_in::fault::full;
+    };
+    for_each(2 * crash_size, be_full);
+    for_each(3 * crash_size, be_full);
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_count = 100;
+        engine->event_interval = std::chrono::milliseconds(20);
+    }
+    for (int number = 0; number < streams; ++number)
+    {
+        const std::string id = std::to_string(number);
+        // Of one content, they would be taken for a request that crashes
+        // replicas.
+        fleet.start_call(0, "POST", "/stream/" + id, id, "",
+                         std::make_shared<relay_fleet::response>());
+    }
+    fleet.run_for(std::chrono::milliseconds(500));
+    // The streams of the second ones may go on at the first ones.
+    for (const int first : {0, crash_size})
+    {
+        for_each(first,
+                 [](replica_stand_in& engine)
+                 {
+                     CHECK(engine.open_streams() > 0);
+                     engine.behaviour = replica_stand_in::fault::truncating;
+                 });
+        fleet.run_for(std::chrono::milliseconds(50));
+        for_each(first,
+                 [](replica_stand_in& engine)
+                 {
+                     engine.behaviour = replica_stand_in::fault::none;
+                     engine.version = "v2";
+                     engine.restart();
+                 });
+        fleet.run_for(std::chrono::milliseconds(500));
+    }
+    CHECK_EQUAL(0, joined_runs(fleet));
+}
--- a/tests/routing/lost_processes_test.cpp
+++ b/tests/routing/lost_processes_test.cpp
@@ -12,18 +12,24 @@
     lost_processes lost;
     time_point now{std::chrono::hours(1)};
     const replica_process_id process{"i-1/5"};
+    static constexpr std::size_t listed = 8;
+
+    std::optional<time_point> lost_at(const replica_process_id& lost_process,
+                                      time_point when) const
+    {
+        return this->lost.lost_at(lost_process, when, listed);
+    }
 };
 
 TEST(lost_processes, a_process_is_doubted_while_the_list_may_be_behind)
 {
-    CHECK_FALSE(this->lost.lost_at(this->process, this->now).has_value());
+    CHECK_FALSE(this->lost_at(this->process, this->now).has_value());
     this->lost.record(this->process, this->now);
     const time_point later =
         this->now + lost_processes::list_delay - std::chrono::seconds(1);
-    CHECK(this->lost.lost_at(this->process, later) == this->now);
+    CHECK(this->lost_at(this->process, later) == this->now);
     CHECK_FALSE(
-        this->lost
-            .lost_at(this->process, this->now + lost_processes::list_delay)
+        this->lost_at(this->process, this->now + lost_processes::list_delay)
             .has_value());
 }
 
@@ -32,20 +38,22 @@
 {
     this->lost.record(this->process, this->now);
     CHECK_FALSE(
-        this->lost.lost_at(replica_process_id("i-1/6"), this->now).has_value());
+        this->lost_at(replica_process_id("i-1/6"), this->now).has_value());
 }
 
-// Guards against streams that cannot go on anywhere because a link of the node
-// has reset its connections.
-TEST(lost_processes, processes_that_are_lost_together_are_not_doubted)
+// Guards against streams that cannot go on anywhere because all connections
+// have been reset, and against streams that go on at another version after a
+// few replicas have crashed together.
+TEST(lost_processes, only_some_of_the_processes_are_doubted_together)
 {
-    for (std::size_t count = 0; count < lost_processes::burst_size; ++count)
+    for (std::size_t count = 1; count <= listed / 2; ++count)
     {
         this->lost.record(replica_process_id(std::to_string(count)),
                           this->now + std::chrono::milliseconds(count));
+        const bool is_doubted =
+            this->lost_at(replica_process_id("1"), this->now).has_value();
+        CHECK_EQUAL(count < listed / 2, is_doubted);
     }
-    CHECK_FALSE(
-        this->lost.lost_at(replica_process_id("0"), this->now).has_value());
 }
 
 TEST(lost_processes, its_memory_is_bounded)
