Reload no process of the soak before its program runs

The plan already tells such a process apart when it is told to stop (stopped_early). A reload of it is now left out, as for a node that is not up; any other end by a signal is a violation as before.

--- a/tests/soak/fault_plan_nodes.cpp
+++ b/tests/soak/fault_plan_nodes.cpp
@@ -43,6 +43,11 @@
         this->stop(node);
         return;
     case 3:
+        // Before its program runs, nothing can handle or defer the signal.
+        if (!this->fleet.process(node).handles(SIGHUP))
+        {
+            return;
+        }
         this->note("node " + std::to_string(node) + " is reloaded", true);
         this->fleet.process(node).signal(SIGHUP);
         return;
