Hold events of a stream back until its replica's version is confirmed

Cause: only nodes that had a request at a process learn of its end. If none had, the list names the process before for about a second, and nothing contradicts it.

Why it works: a connection belongs to one process, and two seconds after it was opened the list names that process (the bound that items use already, moved to replica_doubts). Events of a stream that goes on wait until then while another version of its service is listed; if the list has changed, they are discarded and the stream goes on elsewhere. Nothing waits on older connections, for new streams, or while one version serves.

Ruled out: holding events in any case would cost every stream that a crash breaks a pause of up to two seconds. No field of a response names the version.

--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -61,12 +61,6 @@
 class item_run
 {
 public:
-    /// How long after a connection was opened the list of replicas names the
-    /// process at its other end, where the store and this node work as usual: a
-    /// silent replica is removed after 1.2 s, and changes take half a second to
-    /// arrive.
-    static constexpr duration confirmation_delay = std::chrono::seconds(2);
-
     using end_callback =
         std::function<void(item_run_result end, const std::string& reason)>;
     /// Asked at the last moment before the item is sent.
@@ -142,7 +136,7 @@
     /// \returns When the list names the process that the last attempt was at.
     time_point confirmed_at() const
     {
-        return this->connection.opened_at + confirmation_delay;
+        return this->connection.opened_at + replica_doubts::list_latency;
     }
 
     /// \returns The bytes of memory that an incomplete event takes.
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -4,6 +4,7 @@
 #include "net/http_exchange.hpp"
 #include "relay/event_sequence.hpp"
 #include "relay/event_splitter.hpp"
+#include "relay/held_events.hpp"
 #include "relay/online_request.hpp"
 #include "relay/origin_search.hpp"
 #include "relay/relay_context.hpp"
@@ -87,6 +88,22 @@
     ///
     /// \returns Whether the stream keeps to one version.
     bool follow_replacement();
+    /// \returns When the list names the process of the current attempt.
+    time_point confirmed_at() const;
+    /// \returns Whether events of the current attempt may be of another
+    /// version than the stream, as the list may name the process before.
+    bool awaits_confirmation() const;
+    /// Holds events back until then.
+    ///
+    /// \param before The sequence without these events.
+    /// \returns Whether they are held.
+    bool hold(const std::string& events, const event_sequence& before);
+    /// \returns Whether the end of the response waits for held events.
+    bool hold_end(attempt_outcome outcome, const net::http_response& response,
+                  const std::string& reason);
+    /// Passes held events on, or leaves the replica if it is another process.
+    void release_held();
+    void discard_held();
     /// Records that the stream is sent to a replica of this version.
     void record_origin(const routing::replica_entry& target);
     /// \returns The attempt that brought the first event: the one that the
@@ -232,6 +249,9 @@
     std::string collected_body;
     event_splitter splitter;
     event_sequence sequence{event_numbering::increasing};
+    /// Absent unless events are held back.
+    std::optional<held_events> held;
+    net::timer confirmation_timer;
     /// Events that the current attempt has delivered.
     int attempt_events = 0;
     bool ended = false;
--- a/src/relay/online_call_ends.cpp
+++ b/src/relay/online_call_ends.cpp
@@ -27,6 +27,10 @@
                              net::http_response response,
                              const std::string& reason)
 {
+    if (this->hold_end(outcome, response, reason))
+    {
+        return;
+    }
     this->context.metrics.count("parsleytrack_replica_verdicts_total",
                                 {{"verdict", to_string(outcome)}});
     const bool answered = outcome == attempt_outcome::answered;
@@ -177,6 +181,7 @@
 
 void online_call::release_attempt()
 {
+    this->discard_held();
     this->silence_timer.cancel();
     this->stall_timer.cancel();
     this->reach_check.reset();
--- a/src/relay/online_call_response.cpp
+++ b/src/relay/online_call_response.cpp
@@ -67,6 +67,7 @@
         this->attempt->abort("the replica runs another software version");
         return;
     }
+    const event_sequence before = this->sequence;
     std::string ready;
     const char* problem = nullptr;
     for (const stream_event& event : this->splitter.feed(chunk))
@@ -84,7 +85,13 @@
     {
         problem = "an event exceeds the size limit";
     }
-    if (this->pass_on(ready) && problem != nullptr)
+    if (problem == nullptr && this->held &&
+        this->held->bytes.size() > max_unread_bytes)
+    {
+        problem = "too many events wait for the version to be confirmed";
+    }
+    if ((this->hold(ready, before) || this->pass_on(ready)) &&
+        problem != nullptr)
     {
         this->attempt->abort(problem);
     }
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -18,6 +18,12 @@
 class replica_doubts
 {
 public:
+    /// How long after a connection was opened the list of replicas names the
+    /// process at its other end, where the store and this node work as usual: a
+    /// silent replica is removed after 1.2 s, and changes take half a second to
+    /// arrive.
+    static constexpr duration list_latency = std::chrono::seconds(2);
+
     /// \param client Sends requests to replicas; outlives this object, as does
     /// \p replica_list.
     replica_doubts(const net::http_client& client,
--- a/tests/relay_process/replaced_process_test.cpp
+++ b/tests/relay_process/replaced_process_test.cpp
@@ -1,4 +1,5 @@
 #include "joined_runs.hpp"
+#include "relay_support/raw_caller.hpp"
 #include "relay_support/relay_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -296,3 +297,47 @@
     }
     CHECK_EQUAL(0, joined_runs(fleet));
 }
+
+// Guards against events of a replica that nobody has lost: it started again
+// while no request was there, and its record still names the version before.
+TEST(relay_replaced_processes, nor_at_one_that_had_no_request)
+{
+    relay_fleet_options options;
+    options.engine_count = 2;
+    relay_fleet fleet(options);
+    // Where one version serves, another is not expected.
+    replica_stand_in newer(fleet.loop, "newer");
+    newer.version = "v2";
+    newer.behaviour = replica_stand_in::fault::full;
+    fleet.store.put("servers/newer", newer.record("llm"));
+    for (const auto& engine : fleet.engines)
+    {
+        engine->event_interval = std::chrono::milliseconds(50);
+    }
+    fleet.run_for(std::chrono::seconds(1));
+    raw_caller caller(fleet.loop, fleet.front_address(0));
+    caller.send("POST /stream/a HTTP/1.1\r\nHost: h\r\n"
+                "Parsleytrack-Request-Id: one\r\n"
+                "Parsleytrack-Deadline-Ms: 5000\r\nConnection: close\r\n"
+                "Content-Length: 0\r\n\r\n");
+    const auto has_stream = [&fleet](std::size_t engine)
+    {
+        return fleet.engines[engine]->sent_events.size() >= 3;
+    };
+    CHECK(fleet.wait([&has_stream] { return has_stream(0) || has_stream(1); }));
+    replica_stand_in& used = *fleet.engines[has_stream(0) ? 0 : 1];
+    replica_stand_in& idle = *fleet.engines[has_stream(0) ? 1 : 0];
+    idle.version = "v2";
+    idle.restart();
+    used.behaviour = replica_stand_in::fault::truncating;
+    CHECK(fleet.wait([&idle] { return !idle.resumptions.empty(); }));
+    const int last = std::get<1>(*idle.resumptions.begin());
+    fleet.run_for(std::chrono::milliseconds(700));
+    fleet.store.put("servers/" + idle.name(), idle.record("llm"));
+    const std::string received = caller.read_until_lost();
+    STRCMP_CONTAINS(("id: " + std::to_string(last) + "\n").c_str(),
+                    received.c_str());
+    CHECK_TEXT(received.find("id: " + std::to_string(last + 1) + "\n") ==
+                   std::string::npos,
+               received.c_str());
+}
