Accept a service that a request names only if its route does

Cause: nodes that reach no replica send requests through others with these fields, at the address for callers. online_call::start took the service from them without a look at the route.

Why it works: the check is that of streams that callers take up, which now share it. A request whose fields name a service of another route is refused and has not run.

--- a/src/relay/online_call.cpp
+++ b/src/relay/online_call.cpp
@@ -60,7 +60,10 @@
         this->runs = this->request.hop->runs;
         if (const auto& origin = this->request.hop->origin)
         {
-            this->service = origin->service;
+            if (!this->accept_service(*origin))
+            {
+                return;
+            }
             this->version = origin->version;
         }
     }
--- a/src/relay/online_call.hpp
+++ b/src/relay/online_call.hpp
@@ -73,6 +73,11 @@
     /// Finds out which version began the stream before a slot is requested.
     void find_origin();
     void handle_origin(const std::optional<stream_origin>& origin);
+    /// Gives the request the service that began its stream, or rejects it if
+    /// its route does not name that. Callers may send the fields of nodes, too.
+    ///
+    /// \returns Whether the call goes on.
+    bool accept_service(const stream_origin& origin);
     /// \returns Whether a stream that breaks off may go on elsewhere.
     bool is_resumable_stream() const;
     /// \returns Replicas that the request must not be sent to.
--- a/src/relay/online_call_origin.cpp
+++ b/src/relay/online_call_origin.cpp
@@ -83,11 +83,21 @@
                          ran_state::no, retry_after_unknown});
         return;
     }
+    if (!this->accept_service(*origin))
+    {
+        return;
+    }
+    this->version = origin->version;
+    this->request_slot();
+}
+
+bool online_call::accept_service(const stream_origin& origin)
+{
     const auto& choices = this->request.route->services;
     const bool is_served =
         std::any_of(choices.begin(), choices.end(),
                     [&origin](const routing::weighted_service& choice)
-                    { return choice.service == origin->service; });
+                    { return choice.service == origin.service; });
     if (!is_served)
     {
         this->fail(error{error_code::no_replica,
@@ -95,11 +105,10 @@
                          "stream",
                          ran_state::no,
                          {}});
-        return;
+        return false;
     }
-    this->service = origin->service;
-    this->version = origin->version;
-    this->request_slot();
+    this->service = origin.service;
+    return true;
 }
 
 bool online_call::is_resumable_stream() const
--- a/tests/relay_process/smuggled_request_test.cpp
+++ b/tests/relay_process/smuggled_request_test.cpp
@@ -332,3 +332,15 @@
         CHECK(test.received.front().ends_with("\r\n\r\n" + body));
     }
 }
+
+// Guards against a caller that chooses the service of its request by the fields
+// that nodes send to each other.
+TEST(relay_smuggled_requests, fields_of_nodes_choose_no_other_service)
+{
+    relay_fleet fleet(relay_fleet_options{.engine_count = 1});
+    fleet.caller_headers = {
+        {"Relay-Runs", "0"}, {"Relay-Service", "llm"}, {"Relay-Version", "v1"}};
+    CHECK_EQUAL(503, fleet.call(0, "POST", "/plain/a", "one").status);
+    CHECK_EQUAL(0, fleet.engines.front()->run_count);
+    CHECK_EQUAL(200, fleet.call(0, "POST", "/stream/a", "two").status);
+}
