--- a/src/relay/job_service.cpp
+++ b/src/relay/job_service.cpp
@@ -37,8 +37,8 @@
 constexpr std::int64_t submission_memory_parts = 8;
 constexpr duration retry_after_submissions = std::chrono::milliseconds(500);
 
-/// One part of the memory in this many is for outputs of items. A commit takes
-/// up to five times the memory of the outputs that it writes.
+/// One part of the memory in this many is for outputs of items; a commit takes
+/// several times the memory of the outputs that it writes.
 constexpr std::int64_t output_memory_parts = 8;
 
 /// One part of the memory in this many is for the jobs that this node runs.
