Share the stored job of two tests, and name two times apart

Found when the whole change was read again:

- The test of erased results built a job record by record as crowd_read_test does.
Both use relay_support::stored_job now.
The large response takes the request's id by header_field(), as other stand-ins do.
- replica_doubts::list_latency (2 s) stood beside lost_processes::list_delay (6 s); it has its earlier name, confirmation_delay, again. held_outputs counted bytes, and is held_output_bytes.
- routing/lost_processes no longer asked that one or two lost processes of a short list are doubted; it does.

No behaviour changes. routing, jobs, review_settings, relay_endless_responses, relay_replaced_processes, relay_smuggled_requests and relay_crowd_reads pass.

--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -100,7 +100,7 @@
 
 void owned_job::end_item(ended_item ended)
 {
-    this->held_outputs += ended.output.size();
+    this->held_output_bytes += ended.output.size();
     this->uncommitted.push_back(std::move(ended));
 }
 
@@ -116,7 +116,7 @@
 {
     for (const std::string& output : std::exchange(this->kept_outputs, {}))
     {
-        this->held_outputs -= output.size();
+        this->held_output_bytes -= output.size();
     }
 }
 
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -99,11 +99,14 @@
 
     /// \returns The bytes of the items and of their outputs, which this object
     /// holds.
-    std::size_t bytes() const { return this->input_bytes + this->held_outputs; }
+    std::size_t bytes() const
+    {
+        return this->input_bytes + this->held_output_bytes;
+    }
 
     /// \returns The bytes of the outputs, committed or not, which this object
     /// holds.
-    std::size_t output_bytes() const { return this->held_outputs; }
+    std::size_t output_bytes() const { return this->held_output_bytes; }
 
     /// \returns The bytes of the outputs that wait to be committed.
     std::size_t uncommitted_bytes() const;
@@ -147,7 +150,7 @@
     std::deque<ended_item> uncommitted;
     bool committing = false;
     std::size_t input_bytes = 0;
-    std::size_t held_outputs = 0;
+    std::size_t held_output_bytes = 0;
 };
 
 } // namespace parsleytrack::jobs
--- a/src/relay/item_run.hpp
+++ b/src/relay/item_run.hpp
@@ -136,7 +136,7 @@
     /// \returns When the list names the process that the last attempt was at.
     time_point confirmed_at() const
     {
-        return this->connection.opened_at + replica_doubts::list_latency;
+        return this->connection.opened_at + replica_doubts::confirmation_delay;
     }
 
     /// \returns The bytes of memory that an incomplete event takes.
--- a/src/relay/job_cleaner.cpp
+++ b/src/relay/job_cleaner.cpp
@@ -66,8 +66,12 @@
 {
     if (keys.empty())
     {
-        has_more ? this->erase_page(job, revision)
-                 : this->erase_records(job, revision);
+        if (has_more)
+        {
+            this->erase_page(job, revision);
+            return;
+        }
+        this->erase_records(job, revision);
         return;
     }
     key_value::record_transaction transaction;
--- a/src/relay/online_call_confirmation.cpp
+++ b/src/relay/online_call_confirmation.cpp
@@ -12,7 +12,7 @@
 
 time_point online_call::confirmed_at() const
 {
-    return this->last_connection.opened_at + replica_doubts::list_latency;
+    return this->last_connection.opened_at + replica_doubts::confirmation_delay;
 }
 
 bool online_call::awaits_confirmation() const
--- a/src/relay/replica_doubts.hpp
+++ b/src/relay/replica_doubts.hpp
@@ -22,7 +22,7 @@
     /// process at its other end, where the store and this node work as usual: a
     /// silent replica is removed after 1.2 s, and changes take half a second to
     /// arrive.
-    static constexpr duration list_latency = std::chrono::seconds(2);
+    static constexpr duration confirmation_delay = std::chrono::seconds(2);
 
     /// \param client Sends requests to replicas; outlives this object, as does
     /// \p replica_list.
--- a/tests/relay_process/crowd_read_test.cpp
+++ b/tests/relay_process/crowd_read_test.cpp
@@ -1,6 +1,5 @@
-#include "jobs/job_codec.hpp"
-#include "relay/job_keys.hpp"
 #include "relay_support/crowded_node.hpp"
+#include "relay_support/stored_job.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,42 +21,10 @@
 constexpr std::size_t body_bytes = 4'500;
 constexpr std::size_t client_addresses = 8;
 
-std::string item_id(std::size_t number)
-{
-    return "item-" + std::to_string(number);
-}
-
-/// Writes a job with results to the store, whose owner is gone.
-///
 /// \param unfinished Number of items without a result.
 void add_job(relay_fleet& fleet, std::size_t unfinished)
 {
-    jobs::job_input input;
-    input.id = job;
-    input.route_name = "batch";
-    jobs::job_state state;
-    state.id = job;
-    state.route_name = "batch";
-    state.owner = node_id("gone");
-    state.item_count = result_count + unfinished;
-    for (std::size_t number = 0; number < state.item_count; ++number)
-    {
-        jobs::job_item& item = input.items.emplace_back();
-        item.id = item_id(number);
-        item.target = "/batch/x";
-        item.body = std::string(body_bytes, 'b');
-        if (number >= result_count)
-        {
-            continue;
-        }
-        state.outcomes.push_back({number, true});
-        const jobs::job_result output{item.id, true,
-                                      std::string(result_bytes, 'r')};
-        fleet.store.put(relay::job_output_key(job, number),
-                        jobs::encode_output(output, state.item_count));
-    }
-    fleet.store.put(relay::job_input_key(job), jobs::encode(input));
-    fleet.store.put(relay::job_state_key(job), jobs::encode(state));
+    put(fleet.store, {job, result_count, unfinished, result_bytes, body_bytes});
 }
 
 std::string results_target(std::size_t after)
@@ -67,7 +34,7 @@
 
 std::string body_target(std::size_t number)
 {
-    return "/v1/items/job?id=" + item_id(number);
+    return "/v1/items/job?id=" + stored_item_id(number);
 }
 
 /// Callers that all read the same job at a node.
--- a/tests/relay_process/endless_response_test.cpp
+++ b/tests/relay_process/endless_response_test.cpp
@@ -1,9 +1,9 @@
-#include "jobs/job_codec.hpp"
-#include "relay/job_keys.hpp"
 #include "relay_support/expected_output.hpp"
 #include "relay_support/raw_replica.hpp"
+#include "relay_support/raw_request.hpp"
 #include "relay_support/relay_fleet.hpp"
 #include "relay_support/scripted_replica.hpp"
+#include "relay_support/stored_job.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -93,10 +93,7 @@
 /// \returns A response to an item that ends as it should.
 scripted_replica::script large_response(const std::string& request)
 {
-    const std::string field = "Parsleytrack-Request-Id: ";
-    const std::size_t begin = request.find(field) + field.size();
-    const std::string id =
-        request.substr(begin, request.find('\r', begin) - begin);
+    const std::string id = header_field(request, "Parsleytrack-Request-Id");
     std::string body;
     for (int event = 1; event <= large_events; ++event)
     {
@@ -104,7 +101,7 @@
                 "\ndata: " + std::string(large_event_bytes, 'x') + "\n\n";
     }
     return {{{{},
-              "HTTP/1.1 200 OK\r\n" + field + id +
+              "HTTP/1.1 200 OK\r\nParsleytrack-Request-Id: " + id +
                   "\r\nParsleytrack-Response-Seal: seal-" + id +
                   "\r\nContent-Type: text/event-stream\r\nContent-Length: " +
                   std::to_string(body.size()) + "\r\n\r\n" + body}}};
@@ -285,24 +282,10 @@
 {
     node_of_large_outputs node;
     const job_id job("old");
-    jobs::job_input input;
-    input.id = job;
-    jobs::job_state state;
-    state.id = job;
-    state.age = std::chrono::hours(1);
-    state.item_count = node_of_large_outputs::job_items;
-    for (std::size_t number = 0; number < state.item_count; ++number)
-    {
-        input.items.emplace_back().id = "item-" + std::to_string(number);
-        state.outcomes.push_back({number, true});
-        const jobs::job_result output{
-            input.items.back().id, true,
-            std::string(large_events * large_event_bytes, 'x')};
-        node.fleet.store.put(relay::job_output_key(job, number),
-                             jobs::encode_output(output, state.item_count));
-    }
-    node.fleet.store.put(relay::job_input_key(job), jobs::encode(input));
-    node.fleet.store.put(relay::job_state_key(job), jobs::encode(state));
+    stored_job stored{job, node_of_large_outputs::job_items};
+    stored.result_bytes = large_events * large_event_bytes;
+    stored.age = std::chrono::hours(1);
+    put(node.fleet.store, stored);
     CHECK(node.fleet.wait(
         [&node, &job] {
             return node.fleet.store.values(relay::job_state_key(job)).empty();
--- a/tests/routing/lost_processes_test.cpp
+++ b/tests/routing/lost_processes_test.cpp
@@ -56,6 +56,20 @@
     }
 }
 
+// Guards against taking one or two lost processes of a few for a reset.
+TEST(lost_processes, fewer_than_a_burst_are_doubted_whatever_is_listed)
+{
+    for (std::size_t count = 1; count <= lost_processes::min_burst_size;
+         ++count)
+    {
+        this->lost.record(replica_process_id(std::to_string(count)), this->now);
+        const bool is_doubted =
+            this->lost.lost_at(replica_process_id("1"), this->now, 2)
+                .has_value();
+        CHECK_EQUAL(count < lost_processes::min_burst_size, is_doubted);
+    }
+}
+
 TEST(lost_processes, its_memory_is_bounded)
 {
     for (std::size_t count = 0; count < 2 * lost_processes::max_entries;
